--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN = $(VENV)/bin
+STAMP = $(VENV)/.installed
+
+.PHONY: demo test lint format bench capacity clean
+
+$(STAMP): pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt --editable ".[dev]"
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m bench.demo
+
+test: $(STAMP)
+	$(BIN)/python -m tests.run
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+bench: $(STAMP)
+	$(BIN)/python -m bench.path
+
+capacity: $(STAMP)
+	$(BIN)/python -m bench.capacity
+
+clean:
+	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Repeatable measurements."""
--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,183 @@
+"""The demo: both users' kinds of work through a whole system on loopback."""
+
+import asyncio
+import collections
+import json
+import random
+import signal
+import sys
+
+import click
+
+from standins import caller
+from standins import fleet
+
+SEED = 20261204
+POOLS = [
+    fleet.Pool(name="phase-tables", count=15, keyed=True, service_ms=2),
+    fleet.Pool(name="orders", count=10, service_ms=10),
+    fleet.Pool(name="proofs", count=8, service_ms=20),
+    fleet.Pool(name="archive", count=10, service_ms=20),
+    fleet.Pool(
+        name="routes",
+        count=15,
+        slots=4,
+        connections=120,
+        keyed=True,
+        service_ms=2,
+        checks_sender=False,
+    ),
+    fleet.Pool(
+        name="bookings", count=10, slots=4, connections=120, service_ms=10
+    ),
+    fleet.Pool(
+        name="case-files", count=8, slots=4, connections=120, service_ms=20
+    ),
+    fleet.Pool(
+        name="reports", count=10, slots=4, connections=120, service_ms=20
+    ),
+]
+CONTRACTS = ("examples/guild.toml", "examples/council.toml")
+
+
+def percentile(values: list[float], part: float) -> float:
+    """Returns a percentile of values, 0 without any."""
+    ordered = sorted(values)
+    if not ordered:
+        return 0.0
+    return ordered[min(len(ordered) - 1, int(len(ordered) * part))]
+
+
+async def apply_contracts(one: fleet.Fleet) -> None:
+    """Applies both example contracts and waits until they are in force."""
+    for path in CONTRACTS:
+        with open(path) as source:
+            response = await one.apply(source.read())
+        if response.status != 200:
+            raise RuntimeError(f"{path}: {response.body.decode()}")
+    await one.wait_for(one.entries_ready, "entries to be ready")
+    await one.wait_for(one.placed, "partitions to be placed")
+
+
+async def offer(
+    one: fleet.Fleet, requests: int, rate: float, kill: str
+) -> list[caller.Told]:
+    """Sends a mix of requests at a steady rate."""
+    rng = random.Random(SEED)
+    names = one.named("entry-")
+    callers = caller.Caller(
+        entries={name: one.real[name] for name in names}, rng=rng
+    )
+    weights = [kind.weight for kind in caller.MIX]
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    tasks = []
+    for number in range(requests):
+        await asyncio.sleep(max(0.0, began + number / rate - loop.time()))
+        kind = rng.choices(caller.MIX, weights)[0]
+        tasks.append(asyncio.create_task(callers.send(kind)))
+        if kill and number == requests // 2:
+            one.processes[kill].signal(signal.SIGKILL)
+            callers.clients.pop(kill, None)
+        if number % max(1, requests // 10) == 0:
+            click.echo(f"  {number} of {requests} sent", err=True)
+    return list(await asyncio.gather(*tasks))
+
+
+def table(told: list[caller.Told]) -> str:
+    """Returns a table of results by kind of work."""
+    head = f"{'work':<14}{'sent':>7}{'complete':>10}{'not run':>9}"
+    lines = [head + f"{'unknown':>9}{'wrong':>7}{'p50 ms':>9}{'p99 ms':>9}"]
+    for kind in caller.MIX:
+        rows = [t for t in told if t.kind == kind.name]
+        counts = collections.Counter(t.outcome for t in rows)
+        times = [t.seconds * 1000 for t in rows if t.outcome == "complete"]
+        lines.append(
+            f"{kind.name:<14}{len(rows):>7}{counts['complete']:>10}"
+            f"{counts['not-run']:>9}{counts['unknown']:>9}"
+            f"{counts['wrong']:>7}{percentile(times, 0.5):>9.2f}"
+            f"{percentile(times, 0.99):>9.2f}"
+        )
+    return "\n".join(lines)
+
+
+def summary(told: list[caller.Told], requests: int) -> dict:
+    """Returns the figures of the closing line."""
+    counts = collections.Counter(t.outcome for t in told)
+    lookups = [
+        t.seconds * 1000
+        for t in told
+        if t.kind in ("phase-tables", "routes") and t.outcome == "complete"
+    ]
+    return {
+        "requests": requests,
+        "complete": counts["complete"],
+        "not_run": counts["not-run"],
+        "unknown": counts["unknown"],
+        "wrong": counts["wrong"],
+        "lookup_p99_ms": round(percentile(lookups, 0.99), 2),
+    }
+
+
+async def check_runs(one: fleet.Fleet, told: list[caller.Told]) -> list[str]:
+    """Compares what callers were told with the servers' own records."""
+    runs = collections.Counter()
+    for record in await one.records():
+        runs.update(run["nonce"] for run in record["runs"])
+    repeatable = {k.name for k in caller.MIX if k.method == "GET"}
+    problems = []
+    for answer in told:
+        count = runs[answer.nonce]
+        if answer.outcome == "complete" and not count:
+            problems.append(f"{answer.nonce}: complete but never run")
+        if answer.outcome == "not-run" and count:
+            problems.append(f"{answer.nonce}: not-run but run")
+        if answer.kind not in repeatable and count > 1:
+            problems.append(f"{answer.nonce}: run {count} times")
+    return problems
+
+
+async def demo(requests: int, rate: float, kill: str) -> int:
+    """Runs the demo; returns the exit code."""
+    one = fleet.Fleet(pools=POOLS)
+    task = asyncio.current_task()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, task.cancel)
+    try:
+        click.echo("starting stand-ins, 3 placers and 3 entries", err=True)
+        await one.start()
+        await apply_contracts(one)
+        click.echo("both contracts are in force", err=True)
+        told = await offer(one, requests, rate, kill)
+        problems = await check_runs(one, told)
+    except asyncio.CancelledError:
+        click.echo("stopped", err=True)
+        return 130
+    finally:
+        await one.stop()
+    click.echo(table(told))
+    for answer in [t for t in told if t.outcome != "complete"][:10]:
+        click.echo(
+            f"{answer.kind} {answer.outcome} {answer.code} {answer.detail}",
+            err=True,
+        )
+    for problem in problems:
+        click.echo(problem, err=True)
+    figures = summary(told, requests)
+    click.echo(json.dumps(figures))
+    answered = sum(figures[k] for k in ("complete", "not_run", "unknown"))
+    return 0 if answered == requests and not problems else 1
+
+
+@click.command()
+@click.option("--requests", default=3000, type=click.IntRange(1, 1_000_000))
+@click.option("--rate", default=300.0, help="Requests a second.")
+@click.option("--kill", default="", help="Process to kill halfway.")
+def main(requests: int, rate: float, kill: str) -> None:
+    """Runs both users' work through a whole system on loopback."""
+    sys.exit(asyncio.run(demo(requests, rate, kill)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/oleanderhoist/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line entry points: options and settings only."""
--- /dev/null
+++ b/oleanderhoist/cli/options.py
@@ -0,0 +1,110 @@
+"""Options that several programs share."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import functools
+import sys
+
+import click
+
+from oleanderhoist import exits
+from oleanderhoist import log
+from oleanderhoist import settings
+
+MAX_SKEW_MS = 50.0
+
+
+def node_options(function: Callable) -> Callable:
+    """Adds the options of every node."""
+    options = [
+        click.option(
+            "--id",
+            required=True,
+            envvar="OLEANDER_ID",
+            help="Name of this process, unique in the system.",
+        ),
+        click.option(
+            "--data-center",
+            required=True,
+            envvar="OLEANDER_DATA_CENTER",
+            help="Where this process runs.",
+        ),
+        click.option(
+            "--listen",
+            required=True,
+            type=settings.ADDRESS,
+            envvar="OLEANDER_LISTEN",
+            help="Address of the HTTP interface.",
+        ),
+        click.option(
+            "--peer-listen",
+            required=True,
+            type=settings.ADDRESS,
+            envvar="OLEANDER_PEER_LISTEN",
+            help="Address to bind for the system's own processes.",
+        ),
+        click.option(
+            "--peer-advertise",
+            default="",
+            envvar="OLEANDER_PEER_ADVERTISE",
+            help="Address peers use, when not the bound one.",
+        ),
+        click.option(
+            "--health-listen",
+            required=True,
+            type=settings.ADDRESS,
+            envvar="OLEANDER_HEALTH_LISTEN",
+            help="Address of /livez, /readyz and /metrics.",
+        ),
+        click.option(
+            "--table",
+            required=True,
+            type=settings.ADDRESS,
+            envvar="OLEANDER_TABLE",
+            help="Address of the platform's table service.",
+        ),
+        click.option(
+            "--max-skew-ms",
+            default=MAX_SKEW_MS,
+            type=click.FloatRange(0, 1000),
+            envvar="OLEANDER_MAX_SKEW_MS",
+            help="Greatest difference of two VMs' clocks, in milliseconds.",
+        ),
+        click.option(
+            "--log-file",
+            default="-",
+            envvar="OLEANDER_LOG_FILE",
+            help="File for log lines; '-' is standard output.",
+        ),
+    ]
+    return functools.reduce(
+        lambda f, option: option(f), options[::-1], function
+    )
+
+
+def run(program: Coroutine[None, None, None], log_file: str) -> None:
+    """Runs a program with its log writer.
+
+    Args:
+        program: What to run.
+        log_file: Where log lines go.
+    """
+    try:
+        stream = sys.stdout if log_file == "-" else open(log_file, "a")  # noqa: SIM115
+    except OSError as error:
+        click.echo(
+            f"--log-file: cannot write {log_file!r}: {error.strerror}; "
+            "give a path in a folder that exists",
+            err=True,
+        )
+        sys.exit(exits.ExitStatus.USAGE)
+    writer = log.Writer(stream=stream)
+    writer.start()
+    try:
+        asyncio.run(program)
+    except OSError as error:
+        click.echo(f"cannot listen: {error}; check the addresses", err=True)
+        sys.exit(exits.ExitStatus.ERROR)
+    finally:
+        writer.stop()
--- /dev/null
+++ b/oleanderhoist/clock.py
@@ -0,0 +1,15 @@
+"""Time sources, passed in so that tests can replace them."""
+
+import time
+
+
+class Clock:
+    """Reads the wall clock and the monotonic clock, both in seconds."""
+
+    def wall(self) -> float:
+        """Returns seconds since the Unix epoch."""
+        return time.time()
+
+    def monotonic(self) -> float:
+        """Returns seconds on a clock that never goes back."""
+        return time.monotonic()
--- /dev/null
+++ b/oleanderhoist/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Operations that change state."""
--- /dev/null
+++ b/oleanderhoist/contract.py
@@ -0,0 +1,199 @@
+"""Contracts: what operators write, as validated models."""
+
+import hashlib
+import re
+import tomllib
+from typing import Annotated
+from typing import Literal
+
+import pydantic
+
+MAX_RATE = 10_000_000
+MAX_BODY_BYTES = 1 << 30
+MAX_DEADLINE_MS = 600_000
+MAX_SOURCE_BYTES = 262_144
+
+_SEGMENTS = re.compile(r"/(?:[A-Za-z0-9._~-]+|\{key\})")
+
+Name = Annotated[
+    str, pydantic.StringConstraints(pattern=r"^[a-z][a-z0-9-]{0,62}$")
+]
+Method = Literal["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
+
+
+class ContractError(Exception):
+    """A contract is not valid.
+
+    Attributes:
+        problems: One line for each field, naming the field and the fix.
+    """
+
+    def __init__(self, problems: list[str]):
+        super().__init__("; ".join(problems))
+        self.problems = problems
+
+
+class Work(pydantic.BaseModel):
+    """One kind of work that a customer may send."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True, strict=True)
+
+    name: Name
+    path: Annotated[str, pydantic.Field(max_length=256)]
+    methods: Annotated[tuple[Method, ...], pydantic.Field(min_length=1)]
+    rank: Literal[1, 2, 3]
+    repeatable: bool
+    worth: Annotated[float, pydantic.Field(gt=0, le=1_000_000)]
+    rate_per_second: Annotated[float, pydantic.Field(gt=0, le=MAX_RATE)]
+    burst: Annotated[int, pydantic.Field(ge=1, le=MAX_RATE)]
+    deadline_ms: Annotated[int, pydantic.Field(ge=10, le=MAX_DEADLINE_MS)]
+    service_ms: Annotated[float, pydantic.Field(gt=0, le=MAX_DEADLINE_MS)]
+    max_body_bytes: Annotated[int, pydantic.Field(ge=0, le=MAX_BODY_BYTES)]
+    pool: Name
+
+    @pydantic.field_validator("methods", mode="before")
+    @classmethod
+    def methods_from_list(cls, value: object) -> object:
+        """Takes TOML's list for the tuple."""
+        return tuple(value) if isinstance(value, list) else value
+
+    @pydantic.field_validator("path")
+    @classmethod
+    def path_is_template(cls, value: str) -> str:
+        """Checks the template's form."""
+        whole = "".join(_SEGMENTS.findall(value))
+        if whole != value or not value:
+            raise ValueError(
+                "write '/segment/...' with letters, digits and '._~-', and "
+                "at most one '{key}' as a segment of its own"
+            )
+        if value.count("{key}") > 1:
+            raise ValueError("write '{key}' once at most")
+        return value
+
+    @pydantic.model_validator(mode="after")
+    def service_within_deadline(self) -> "Work":
+        """Checks that one service fits the deadline."""
+        if self.service_ms > self.deadline_ms:
+            raise ValueError("service_ms must not exceed deadline_ms")
+        return self
+
+    @property
+    def keyed(self) -> bool:
+        """Whether requests name a key."""
+        return "{key}" in self.path
+
+    def match(self, path: str) -> str | None:
+        """Matches a path.
+
+        Returns:
+            The key, empty when the template has none, or None on no match.
+        """
+        wanted = self.path.split("/")
+        given = path.split("/")
+        if len(wanted) != len(given):
+            return None
+        key = ""
+        for want, have in zip(wanted, given, strict=True):
+            if want == "{key}":
+                if not have or len(have) > 256:
+                    return None
+                key = have
+            elif want != have:
+                return None
+        return key
+
+
+class Contract(pydantic.BaseModel):
+    """What one customer may send and is promised."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True, strict=True)
+
+    customer: Name
+    credential_sha256: Annotated[
+        str, pydantic.StringConstraints(pattern=r"^[0-9a-f]{64}$")
+    ]
+    tolerated_server_losses: Annotated[int, pydantic.Field(ge=0, le=1000)]
+    work: Annotated[
+        tuple[Work, ...], pydantic.Field(min_length=1, max_length=64)
+    ]
+
+    @pydantic.field_validator("work", mode="before")
+    @classmethod
+    def work_from_list(cls, value: object) -> object:
+        """Takes TOML's list for the tuple."""
+        return tuple(value) if isinstance(value, list) else value
+
+    @pydantic.model_validator(mode="after")
+    def names_and_paths_differ(self) -> "Contract":
+        """Refuses duplicate names and overlapping paths."""
+        for index, one in enumerate(self.work):
+            for other in self.work[:index]:
+                if one.name == other.name:
+                    raise ValueError(f"work name {one.name!r} stands twice")
+                if overlap(one, other):
+                    raise ValueError(
+                        f"paths of {other.name!r} and {one.name!r} overlap: "
+                        f"{other.path} and {one.path}"
+                    )
+        return self
+
+    def find(self, method: str, path: str) -> tuple[Work, str] | None:
+        """Returns the kind of work of a request and its key."""
+        for work in self.work:
+            if method in work.methods:
+                key = work.match(path)
+                if key is not None:
+                    return work, key
+        return None
+
+
+def overlap(one: Work, other: Work) -> bool:
+    """Tells whether some request would match both kinds of work."""
+    if not set(one.methods) & set(other.methods):
+        return False
+    left = one.path.split("/")
+    right = other.path.split("/")
+    if len(left) != len(right):
+        return False
+    return all(
+        a == b or "{key}" in (a, b) for a, b in zip(left, right, strict=True)
+    )
+
+
+def parse(source: str) -> Contract:
+    """Parses a contract from TOML.
+
+    Raises:
+        ContractError: The text is not a valid contract.
+    """
+    if len(source) > MAX_SOURCE_BYTES:
+        raise ContractError(
+            [f"contract: longer than {MAX_SOURCE_BYTES} bytes; shorten it"]
+        )
+    try:
+        raw = tomllib.loads(source)
+    except (tomllib.TOMLDecodeError, RecursionError, ValueError) as error:
+        raise ContractError([f"contract: not TOML: {error}"]) from error
+    try:
+        return Contract.model_validate(raw)
+    except pydantic.ValidationError as error:
+        raise ContractError([describe(e) for e in error.errors()]) from error
+
+
+def describe(error: dict) -> str:
+    """Returns one line that names the field and what is allowed."""
+    field = ".".join(str(part) for part in error["loc"]) or "contract"
+    text = error["msg"].removeprefix("Value error, ")
+    if error["type"] == "extra_forbidden":
+        text = "unknown field; remove it or mend its name"
+    given = error.get("input")
+    if isinstance(given, (str, int, float, bool)):
+        shown = repr(given)
+        text += f" (got {shown[:60]})"
+    return f"{field}: {text}"
+
+
+def credential_hash(credential: str) -> str:
+    """Returns the stored form of a credential."""
+    return hashlib.sha256(credential.encode()).hexdigest()
--- /dev/null
+++ b/oleanderhoist/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry program: callers, dispatch and lease renewal."""
--- /dev/null
+++ b/oleanderhoist/entry/admission.py
@@ -0,0 +1,66 @@
+"""Limits of each customer's kinds of work on this entry."""
+
+import collections
+
+from oleanderhoist import clock
+from oleanderhoist import contract
+from oleanderhoist.entry import view
+from oleanderhoist.peers import wire
+from oleanderhoist.policy import limits
+
+DEMAND_SECONDS = 1.0
+
+
+class Admission:
+    """Token buckets whose rates are this entry's shares of the limits.
+
+    Args:
+        views: Tells how many entries divide a limit.
+        clock: Time source.
+    """
+
+    def __init__(self, *, views: view.Views, clock: clock.Clock):
+        self.views = views
+        self.clock = clock
+        self.buckets: dict[str, limits.Bucket] = {}
+        self.shares: dict[int, dict[str, float]] = {}
+        self.asked: collections.Counter[str] = collections.Counter()
+        self.demands: dict[str, float] = {}
+        self.counted_at = clock.monotonic()
+
+    def receive(self, message: wire.Shares) -> None:
+        """Takes in the shares of one window."""
+        self.shares[message.window] = message.rates
+        present = limits.window_of(self.clock.wall())
+        for window in [w for w in self.shares if w < present]:
+            del self.shares[window]
+
+    def share(self, name: str, limit: float) -> float:
+        """Returns this entry's rate now, in requests per second."""
+        window = limits.window_of(self.clock.wall())
+        rates = self.shares.get(window, {})
+        entries = len(self.views.picture.entries)
+        return rates.get(name, limits.floor_of(limit, entries))
+
+    def admit(self, customer: str, work: contract.Work) -> bool:
+        """Tells whether a request is within the contract's rate."""
+        name = f"{customer}/{work.name}"
+        self.asked[name] += 1
+        now = self.clock.monotonic()
+        rate = self.share(name, work.rate_per_second)
+        burst = work.burst * rate / work.rate_per_second
+        bucket = self.buckets.get(name)
+        if bucket is None:
+            bucket = limits.Bucket(tokens=burst, updated_at=now)
+            self.buckets[name] = bucket
+        return bucket.take(rate, burst, now)
+
+    def count(self) -> dict[str, float]:
+        """Returns the demand of the last full interval, per second."""
+        now = self.clock.monotonic()
+        spent = now - self.counted_at
+        if spent >= DEMAND_SECONDS:
+            self.demands = {n: c / spent for n, c in self.asked.items()}
+            self.asked.clear()
+            self.counted_at = now
+        return self.demands
--- /dev/null
+++ b/oleanderhoist/entry/renewer.py
@@ -0,0 +1,208 @@
+"""Renews the leases of the servers whose home this entry is."""
+
+import asyncio
+import dataclasses
+import json
+
+from oleanderhoist import clock
+from oleanderhoist import events
+from oleanderhoist import log
+from oleanderhoist.entry import view
+from oleanderhoist.http import client
+from oleanderhoist.http import messages
+from oleanderhoist.peers import wire
+from oleanderhoist.policy import topology
+
+LEASE_SECONDS = 0.5
+RENEW_SECONDS = 0.1
+ORDER_SECONDS = 0.15
+FAILURES_TO_LOSE = 2
+REPORT_SECONDS = 2.0
+
+UNKNOWN = "unknown"
+UP = "up"
+LOST = "lost"
+LEAVING = "leaving"
+
+
+@dataclasses.dataclass(kw_only=True)
+class Watch:
+    """What this entry knows of one server.
+
+    Attributes:
+        state: Whether it answers orders.
+        failures: Orders in a row without an answer.
+        acked: Epoch and version of the last order it followed.
+        sent: Latest deadline sent, by assignment version, wall seconds.
+        up_since: When it last became usable, monotonic seconds.
+        homed_until: When this entry was last its home, monotonic seconds.
+    """
+
+    state: str = UNKNOWN
+    failures: int = 0
+    acked: tuple[int, int] = (0, -1)
+    sent: dict[int, float] = dataclasses.field(default_factory=dict)
+    up_since: float = 0.0
+    homed_until: float = 0.0
+    task: asyncio.Task | None = None
+
+
+class Renewer:
+    """Sends leases and assignments within the leader's loans.
+
+    Every order carries an absolute deadline no later than the loan's limit,
+    and the deadline is recorded before the order leaves.
+
+    Args:
+        views: The adopted views and loans.
+        clock: Time source.
+    """
+
+    def __init__(self, *, views: view.Views, clock: clock.Clock):
+        self.views = views
+        self.clock = clock
+        self.watches: dict[str, Watch] = {}
+        self.clients: dict[str, client.Client] = {}
+
+    def state(self, server: str) -> str:
+        """Returns whether a server answers orders."""
+        watch = self.watches.get(server)
+        return watch.state if watch else UNKNOWN
+
+    async def run(self) -> None:
+        """Keeps one task for each homed server until cancelled."""
+        while True:
+            homed = {server.id: server for server in self.views.homed()}
+            for id in homed:
+                watch = self.watches.setdefault(id, Watch())
+                if watch.task is None:
+                    watch.task = asyncio.create_task(self.keep(id))
+            await self.views.wait_for_change(RENEW_SECONDS)
+
+    async def keep(self, id: str) -> None:
+        """Renews one server for as long as this entry is its home."""
+        watch = self.watches[id]
+        while self.views.picture.homes.get(id) == self.views.own:
+            began = self.clock.monotonic()
+            watch.homed_until = began
+            await self.renew(id, watch)
+            spent = self.clock.monotonic() - began
+            await asyncio.sleep(max(0.0, RENEW_SECONDS - spent))
+        watch.state = UNKNOWN
+        watch.failures = 0
+        watch.task = None
+
+    async def renew(self, id: str, watch: Watch) -> None:
+        """Sends one order, or two when the server is behind."""
+        server = self.views.picture.servers[id]
+        assignment = self.views.picture.assignment(server)
+        epoch = self.views.picture.epoch
+        if watch.acked == (epoch, assignment.version):
+            answer = await self.order(server, watch, assignment, full=False)
+            if answer is None or answer.status == 200:
+                return
+        await self.order(server, watch, assignment, full=True)
+
+    async def order(
+        self,
+        server: topology.Server,
+        watch: Watch,
+        assignment: topology.Assignment,
+        *,
+        full: bool,
+    ) -> messages.Response | None:
+        """Sends a lease or a full assignment.
+
+        Returns:
+            The server's answer, or None when it gave none or none was sent.
+        """
+        now = self.clock.wall()
+        right = self.views.right
+        epoch = self.views.picture.epoch
+        deadline = min(now + LEASE_SECONDS, right.limit)
+        if right.epoch != epoch or deadline <= now:
+            return None
+        order = {
+            "epoch": epoch,
+            "version": assignment.version,
+            "deadline": deadline,
+        }
+        if full:
+            order["fences"] = assignment.fences
+            order["excluded"] = assignment.excluded
+        latest = watch.sent.get(assignment.version, 0.0)
+        watch.sent[assignment.version] = max(latest, deadline)
+        path = "/oleander/assignment" if full else "/oleander/lease"
+        answer = await self.exchange(server, path, order)
+        if answer is None:
+            self.fail(server, watch)
+            return None
+        self.succeed(server, watch, answer, (epoch, assignment.version))
+        return answer
+
+    async def exchange(
+        self, server: topology.Server, path: str, order: dict
+    ) -> messages.Response | None:
+        """Performs one exchange with a server."""
+        if server.address not in self.clients:
+            address = client.Address.parse(server.address)
+            self.clients[server.address] = client.Client(
+                address=address, connect_seconds=ORDER_SECONDS
+            )
+        try:
+            return await self.clients[server.address].request(
+                "PUT",
+                path,
+                timeout=ORDER_SECONDS,
+                body=json.dumps(order).encode(),
+            )
+        except client.ExchangeError:
+            return None
+
+    def fail(self, server: topology.Server, watch: Watch) -> None:
+        """Counts an order without an answer."""
+        watch.failures += 1
+        watch.acked = (0, -1)
+        if watch.failures >= FAILURES_TO_LOSE and watch.state != LOST:
+            watch.state = LOST
+            log.write(
+                events.SERVER_LOST, server=server.id, failures=watch.failures
+            )
+
+    def succeed(
+        self,
+        server: topology.Server,
+        watch: Watch,
+        answer: messages.Response,
+        stamp: tuple[int, int],
+    ) -> None:
+        """Takes in a server's answer."""
+        watch.failures = 0
+        if answer.status == 200:
+            watch.acked = stamp
+        if watch.state in (LOST, UNKNOWN):
+            watch.up_since = self.clock.monotonic()
+            log.write(events.SERVER_BACK, server=server.id, before=watch.state)
+        draining = json.loads(answer.body).get("draining", False)
+        watch.state = LEAVING if draining else UP
+
+    def reports(self) -> list[wire.ServerReport]:
+        """Returns what the leader needs to know of the servers."""
+        wall = self.clock.wall()
+        now = self.clock.monotonic()
+        found = []
+        for id, watch in list(self.watches.items()):
+            for version in [v for v, d in watch.sent.items() if d < wall - 5]:
+                del watch.sent[version]
+            if now - watch.homed_until > REPORT_SECONDS and not watch.sent:
+                continue
+            found.append(
+                wire.ServerReport(
+                    server=id,
+                    state=watch.state,
+                    acked_epoch=watch.acked[0],
+                    acked_version=watch.acked[1],
+                    sent=dict(watch.sent),
+                )
+            )
+        return found
--- /dev/null
+++ b/oleanderhoist/entry/slots.py
@@ -0,0 +1,220 @@
+"""The home's side: slots and queues of the servers homed here."""
+
+import asyncio
+import dataclasses
+
+import prometheus_client
+
+from oleanderhoist import clock
+from oleanderhoist import codes
+from oleanderhoist.entry import contracts
+from oleanderhoist.entry import permits
+from oleanderhoist.entry import renewer
+from oleanderhoist.entry import view
+from oleanderhoist.peers import link
+from oleanderhoist.peers import wire
+from oleanderhoist.policy import dispatch
+from oleanderhoist.policy import topology
+
+SWEEP_SECONDS = 0.02
+PERMIT_GRACE_SECONDS = 1.0
+RAMP_SECONDS = 0.5
+
+QUEUED = prometheus_client.Gauge(
+    "oleander_queue_depth", "Requests waiting for a slot here", ["rank"]
+)
+RUNNING = prometheus_client.Gauge(
+    "oleander_slots_in_use", "Slots granted by this home"
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Asker:
+    """Where the answer for a ticket goes."""
+
+    address: str
+    server: str
+
+
+class Slots:
+    """Grants slots of the servers whose home this entry is.
+
+    Args:
+        views: The adopted views.
+        renewer: Tells which servers answer.
+        contracts: Contracts in force, for the ranks' shares.
+        link: Link to peers.
+        clock: Time source.
+        policy: Registered name of the dispatch policy.
+    """
+
+    def __init__(
+        self,
+        *,
+        views: view.Views,
+        renewer: renewer.Renewer,
+        contracts: contracts.Contracts,
+        link: link.Link,
+        clock: clock.Clock,
+        policy: str,
+    ):
+        self.views = views
+        self.renewer = renewer
+        self.contracts = contracts
+        self.link = link
+        self.clock = clock
+        self.policy = dispatch.DISPATCHES.get(policy)
+        self.dispatchers: dict[str, dispatch.Dispatcher] = {}
+        self.askers: dict[tuple[str, int], Asker] = {}
+
+    async def run(self) -> None:
+        """Expires tickets and follows views until cancelled."""
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            self.sweep()
+
+    def sweep(self) -> None:
+        """Turns late tickets away and forgets what is gone."""
+        now = self.clock.monotonic()
+        picture = self.views.picture
+        for id, dispatcher in list(self.dispatchers.items()):
+            if picture.homes.get(id) != self.views.own:
+                self.hand_over(id)
+                continue
+            for holder in {holder for holder, _ in dispatcher.running}:
+                if holder not in picture.entries:
+                    dispatcher.drop_holder(holder)
+            for key, ticket in list(dispatcher.running.items()):
+                if now > ticket.deadline + PERMIT_GRACE_SECONDS:
+                    dispatcher.release(*key, None)
+            self.pump(id)
+        self.measure()
+
+    def measure(self) -> None:
+        """Updates the gauges."""
+        everything = self.dispatchers.values()
+        for rank in dispatch.RANKS:
+            waiting = sum(len(d.queues[rank]) for d in everything)
+            QUEUED.labels(str(rank)).set(waiting)
+        RUNNING.set(sum(len(d.running) for d in everything))
+
+    def hand_over(self, id: str) -> None:
+        """Sends a server's waiting requests to its new home."""
+        dispatcher = self.dispatchers.pop(id)
+        for ticket in dispatcher.drain():
+            self.answer(ticket, permits.MOVED, 0, 0)
+
+    def dispatcher(self, server: topology.Server) -> dispatch.Dispatcher:
+        """Returns a server's dispatcher, with its slots brought up to date."""
+        found = self.dispatchers.get(server.id)
+        if found is None:
+            found = dispatch.Dispatcher(
+                policy=self.policy(), slots=server.slots, shares={}
+            )
+            self.dispatchers[server.id] = found
+        found.slots = self.usable_slots(server)
+        found.shares = self.shares(server.pool)
+        return found
+
+    def usable_slots(self, server: topology.Server) -> int:
+        """Returns the slots to use; a server that came back ramps up."""
+        watch = self.renewer.watches.get(server.id)
+        if watch is None:
+            return server.slots
+        up = self.clock.monotonic() - watch.up_since
+        return min(server.slots, 1 + int(up / RAMP_SECONDS))
+
+    def shares(self, pool: str) -> dict[int, float]:
+        """Returns each rank's least part of a pool, from worth and rate."""
+        weights = {rank: 0.0 for rank in dispatch.RANKS}
+        for known in self.contracts.by_credential.values():
+            for work in known.work:
+                if work.pool == pool:
+                    weights[work.rank] += work.worth * work.rate_per_second
+        total = sum(weights.values())
+        if total <= 0:
+            return weights
+        return {rank: weight / total for rank, weight in weights.items()}
+
+    def acquire(self, sender: str, message: wire.Acquire) -> None:
+        """Takes in a request for a slot."""
+        now = self.clock.monotonic()
+        picture = self.views.picture
+        server = picture.servers.get(message.server)
+        ticket = dispatch.Ticket(
+            id=message.request,
+            rank=message.rank,
+            deadline=now + message.left_ms / 1000,
+            queued_at=now,
+            worth=message.worth,
+            holder=message.entry,
+            expected=message.expected_ms / 1000,
+        )
+        key = (ticket.holder, ticket.id)
+        self.askers[key] = Asker(address=sender, server=message.server)
+        if server is None or picture.homes.get(server.id) != self.views.own:
+            self.answer(ticket, permits.MOVED, 0, 0)
+            return
+        state = self.renewer.state(server.id)
+        leaving = server.state is topology.ServerState.LEAVING
+        if leaving or state in (renewer.LOST, renewer.LEAVING):
+            self.turn(ticket, codes.NO_SERVER, 0)
+            return
+        dispatcher = self.dispatcher(server)
+        if not dispatcher.offer(ticket, now):
+            self.turn(ticket, codes.OVERLOADED, dispatcher.depth())
+            return
+        self.pump(server.id)
+        if key not in dispatcher.running and key in self.askers:
+            self.send(ticket, permits.QUEUED, 0, dispatcher.depth())
+
+    def release(self, message: wire.Release) -> None:
+        """Takes a slot back."""
+        self.askers.pop((message.entry, message.request), None)
+        dispatcher = self.dispatchers.get(message.server)
+        if dispatcher is None:
+            return
+        took = None if message.took_ms < 0 else message.took_ms / 1000
+        dispatcher.release(message.entry, message.request, took)
+        self.pump(message.server)
+
+    def pump(self, id: str) -> None:
+        """Grants free slots and turns late tickets away."""
+        dispatcher = self.dispatchers[id]
+        server = self.views.picture.servers.get(id)
+        if server is not None:
+            dispatcher.slots = self.usable_slots(server)
+        started, late = dispatcher.next(self.clock.monotonic())
+        for ticket in started:
+            self.answer(ticket, permits.GRANTED, 0, dispatcher.depth())
+        for ticket in late:
+            self.turn(ticket, codes.TOO_LATE, dispatcher.depth())
+
+    def turn(
+        self, ticket: dispatch.Ticket, code: codes.Code, depth: int
+    ) -> None:
+        """Turns a ticket away."""
+        self.answer(ticket, permits.TURNED, code.number, depth)
+
+    def answer(
+        self, ticket: dispatch.Ticket, state: str, code: int, depth: int
+    ) -> None:
+        """Sends the last answer for a ticket."""
+        self.send(ticket, state, code, depth)
+        self.askers.pop((ticket.holder, ticket.id), None)
+
+    def send(
+        self, ticket: dispatch.Ticket, state: str, code: int, depth: int
+    ) -> None:
+        """Sends one answer for a ticket."""
+        asker = self.askers.get((ticket.holder, ticket.id))
+        if asker is None:
+            return
+        message = wire.Permit(
+            request=ticket.id,
+            server=asker.server,
+            state=state,
+            code=code,
+            depth=depth,
+        )
+        self.link.send(asker.address, message)
--- /dev/null
+++ b/oleanderhoist/entry/view.py
@@ -0,0 +1,141 @@
+"""The entry's copy of the leader's picture."""
+
+import asyncio
+import dataclasses
+
+from oleanderhoist import clock
+from oleanderhoist import events
+from oleanderhoist import log
+from oleanderhoist.peers import views
+from oleanderhoist.peers import wire
+from oleanderhoist.policy import topology
+
+
+@dataclasses.dataclass(kw_only=True)
+class Picture:
+    """One adopted view, indexed."""
+
+    epoch: int = 0
+    revision: int = 0
+    entries: dict[str, topology.Entry] = dataclasses.field(default_factory=dict)
+    servers: dict[str, topology.Server] = dataclasses.field(
+        default_factory=dict
+    )
+    pools: dict[str, list[topology.Server]] = dataclasses.field(
+        default_factory=dict
+    )
+    spaces: dict[str, topology.SpaceMap] = dataclasses.field(
+        default_factory=dict
+    )
+    homes: dict[str, str] = dataclasses.field(default_factory=dict)
+    contracts: dict[str, int] = dataclasses.field(default_factory=dict)
+    contracts_revision: int = 0
+
+    def assignment(self, server: topology.Server) -> topology.Assignment:
+        """Returns what a server owns."""
+        space = self.spaces.get(server.pool)
+        return space.assignment(server.id) if space else topology.Assignment()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Right:
+    """The right to renew, until a wall-clock limit in seconds."""
+
+    epoch: int = 0
+    sequence: int = 0
+    limit: float = 0.0
+
+
+class Views:
+    """Adopts views and loans in order of (epoch, revision).
+
+    Args:
+        own: Id of this entry.
+        clock: Time source.
+    """
+
+    def __init__(self, *, own: str, clock: clock.Clock):
+        self.own = own
+        self.clock = clock
+        self.picture = Picture()
+        self.right = Right()
+        self.leader_address = ""
+        self.heard_at = 0.0
+        self.changed = asyncio.Event()
+
+    def adopt(self, message: wire.View) -> bool:
+        """Adopts a view unless it is older than the present one.
+
+        Returns:
+            Whether it was adopted.
+        """
+        stamp = (message.epoch, message.revision)
+        if stamp <= (self.picture.epoch, self.picture.revision):
+            return False
+        self.picture = build(message)
+        self.changed.set()
+        self.changed = asyncio.Event()
+        log.write(
+            events.VIEW_ADOPTED,
+            epoch=message.epoch,
+            revision=message.revision,
+            entries=len(message.entries),
+            servers=len(message.servers),
+        )
+        return True
+
+    def take_loan(self, sender: str, message: wire.Lend) -> bool:
+        """Takes a loan of the present leader.
+
+        Returns:
+            False when it comes from an earlier leader.
+        """
+        if message.epoch < self.picture.epoch:
+            return False
+        self.leader_address = sender
+        self.heard_at = self.clock.monotonic()
+        present = (self.picture.epoch, self.picture.revision)
+        if present >= (message.epoch, message.revision):
+            self.right = Right(
+                epoch=message.epoch,
+                sequence=message.sequence,
+                limit=message.limit,
+            )
+        return True
+
+    def homed(self) -> list[topology.Server]:
+        """Returns the servers whose home this entry is."""
+        homes = self.picture.homes
+        return [
+            server
+            for id, server in self.picture.servers.items()
+            if homes.get(id) == self.own
+        ]
+
+    async def wait_for_change(self, timeout: float) -> None:
+        """Waits for the next view, in seconds at most."""
+        try:
+            await asyncio.wait_for(self.changed.wait(), timeout)
+        except TimeoutError:
+            pass
+
+
+def build(message: wire.View) -> Picture:
+    """Returns a view from the wire, indexed."""
+    entries = [views.unpack_entry(item) for item in message.entries]
+    servers = [views.unpack_server(item) for item in message.servers]
+    pools: dict[str, list[topology.Server]] = {}
+    for server in servers:
+        pools.setdefault(server.pool, []).append(server)
+    spaces = [views.unpack_space(item) for item in message.spaces]
+    return Picture(
+        epoch=message.epoch,
+        revision=message.revision,
+        entries={entry.id: entry for entry in entries},
+        servers={server.id: server for server in servers},
+        pools=pools,
+        spaces={space.pool: space for space in spaces},
+        homes=topology.homes(servers, entries),
+        contracts=message.contracts,
+        contracts_revision=message.contracts_revision,
+    )
--- /dev/null
+++ b/oleanderhoist/events.py
@@ -0,0 +1,176 @@
+"""Numbered log events.
+
+docs/EVENTS.md is generated from this registry and a test compares the two.
+"""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Event:
+    """One kind of log line.
+
+    Attributes:
+        number: Stable number.
+        name: Eliot message type.
+        text: When it is written.
+        source: Module in which the decision is made.
+    """
+
+    number: int
+    name: str
+    text: str
+    source: str
+
+
+REGISTRY: dict[int, Event] = {}
+
+
+def define(number: int, name: str, text: str, source: str) -> Event:
+    """Adds an event to the registry.
+
+    Raises:
+        ValueError: The number is already taken.
+    """
+    if number in REGISTRY:
+        raise ValueError(f"event {number} is defined twice")
+    event = Event(number=number, name=name, text=text, source=source)
+    REGISTRY[number] = event
+    return event
+
+
+REQUEST_ROUTED = define(
+    100,
+    "request.routed",
+    "A server was chosen for a request: candidates, choice and reason.",
+    "oleanderhoist.entry.router",
+)
+REQUEST_ENDED = define(
+    101,
+    "request.ended",
+    "A request was answered: outcome, code and time taken.",
+    "oleanderhoist.entry.front",
+)
+REQUEST_RETRIED = define(
+    102,
+    "request.retried",
+    "A repeatable request is sent a second time.",
+    "oleanderhoist.entry.router",
+)
+PERMIT_BYPASSED = define(
+    103,
+    "permit.bypassed",
+    "A home did not answer, so the request went without its permit.",
+    "oleanderhoist.entry.permits",
+)
+SERVER_LOST = define(
+    110,
+    "server.lost",
+    "A home saw its server fail two renewals.",
+    "oleanderhoist.entry.renewer",
+)
+SERVER_BACK = define(
+    111,
+    "server.back",
+    "A home renewed a server that had been lost.",
+    "oleanderhoist.entry.renewer",
+)
+VIEW_ADOPTED = define(
+    120,
+    "view.adopted",
+    "An entry adopted a newer view from the leader.",
+    "oleanderhoist.entry.view",
+)
+CONTRACT_IN_FORCE = define(
+    121,
+    "contract.in_force",
+    "An entry put a contract version in force.",
+    "oleanderhoist.entry.contracts",
+)
+ENTRY_WITHDRAWN = define(
+    122,
+    "entry.withdrawn",
+    "An entry could not confirm its contracts and stopped admitting.",
+    "oleanderhoist.entry.contracts",
+)
+ENTRY_READMITTED = define(
+    123,
+    "entry.readmitted",
+    "An entry confirmed its contracts and admits again.",
+    "oleanderhoist.entry.contracts",
+)
+LEADER_ELECTED = define(
+    200,
+    "leader.elected",
+    "A placer acquired the leader lease.",
+    "oleanderhoist.placer.election",
+)
+LEADER_LOST = define(
+    201,
+    "leader.lost",
+    "A placer stopped leading: its lease lapsed or was taken.",
+    "oleanderhoist.placer.election",
+)
+LEADER_HOLDING = define(
+    202,
+    "leader.holding",
+    "The table is down for most placers; present owners keep their leases.",
+    "oleanderhoist.placer.election",
+)
+MOVES_BLOCKED = define(
+    203,
+    "leader.moves_blocked",
+    "An earlier leader may still lend, so no partition may move yet.",
+    "oleanderhoist.placer.election",
+)
+PARTITIONS_REVOKED = define(
+    210,
+    "partitions.revoked",
+    "Partitions were taken from servers: which, and why.",
+    "oleanderhoist.placer.placement",
+)
+PARTITIONS_PLACED = define(
+    211,
+    "partitions.placed",
+    "Partitions were given to new owners: which, candidates, and why.",
+    "oleanderhoist.placer.placement",
+)
+ENTRY_JOINED = define(
+    220,
+    "entry.joined",
+    "The leader counts an entry as live.",
+    "oleanderhoist.placer.roster",
+)
+ENTRY_LOST = define(
+    221,
+    "entry.lost",
+    "The leader counts an entry as lost: it left or stopped answering.",
+    "oleanderhoist.placer.roster",
+)
+CONTRACT_ACCEPTED = define(
+    230,
+    "contract.accepted",
+    "A contract version was accepted.",
+    "oleanderhoist.placer.activation",
+)
+CONTRACT_REFUSED = define(
+    231,
+    "contract.refused",
+    "A contract was refused: the code and the shortfall.",
+    "oleanderhoist.placer.activation",
+)
+WRITE_RESOLVED = define(
+    240,
+    "table.write_resolved",
+    "A table write whose reply was lost was resolved by reading it back.",
+    "oleanderhoist.platform.table",
+)
+PROGRAM_STARTED = define(
+    300, "program.started", "A program serves.", "oleanderhoist.program"
+)
+PROGRAM_STOPPING = define(
+    301,
+    "program.stopping",
+    "A program was told to stop and finishes its work.",
+    "oleanderhoist.program",
+)
--- /dev/null
+++ b/oleanderhoist/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 server and client over h11."""
--- /dev/null
+++ b/oleanderhoist/http/client.py
@@ -0,0 +1,298 @@
+"""HTTP/1.1 client with keep-alive connections, over h11."""
+
+import asyncio
+import collections
+from collections.abc import AsyncIterator
+import dataclasses
+import time
+
+import h11
+
+from oleanderhoist.http import messages
+
+READ_BYTES = 65_536
+IDLE_SECONDS = 4.0
+WHOLE_BODY_BYTES = 262_144
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, order=True)
+class Address:
+    """IP number and port of a peer."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        """Parses ``host:port``.
+
+        Raises:
+            ValueError: The text has no port, or one out of range.
+        """
+        host, colon, port = text.rpartition(":")
+        if not colon or not host or not port.isdigit() or int(port) > 65_535:
+            raise ValueError(f"{text!r} is not HOST:PORT")
+        return cls(host=host, port=int(port))
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+class ExchangeError(Exception):
+    """An exchange failed.
+
+    Attributes:
+        sent: Whether a byte of the request may have left this process.
+        answered: Whether a byte of the answer had arrived.
+        late: Whether it failed for lack of time.
+    """
+
+    def __init__(
+        self,
+        text: str,
+        *,
+        sent: bool,
+        answered: bool = False,
+        late: bool = False,
+    ):
+        super().__init__(text)
+        self.sent = sent
+        self.answered = answered
+        self.late = late
+
+
+@dataclasses.dataclass(kw_only=True)
+class Connection:
+    """One connection to a peer."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    protocol: h11.Connection
+    idle_since: float = 0.0
+
+    def usable(self, now: float, idle_seconds: float) -> bool:
+        """Tells whether a kept connection may carry another request."""
+        if self.writer.is_closing() or self.reader.at_eof():
+            return False
+        return now - self.idle_since < idle_seconds
+
+
+class Client:
+    """Sends requests to one peer and keeps its idle connections.
+
+    Args:
+        address: The peer.
+        connect_seconds: Time allowed for opening a connection, in seconds.
+    """
+
+    def __init__(self, *, address: Address, connect_seconds: float = 0.3):
+        self.address = address
+        self.connect_seconds = connect_seconds
+        self.idle: collections.deque[Connection] = collections.deque()
+
+    async def request(
+        self,
+        method: str,
+        target: str,
+        *,
+        timeout: float,
+        headers: messages.Headers | None = None,
+        body: bytes | AsyncIterator[bytes] = b"",
+        stream: bool = False,
+        idle_seconds: float = IDLE_SECONDS,
+    ) -> messages.Response:
+        """Performs one exchange, once.
+
+        Args:
+            method: HTTP method.
+            target: Origin-form target.
+            timeout: Time allowed for the whole exchange, in seconds.
+            headers: Further headers.
+            body: The body, whole or as chunks.
+            stream: Whether a large answer may be returned as a stream.
+            idle_seconds: Longest idle time of a connection to use again.
+
+        Returns:
+            The response, whole unless it came as a stream.
+
+        Raises:
+            ExchangeError: No whole answer came.
+        """
+        deadline = time.monotonic() + timeout
+        connection = await self.acquire(timeout, idle_seconds)
+        exchange = Exchange(connection=connection, client=self)
+        try:
+            async with asyncio.timeout_at(
+                asyncio.get_running_loop().time() + deadline - time.monotonic()
+            ):
+                return await exchange.run(
+                    method, target, headers or [], body, stream
+                )
+        except TimeoutError as error:
+            exchange.abort()
+            self.drop_idle()
+            raise exchange.failure("no answer in time", late=True) from error
+        except (OSError, h11.ProtocolError) as error:
+            exchange.abort()
+            raise exchange.failure(str(error)) from error
+        except BaseException:
+            exchange.abort()
+            raise
+
+    async def acquire(self, timeout: float, idle_seconds: float) -> Connection:
+        """Returns a kept connection that is still good, or opens one."""
+        now = time.monotonic()
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.usable(now, idle_seconds):
+                return connection
+            connection.writer.close()
+        try:
+            reader, writer = await asyncio.wait_for(
+                asyncio.open_connection(self.address.host, self.address.port),
+                min(timeout, self.connect_seconds),
+            )
+        except TimeoutError as error:
+            raise ExchangeError(
+                f"cannot connect to {self.address} in time",
+                sent=False,
+                late=True,
+            ) from error
+        except OSError as error:
+            raise ExchangeError(str(error), sent=False) from error
+        protocol = h11.Connection(h11.CLIENT)
+        return Connection(reader=reader, writer=writer, protocol=protocol)
+
+    def keep(self, connection: Connection) -> None:
+        """Keeps a connection whose exchange ended whole."""
+        try:
+            connection.protocol.start_next_cycle()
+        except h11.LocalProtocolError:
+            connection.writer.close()
+            return
+        connection.idle_since = time.monotonic()
+        self.idle.append(connection)
+
+    def drop_idle(self) -> None:
+        """Closes all idle connections to the peer."""
+        while self.idle:
+            self.idle.pop().writer.close()
+
+
+class Exchange:
+    """One request and its answer on one connection."""
+
+    def __init__(self, *, connection: Connection, client: Client):
+        self.connection = connection
+        self.client = client
+        self.sent = False
+        self.answered = False
+
+    def failure(self, text: str, late: bool = False) -> ExchangeError:
+        """Returns the error that tells how far the exchange got."""
+        return ExchangeError(
+            text, sent=self.sent, answered=self.answered, late=late
+        )
+
+    def abort(self) -> None:
+        """Closes the connection, so that a late answer dies with it."""
+        self.connection.writer.transport.abort()
+
+    async def run(
+        self,
+        method: str,
+        target: str,
+        headers: messages.Headers,
+        body: bytes | AsyncIterator[bytes],
+        stream: bool,
+    ) -> messages.Response:
+        """Sends the request and reads the answer."""
+        await self.send(method, target, headers, body)
+        head = await self.read_head()
+        response = messages.Response(
+            status=head.status_code, headers=list(head.headers)
+        )
+        chunks = []
+        size = 0
+        while (chunk := await self.read_chunk()) is not None:
+            chunks.append(chunk)
+            size += len(chunk)
+            if stream and size > WHOLE_BODY_BYTES:
+                response.stream = self.rest(chunks)
+                return response
+        response.body = b"".join(chunks)
+        self.client.keep(self.connection)
+        return response
+
+    async def send(
+        self,
+        method: str,
+        target: str,
+        headers: messages.Headers,
+        body: bytes | AsyncIterator[bytes],
+    ) -> None:
+        """Sends head and body."""
+        connection = self.connection
+        all_headers = [(b"host", str(self.client.address).encode()), *headers]
+        whole = isinstance(body, bytes)
+        if whole and (body or method not in ("GET", "HEAD", "DELETE")):
+            all_headers.append((b"content-length", b"%d" % len(body)))
+        event = h11.Request(method=method, target=target, headers=all_headers)
+        head = connection.protocol.send(event)
+        if whole:
+            if body:
+                head += connection.protocol.send(h11.Data(data=body))
+            head += connection.protocol.send(h11.EndOfMessage())
+            self.sent = True
+            connection.writer.write(head)
+            if len(body) > READ_BYTES:
+                await connection.writer.drain()
+            return
+        self.sent = True
+        connection.writer.write(head)
+        async for chunk in body:
+            connection.writer.write(
+                connection.protocol.send(h11.Data(data=chunk))
+            )
+            await connection.writer.drain()
+        connection.writer.write(connection.protocol.send(h11.EndOfMessage()))
+
+    async def read_head(self) -> h11.Response:
+        """Returns the head of the final response."""
+        while True:
+            event = await self.next_event()
+            if isinstance(event, h11.Response):
+                return event
+
+    async def read_chunk(self) -> bytes | None:
+        """Returns the next chunk of the answer, or None at its end."""
+        event = await self.next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        return None
+
+    async def next_event(self) -> h11.Event:
+        """Returns h11's next event, reading from the socket as needed."""
+        protocol = self.connection.protocol
+        while True:
+            event = protocol.next_event()
+            if event is h11.NEED_DATA:
+                data = await self.connection.reader.read(READ_BYTES)
+                self.answered = self.answered or bool(data)
+                protocol.receive_data(data)
+                continue
+            if isinstance(event, h11.ConnectionClosed):
+                raise h11.RemoteProtocolError("the peer closed early")
+            return event
+
+    async def rest(self, chunks: list[bytes]) -> AsyncIterator[bytes]:
+        """Yields what was read, then what is still to come."""
+        try:
+            for chunk in chunks:
+                yield chunk
+            while (chunk := await self.read_chunk()) is not None:
+                yield chunk
+        except (OSError, h11.ProtocolError) as error:
+            self.abort()
+            raise ConnectionAbortedError("the answer was cut short") from error
+        self.client.keep(self.connection)
--- /dev/null
+++ b/oleanderhoist/http/messages.py
@@ -0,0 +1,137 @@
+"""HTTP requests and responses as data classes."""
+
+from collections.abc import AsyncIterator
+import dataclasses
+import json
+
+from oleanderhoist import codes
+
+HOP_BY_HOP = frozenset(
+    [
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    ]
+)
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@dataclasses.dataclass(kw_only=True)
+class Request:
+    """A request whose body is read from a stream.
+
+    Attributes:
+        method: Upper-case method.
+        target: Origin-form target, path and query.
+        headers: Lower-case names and values, in order.
+        body: Chunks of the body; ends when the body is whole.
+        length: Declared length in bytes, or None when chunked.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    body: AsyncIterator[bytes]
+    length: int | None = 0
+
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.partition("?")[0]
+
+    def header(self, name: bytes) -> str | None:
+        """Returns the first value of a header, given in lower case."""
+        return find(self.headers, name)
+
+    async def read(self) -> bytes:
+        """Returns the whole body."""
+        return b"".join([chunk async for chunk in self.body])
+
+
+@dataclasses.dataclass(kw_only=True)
+class Response:
+    """A response with either a whole body or a stream of chunks."""
+
+    status: int = 200
+    headers: Headers = dataclasses.field(default_factory=list)
+    body: bytes = b""
+    stream: AsyncIterator[bytes] | None = None
+    close: bool = False
+
+
+def find(headers: Headers, name: bytes) -> str | None:
+    """Returns the first value of a header, given in lower case."""
+    for key, value in headers:
+        if key == name:
+            return value.decode("latin-1")
+    return None
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Drops hop-by-hop headers and those the Connection header names."""
+    named = set(HOP_BY_HOP)
+    for key, value in headers:
+        if key == b"connection":
+            named.update(part.strip().lower() for part in value.split(b","))
+    return [(key, value) for key, value in headers if key not in named]
+
+
+def json_response(value: object, status: int = 200) -> Response:
+    """Returns a JSON response."""
+    return Response(
+        status=status,
+        headers=[(b"content-type", b"application/json")],
+        body=json.dumps(value).encode(),
+    )
+
+
+def problem(
+    code: codes.Code,
+    *,
+    detail: str = "",
+    retry_after: float | None = None,
+    close: bool = False,
+    **extra: object,
+) -> Response:
+    """Returns an RFC 9457 problem document for a result code.
+
+    Args:
+        code: The numbered result.
+        detail: What happened in this case.
+        retry_after: Seconds after which a new try makes sense.
+        close: Whether the connection ends with this response.
+        **extra: Further members of the document.
+    """
+    document = {
+        "type": f"urn:oleanderhoist:code:{code.number}",
+        "title": code.title,
+        "status": code.status,
+        "detail": detail or code.advice,
+        "code": code.number,
+        "outcome": code.outcome.value,
+        "advice": code.advice,
+        **extra,
+    }
+    headers = [
+        (b"content-type", b"application/problem+json"),
+        (b"oleander-outcome", code.outcome.value.encode()),
+        (b"oleander-code", str(code.number).encode()),
+    ]
+    if retry_after is not None:
+        headers.append(
+            (b"retry-after", str(max(1, round(retry_after))).encode())
+        )
+    return Response(
+        status=code.status,
+        headers=headers,
+        body=json.dumps(document).encode(),
+        close=close,
+    )
--- /dev/null
+++ b/oleanderhoist/http/server.py
@@ -0,0 +1,297 @@
+"""HTTP/1.1 server: h11 for the protocol, asyncio streams for the sockets."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import re
+
+import h11
+
+from oleanderhoist import codes
+from oleanderhoist.http import messages
+
+READ_BYTES = 65_536
+HEAD_BYTES = 16_384
+HEAD_SECONDS = 5.0
+BODY_STALL_SECONDS = 10.0
+IDLE_SECONDS = 60.0
+WRITE_SECONDS = 10.0
+
+Handler = Callable[[messages.Request], Awaitable[messages.Response]]
+
+_BARE_LF = re.compile(rb"(?<!\r)\n")
+
+
+class BodyError(Exception):
+    """The caller's body ended early, stalled or was malformed."""
+
+
+class Server:
+    """Serves one listening socket.
+
+    Args:
+        handler: Turns a request into a response.
+        host: IP number to listen on.
+        port: Port to listen on; 0 picks a free one.
+        head_seconds: Time allowed for a request head, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        host: str,
+        port: int,
+        head_seconds: float = HEAD_SECONDS,
+    ):
+        self.handler = handler
+        self.host = host
+        self.port = port
+        self.head_seconds = head_seconds
+        self.listener: asyncio.Server | None = None
+        self.connections: set[Connection] = set()
+
+    async def start(self) -> None:
+        """Binds the socket; `port` then holds the real port."""
+        self.listener = await asyncio.start_server(
+            self.accept, self.host, self.port, backlog=1024
+        )
+        self.port = self.listener.sockets[0].getsockname()[1]
+
+    async def accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serves one connection until it closes."""
+        connection = Connection(server=self, reader=reader, writer=writer)
+        self.connections.add(connection)
+        try:
+            await connection.serve()
+        except (TimeoutError, OSError):
+            pass
+        finally:
+            self.connections.discard(connection)
+            writer.close()
+
+    async def stop(self, grace: float) -> None:
+        """Stops accepting, lets running exchanges end, then closes.
+
+        Args:
+            grace: Longest time to wait for running exchanges, in seconds.
+        """
+        if self.listener is not None:
+            self.listener.close()
+        for connection in list(self.connections):
+            connection.finish()
+        waiting = [c.closed.wait() for c in self.connections]
+        if waiting:
+            with contextlib.suppress(asyncio.TimeoutError):
+                await asyncio.wait_for(asyncio.gather(*waiting), grace)
+        for connection in list(self.connections):
+            connection.writer.close()
+
+
+class Connection:
+    """One caller's connection."""
+
+    def __init__(
+        self,
+        *,
+        server: Server,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ):
+        self.server = server
+        self.reader = reader
+        self.writer = writer
+        self.protocol = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=HEAD_BYTES
+        )
+        self.busy = False
+        self.finishing = False
+        self.closed = asyncio.Event()
+
+    async def serve(self) -> None:
+        """Serves requests one after another."""
+        try:
+            while await self.exchange():
+                self.protocol.start_next_cycle()
+        except h11.LocalProtocolError:
+            pass
+        finally:
+            self.closed.set()
+
+    def finish(self) -> None:
+        """Closes after the running exchange, or now when idle."""
+        self.finishing = True
+        if not self.busy:
+            self.writer.close()
+
+    async def exchange(self) -> bool:
+        """Serves one request.
+
+        Returns:
+            Whether the connection can serve another.
+        """
+        request = await self.read_head()
+        if request is None:
+            return False
+        self.busy = True
+        response = await self.server.handler(request)
+        self.busy = False
+        close = response.close or self.finishing
+        if self.protocol.their_state is not h11.DONE:
+            close = True
+        await self.write(response, request.method, close)
+        return not close and self.protocol.our_state is h11.DONE
+
+    async def read_head(self) -> messages.Request | None:
+        """Returns the next request, or None when the connection ends."""
+        wait = IDLE_SECONDS
+        seen = bytearray(self.protocol.trailing_data[0])
+        while True:
+            refused = check_head(seen)
+            if refused is not None:
+                await self.refuse(refused)
+                return None
+            try:
+                event = self.protocol.next_event()
+            except h11.RemoteProtocolError as error:
+                large = error.error_status_hint == 431
+                code = codes.HEAD_TOO_LARGE if large else codes.MALFORMED
+                await self.refuse(code)
+                return None
+            if event is h11.NEED_DATA:
+                if seen:
+                    wait = self.server.head_seconds
+                data = await self.receive(wait, bool(seen))
+                if data is None:
+                    return None
+                seen.extend(data)
+                self.protocol.receive_data(data)
+                continue
+            if isinstance(event, h11.Request):
+                return self.to_request(event)
+            return None
+
+    async def receive(self, wait: float, started: bool) -> bytes | None:
+        """Reads bytes, or answers 408 when a started head stalls."""
+        try:
+            return await asyncio.wait_for(self.reader.read(READ_BYTES), wait)
+        except TimeoutError:
+            if started:
+                await self.refuse(codes.HEAD_TIMEOUT)
+            return None
+
+    def to_request(self, event: h11.Request) -> messages.Request:
+        """Converts h11's head into a request with a body stream."""
+        headers = list(event.headers)
+        length: int | None = 0
+        if messages.find(headers, b"transfer-encoding"):
+            length = None
+        elif declared := messages.find(headers, b"content-length"):
+            length = int(declared)
+        return messages.Request(
+            method=event.method.decode("ascii"),
+            target=event.target.decode("ascii"),
+            headers=headers,
+            body=self.read_body(),
+            length=length,
+        )
+
+    async def read_body(self) -> AsyncIterator[bytes]:
+        """Yields the body's chunks.
+
+        Raises:
+            BodyError: The body ended early, stalled or was malformed.
+        """
+        if self.protocol.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            self.writer.write(self.protocol.send(go_on))
+        while True:
+            try:
+                event = self.protocol.next_event()
+            except h11.RemoteProtocolError as error:
+                raise BodyError(str(error)) from error
+            if event is h11.NEED_DATA:
+                await self.receive_body()
+            elif isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            else:
+                raise BodyError("the connection closed within the body")
+
+    async def receive_body(self) -> None:
+        """Feeds h11 with the next bytes of a body."""
+        try:
+            data = await asyncio.wait_for(
+                self.reader.read(READ_BYTES), BODY_STALL_SECONDS
+            )
+        except TimeoutError as error:
+            raise BodyError("the body stalled") from error
+        except OSError as error:
+            raise BodyError(str(error)) from error
+        self.protocol.receive_data(data)
+
+    async def refuse(self, code: codes.Code) -> None:
+        """Answers a request that could not be parsed, and closes."""
+        response = messages.problem(code, close=True)
+        with contextlib.suppress(h11.LocalProtocolError, OSError):
+            await self.write(response, "GET", True)
+
+    async def write(
+        self, response: messages.Response, method: str, close: bool
+    ) -> None:
+        """Sends a response; a failing stream cuts the connection."""
+        headers = list(response.headers)
+        if response.stream is None and not messages.find(
+            headers, b"content-length"
+        ):
+            headers.append((b"content-length", b"%d" % len(response.body)))
+        if close:
+            headers.append((b"connection", b"close"))
+        head = h11.Response(status_code=response.status, headers=headers)
+        parts = [self.protocol.send(head)]
+        if response.stream is not None:
+            self.writer.write(parts.pop())
+            async for chunk in response.stream:
+                self.writer.write(self.protocol.send(h11.Data(data=chunk)))
+                await self.drain()
+        elif response.body and method != "HEAD":
+            parts.append(self.protocol.send(h11.Data(data=response.body)))
+        parts.append(self.protocol.send(h11.EndOfMessage()))
+        self.writer.write(b"".join(parts))
+        await self.drain()
+
+    async def drain(self) -> None:
+        """Waits until the socket takes more, within a bound."""
+        if self.writer.transport.get_write_buffer_size() == 0:
+            return
+        await asyncio.wait_for(self.writer.drain(), WRITE_SECONDS)
+
+
+def check_head(data: bytes | bytearray) -> codes.Code | None:
+    """Finds framing that parsers disagree about in a request head.
+
+    Args:
+        data: What has been received of the head so far.
+
+    Returns:
+        The code to refuse with, or None when nothing is wrong so far.
+    """
+    head, found, _ = bytes(data).partition(b"\r\n\r\n")
+    if not found and len(data) > HEAD_BYTES:
+        return codes.HEAD_TOO_LARGE
+    if _BARE_LF.search(head):
+        return codes.MALFORMED
+    names = [
+        line.partition(b":")[0].strip().lower()
+        for line in head.split(b"\r\n")[1:]
+    ]
+    lengths = names.count(b"content-length")
+    codings = names.count(b"transfer-encoding")
+    if lengths > 1 or codings > 1 or (lengths and codings):
+        return codes.MALFORMED
+    return None
--- /dev/null
+++ b/oleanderhoist/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and links between the system's processes."""
--- /dev/null
+++ b/oleanderhoist/placer/__init__.py
@@ -0,0 +1,1 @@
+"""The placer program: leadership, placement and contracts."""
--- /dev/null
+++ b/oleanderhoist/placer/api.py
@@ -0,0 +1,349 @@
+"""The administration API, served by every placer."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import hmac
+import re
+import typing
+
+from oleanderhoist import codes
+from oleanderhoist import contract
+from oleanderhoist.http import messages
+from oleanderhoist.http import server
+from oleanderhoist.placer import activation
+from oleanderhoist.placer import election
+from oleanderhoist.placer import leader
+from oleanderhoist.platform import table
+from oleanderhoist.policy import topology
+
+Route = Callable[..., Awaitable[messages.Response]]
+
+ROUTES: list[tuple[str, re.Pattern, bool, str]] = []
+
+
+def route(method: str, pattern: str, *, needs_leader: bool):
+    """Registers a route; groups of the pattern become arguments."""
+
+    def add(function: Route) -> Route:
+        ROUTES.append(
+            (
+                method,
+                re.compile(pattern + "$"),
+                needs_leader,
+                function.__name__,
+            )
+        )
+        return function
+
+    return add
+
+
+class Api:
+    """Answers operators.
+
+    Args:
+        election: Tells who leads.
+        table: The table client.
+        admin_sha256: SHA-256 of the operators' token, in hex.
+        current: Returns the running reign, or None.
+    """
+
+    def __init__(
+        self,
+        *,
+        election: election.Election,
+        table: table.Table,
+        admin_sha256: str,
+        current: Callable[[], leader.Leader | None],
+    ):
+        self.election = election
+        self.table = table
+        self.admin_sha256 = admin_sha256
+        self.current = current
+
+    async def handle(self, request: messages.Request) -> messages.Response:
+        """Answers one request."""
+        try:
+            return await self.answer(request)
+        except table.TableError as error:
+            return messages.problem(
+                codes.TABLE_UNAVAILABLE, detail=str(error), retry_after=1
+            )
+        except server.BodyError as error:
+            return messages.problem(
+                codes.BODY_NOT_RECEIVED, detail=str(error), close=True
+            )
+
+    async def answer(self, request: messages.Request) -> messages.Response:
+        """Checks the credential and finds the route."""
+        if not self.allowed(request):
+            return messages.problem(codes.ADMIN_DENIED, close=True)
+        if (request.length or 0) > contract.MAX_SOURCE_BYTES:
+            return messages.problem(codes.BODY_TOO_LARGE, close=True)
+        for method, pattern, needs_leader, name in ROUTES:
+            match = pattern.match(request.path)
+            if method != request.method or match is None:
+                continue
+            reign = self.current()
+            if needs_leader and (reign is None or not reign.loaded):
+                return self.redirect(request)
+            function = getattr(self, name)
+            return await function(request, **match.groupdict())
+        return messages.problem(codes.NOT_FOUND)
+
+    def allowed(self, request: messages.Request) -> bool:
+        """Checks the operators' token."""
+        given = request.header(b"authorization") or ""
+        token = given.removeprefix("Bearer ").strip()
+        return hmac.compare_digest(
+            contract.credential_hash(token), self.admin_sha256
+        )
+
+    def redirect(self, request: messages.Request) -> messages.Response:
+        """Sends the operator on to the leader."""
+        record = self.election.record
+        own = self.election.api_address
+        if record is None or record.api_address == own:
+            return messages.problem(codes.NO_LEADER, retry_after=1)
+        where = f"http://{record.api_address}{request.target}"
+        return messages.Response(
+            status=307, headers=[(b"location", where.encode())], close=True
+        )
+
+    @route("PUT", r"/v1/contracts/(?P<customer>[a-z0-9-]+)", needs_leader=True)
+    async def put_contract(
+        self, request: messages.Request, customer: str
+    ) -> messages.Response:
+        """Applies a contract; If-Match names the version it starts from."""
+        source = await read_source(request)
+        base = (request.header(b"if-match") or '"0"').strip('"')
+        if not base.isdigit():
+            return invalid("If-Match: write the version you start from")
+        try:
+            wanted = contract.parse(source)
+        except contract.ContractError as error:
+            return refusal(
+                activation.Refused(
+                    code=codes.CONTRACT_INVALID, details=error.problems
+                )
+            )
+        if wanted.customer != customer:
+            return invalid(f"customer: the path names {customer!r}")
+        reign = self.current()
+        if not self.election.settled() or self.election.hold is not None:
+            return messages.problem(
+                codes.NO_LEADER,
+                detail="an earlier leader may still be acting",
+                retry_after=1,
+            )
+        outcome = await reign.apply(source, int(base))
+        if isinstance(outcome, activation.Refused):
+            return refusal(outcome)
+        return messages.json_response(
+            {
+                "customer": outcome.customer,
+                "version": outcome.version,
+                "revision": outcome.revision,
+            }
+        )
+
+    @route("POST", r"/v1/check", needs_leader=True)
+    async def check_contract(
+        self, request: messages.Request
+    ) -> messages.Response:
+        """Checks a contract without applying it."""
+        reign = self.current()
+        checked = reign.activation.check(
+            await read_source(request), reign.lender.picture.servers
+        )
+        if isinstance(checked, activation.Refused):
+            return refusal(checked)
+        return messages.json_response({"customer": checked.customer})
+
+    @route("GET", r"/v1/contracts", needs_leader=False)
+    async def list_contracts(
+        self, request: messages.Request
+    ) -> messages.Response:
+        """Lists the versions in force."""
+        head = await self.table.get(activation.HEAD_KEY)
+        versions = head.value["versions"] if head else {}
+        return messages.json_response({"versions": versions})
+
+    @route("GET", r"/v1/contracts/(?P<customer>[a-z0-9-]+)", needs_leader=False)
+    async def get_contract(
+        self, request: messages.Request, customer: str
+    ) -> messages.Response:
+        """Returns the contract in force."""
+        head = await self.table.get(activation.HEAD_KEY)
+        version = head.value["versions"].get(customer) if head else None
+        if version is None:
+            return messages.problem(codes.NOT_FOUND)
+        return await self.get_version(request, customer, str(version))
+
+    @route(
+        "GET",
+        r"/v1/contracts/(?P<customer>[a-z0-9-]+)/(?P<version>\d+)",
+        needs_leader=False,
+    )
+    async def get_version(
+        self, request: messages.Request, customer: str, version: str
+    ) -> messages.Response:
+        """Returns one version of a contract."""
+        source = await activation.read_source(
+            self.table, customer, int(version)
+        )
+        return messages.json_response(
+            {"customer": customer, "version": int(version), "source": source}
+        )
+
+    @route(
+        "GET",
+        r"/v1/contracts/(?P<customer>[a-z0-9-]+)/history",
+        needs_leader=False,
+    )
+    async def history(
+        self, request: messages.Request, customer: str
+    ) -> messages.Response:
+        """Lists all stored versions of a contract."""
+        head = await self.table.get(activation.HEAD_KEY)
+        present = head.value["versions"].get(customer) if head else None
+        prefix = f"{activation.CONTRACTS_PREFIX}{customer}/"
+        found = await self.table.scan(prefix)
+        rows = [
+            {
+                "version": int(record.key.removeprefix(prefix)),
+                "written_at": record.value["written_at"],
+            }
+            for record in found
+        ]
+        for row in rows:
+            row["in_force"] = row["version"] == present
+        rows.sort(key=lambda row: row["version"])
+        return messages.json_response({"customer": customer, "history": rows})
+
+    @route(
+        "GET", r"/v1/keys/(?P<pool>[a-z0-9-]+)/(?P<key>.+)", needs_leader=True
+    )
+    async def explain_key(
+        self, request: messages.Request, pool: str, key: str
+    ) -> messages.Response:
+        """Tells who owns a key, who its home is, and why."""
+        reign = self.current()
+        stored = reign.maps.stored.get(pool)
+        if stored is None:
+            return messages.problem(
+                codes.NOT_FOUND, detail=f"no key space {pool!r}"
+            )
+        name, holding = stored.space.locate(key)
+        report = reign.lender.reports.get(holding.owner)
+        usable = reign.placement.usable(pool)
+        return messages.json_response(
+            {
+                "key": key,
+                "pool": pool,
+                "partition": name,
+                "owner": holding.owner or None,
+                "fence": holding.fence,
+                "home": reign.lender.homes.get(holding.owner),
+                "assignment_version": stored.space.versions.get(holding.owner),
+                "owner_state": report.state if report else "unknown",
+                "why": why(holding, usable),
+            }
+        )
+
+    @route("GET", r"/v1/status", needs_leader=True)
+    async def status(self, request: messages.Request) -> messages.Response:
+        """Returns the leader's picture of the system."""
+        return messages.json_response(snapshot(self.election, self.current()))
+
+
+async def read_source(request: messages.Request) -> str:
+    """Returns a body as text, stopping at the longest contract."""
+    body = bytearray()
+    async for chunk in request.body:
+        body.extend(chunk)
+        if len(body) > contract.MAX_SOURCE_BYTES:
+            raise server.BodyError("longer than the longest contract")
+    return body.decode("utf-8", "replace")
+
+
+def why(holding: topology.Holding, usable: list[str]) -> str:
+    """Explains a holding."""
+    if not holding.owner:
+        return "no owner: revoked and not yet released, or no usable server"
+    if holding.owner in usable:
+        return "the owner is usable, and an owner that stands is kept"
+    return "the owner is lost or leaving; the partition is about to move"
+
+
+def snapshot(
+    election: election.Election, reign: leader.Leader
+) -> dict[str, typing.Any]:
+    """Returns the system's state for operators."""
+    picture = reign.lender.picture
+    entries = []
+    for id, member in sorted(reign.lender.roster.members.items()):
+        status = member.status
+        entries.append(
+            {
+                "id": id,
+                "data_center": member.entry.data_center,
+                "address": member.entry.address,
+                "view": status.revision if status else None,
+                "contracts_revision": (
+                    status.contracts_revision if status else None
+                ),
+                "confirmed": status.confirmed if status else False,
+                "loop_lag_ms": status.lag_ms if status else None,
+            }
+        )
+    return {
+        "leader": {
+            "id": election.own,
+            "epoch": election.epoch,
+            "mode": "hold" if election.hold else "table",
+            "moves_allowed": election.settled(),
+            "revision": reign.lender.revision,
+        },
+        "contracts": {
+            "revision": picture.contracts_revision,
+            "versions": picture.contracts,
+        },
+        "entries": entries,
+        "servers": [server_row(reign, s) for s in picture.servers],
+    }
+
+
+def server_row(
+    reign: leader.Leader, server: topology.Server
+) -> dict[str, typing.Any]:
+    """Returns one server's state for operators."""
+    report = reign.lender.reports.get(server.id)
+    space = reign.lender.picture.spaces.get(server.pool)
+    owned = len(space.assignment(server.id).fences) if space else 0
+    listed = server.state.value
+    return {
+        "id": server.id,
+        "pool": server.pool,
+        "data_center": server.data_center,
+        "state": listed if listed != "up" or not report else report.state,
+        "partitions": owned,
+        "home": reign.lender.homes.get(server.id),
+    }
+
+
+def invalid(detail: str) -> messages.Response:
+    """Returns the refusal of a malformed call."""
+    return messages.problem(
+        codes.CONTRACT_INVALID, detail=detail, details=[detail]
+    )
+
+
+def refusal(refused: activation.Refused) -> messages.Response:
+    """Returns a refused contract as a problem document."""
+    return messages.problem(
+        refused.code,
+        detail="; ".join(refused.details),
+        details=refused.details,
+        present=refused.present,
+    )
--- /dev/null
+++ b/oleanderhoist/placer/core.py
@@ -0,0 +1,151 @@
+"""The placer program, put together."""
+
+import asyncio
+
+from oleanderhoist import clock
+from oleanderhoist import events
+from oleanderhoist import log
+from oleanderhoist import program
+from oleanderhoist import settings
+from oleanderhoist.http import server
+from oleanderhoist.peers import link
+from oleanderhoist.peers import wire
+from oleanderhoist.placer import api
+from oleanderhoist.placer import election
+from oleanderhoist.placer import leader
+from oleanderhoist.platform import inventory
+from oleanderhoist.platform import table
+from oleanderhoist.policy import leadership
+from oleanderhoist.policy import placement
+
+HOLD_LIMIT_SECONDS = 4 * 3600.0
+REGISTER_SECONDS = 5.0
+STOP_SECONDS = 2.0
+
+
+class Placer:
+    """One placer.
+
+    Args:
+        settings: Checked settings.
+        clock: Time source.
+    """
+
+    def __init__(
+        self, *, settings: settings.PlacerSettings, clock: clock.Clock
+    ):
+        self.settings = settings
+        self.clock = clock
+        self.table = table.Table(address=settings.table)
+        self.inventory = inventory.Inventory(address=settings.inventory)
+        self.link = link.Link(
+            listen=str(settings.peer_listen),
+            advertise=settings.peer_advertise,
+            receiver=self.receive,
+        )
+        self.election = election.Election(
+            own=settings.id,
+            api_address=settings.advertise,
+            table=table.Table(
+                address=settings.table, timeout=leadership.LEASE_SECONDS / 2
+            ),
+            link=self.link,
+            clock=clock,
+            max_skew=settings.max_skew,
+            hold_limit=HOLD_LIMIT_SECONDS,
+            on_change=self.change_reign,
+        )
+        self.reign: leader.Leader | None = None
+        self.api = api.Api(
+            election=self.election,
+            table=self.table,
+            admin_sha256=settings.admin_sha256,
+            current=lambda: self.reign,
+        )
+        self.front = server.Server(
+            handler=self.api.handle,
+            host=settings.listen.host,
+            port=settings.listen.port,
+        )
+        self.health = program.Health(
+            address=settings.health_listen, ready=self.not_ready
+        )
+        self.tasks: list[asyncio.Task] = []
+
+    def not_ready(self) -> str:
+        """Returns why this placer is not ready, or an empty text."""
+        if self.election.stopping:
+            return "stopping"
+        if self.election.table_down() and not self.election.leading:
+            return "the table does not answer"
+        return ""
+
+    def change_reign(self, leading: bool) -> None:
+        """Starts or ends the leader's tasks."""
+        if self.reign is not None:
+            self.reign.stop()
+            self.reign = None
+        if leading:
+            self.reign = leader.Leader(
+                election=self.election,
+                link=self.link,
+                table=self.table,
+                inventory=self.inventory,
+                clock=self.clock,
+                policy=placement.PLACEMENTS.get(self.settings.placement)(),
+                partitions=self.settings.partitions,
+            )
+            self.reign.start()
+
+    def receive(self, sender: str, message: wire.Message) -> None:
+        """Routes a peer's message."""
+        self.election.receive(sender, message)
+        if self.reign is not None:
+            self.reign.receive(message)
+
+    async def register(self) -> None:
+        """Keeps this placer's record in the table."""
+        key = election.MEMBERS_PREFIX + self.settings.id
+        value = {"id": self.settings.id, "address": self.link.address}
+        while True:
+            try:
+                found = await self.table.get(key)
+                if found is None or found.value["address"] != value["address"]:
+                    version = found.version if found else None
+                    await self.table.put(key, value, expected=version)
+            except table.TableError:
+                pass
+            await asyncio.sleep(REGISTER_SECONDS)
+
+    async def start(self) -> None:
+        """Opens all sockets and starts all tasks."""
+        self.link.start()
+        await self.front.start()
+        own = f"{self.settings.listen.host}:{self.front.port}"
+        self.election.api_address = self.settings.advertise or own
+        await self.health.server.start()
+        lag = program.Lag(clock=self.clock)
+        for loop in (
+            self.register,
+            self.election.run,
+            self.election.watch_authority,
+            self.election.refresh_roster,
+            lag.run,
+        ):
+            self.tasks.append(asyncio.create_task(loop()))
+        log.write(events.PROGRAM_STARTED, program="placer", id=self.settings.id)
+
+    async def stop(self) -> None:
+        """Gives up leadership, ends running exchanges and closes."""
+        await self.election.give_up()
+        await self.front.stop(STOP_SECONDS)
+        for task in self.tasks:
+            task.cancel()
+        await self.health.server.stop(0.1)
+        self.link.stop()
+
+    async def run(self) -> None:
+        """Runs until told to stop."""
+        await self.start()
+        await program.wait_for_stop("placer")
+        await self.stop()
--- /dev/null
+++ b/oleanderhoist/placer/election.py
@@ -0,0 +1,312 @@
+"""Acquires, renews and gives up the leader lease in the table."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+
+import prometheus_client
+
+from oleanderhoist import clock
+from oleanderhoist import events
+from oleanderhoist import log
+from oleanderhoist.peers import link
+from oleanderhoist.peers import wire
+from oleanderhoist.platform import table
+from oleanderhoist.policy import leadership
+
+LEADER_KEY = "leader"
+MEMBERS_PREFIX = "members/placer/"
+POLL_SECONDS = 0.1
+ROSTER_SECONDS = 2.0
+TABLE_DOWN_SECONDS = 0.4
+
+TABLE_UP = prometheus_client.Gauge(
+    "oleander_table_up", "1 while the table answers this placer"
+)
+LEADING = prometheus_client.Gauge(
+    "oleander_leading", "1 while this placer leads"
+)
+
+
+class Election:
+    """Keeps one placer's part in the leadership.
+
+    Args:
+        own: Id of this placer.
+        api_address: Where operators reach this placer.
+        table: The table client.
+        link: Link to peers.
+        clock: Time source.
+        max_skew: Greatest difference of clocks, in seconds.
+        hold_limit: Longest hold after a lease's end, in seconds.
+        on_change: Called when leadership begins (True) or ends (False).
+    """
+
+    def __init__(
+        self,
+        *,
+        own: str,
+        api_address: str,
+        table: table.Table,
+        link: link.Link,
+        clock: clock.Clock,
+        max_skew: float,
+        hold_limit: float,
+        on_change: Callable[[bool], None],
+    ):
+        self.own = own
+        self.api_address = api_address
+        self.table = table
+        self.link = link
+        self.clock = clock
+        self.max_skew = max_skew
+        self.hold_limit = hold_limit
+        self.on_change = on_change
+        self.leading = False
+        self.record: leadership.LeaderRecord | None = None
+        self.version: int | None = None
+        self.table_until = 0.0
+        self.lent_until = 0.0
+        self.hold: leadership.Hold | None = None
+        self.takeover: leadership.Takeover | None = None
+        self.promises = leadership.Promises(started_at=clock.wall())
+        self.table_seen_at = clock.monotonic()
+        self.roster: dict[str, str] = {}
+        self.stopping = False
+
+    @property
+    def epoch(self) -> int:
+        """Epoch of the last known leader record."""
+        return self.record.epoch if self.record else 0
+
+    def authority(self) -> float:
+        """Returns until when this placer may lend, wall-clock seconds."""
+        if not self.leading or self.stopping:
+            return 0.0
+        if self.hold is None:
+            return self.table_until
+        limit = self.table_until + self.hold_limit
+        return max(self.table_until, min(self.hold.until(), limit))
+
+    def table_down(self) -> bool:
+        """Tells whether the table has not answered this placer of late."""
+        silent = self.clock.monotonic() - self.table_seen_at
+        return silent > TABLE_DOWN_SECONDS
+
+    async def run(self) -> None:
+        """Takes part in the leadership until cancelled."""
+        while True:
+            try:
+                if self.leading:
+                    await self.renew()
+                    await asyncio.sleep(leadership.RENEW_SECONDS)
+                else:
+                    await self.follow()
+                    await asyncio.sleep(POLL_SECONDS)
+            except table.TableError:
+                TABLE_UP.set(0)
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def watch_authority(self) -> None:
+        """Ends leadership as soon as the authority has lapsed."""
+        while True:
+            await asyncio.sleep(POLL_SECONDS / 2)
+            if not self.leading:
+                continue
+            if self.table_down():
+                self.ask_hold()
+            if self.clock.wall() > self.authority():
+                self.step_down("lease lapsed")
+
+    async def refresh_roster(self) -> None:
+        """Reads the placers' records from time to time."""
+        while True:
+            try:
+                found = await self.table.scan(MEMBERS_PREFIX)
+                self.roster = {r.value["id"]: r.value["address"] for r in found}
+                self.seen()
+            except table.TableError:
+                TABLE_UP.set(0)
+            await asyncio.sleep(ROSTER_SECONDS)
+
+    def seen(self) -> None:
+        """Notes that the table answered."""
+        self.table_seen_at = self.clock.monotonic()
+        TABLE_UP.set(1)
+
+    async def follow(self) -> None:
+        """Reads the leader record and takes over when it has lapsed."""
+        found = await self.table.get(LEADER_KEY)
+        self.seen()
+        self.record = to_record(found.value) if found else None
+        self.version = found.version if found else None
+        now = self.clock.wall()
+        if self.stopping or not self.promises.may_lead(now, self.max_skew):
+            return
+        if self.record and now <= self.record.expires_at + self.max_skew:
+            return
+        await self.acquire(self.record)
+
+    async def acquire(self, previous: leadership.LeaderRecord | None) -> None:
+        """Tries to become leader."""
+        roster = {**self.roster, self.own: self.link.address}
+        record = leadership.LeaderRecord(
+            epoch=previous.epoch + 1 if previous else 1,
+            holder=self.own,
+            peer_address=self.link.address,
+            api_address=self.api_address,
+            expires_at=self.clock.wall() + leadership.LEASE_SECONDS,
+            lent_until=previous.lent_until if previous else 0.0,
+            roster=roster,
+        )
+        if not await self.write(record):
+            return
+        self.leading = True
+        self.hold = None
+        self.lent_until = record.lent_until
+        self.takeover = leadership.Takeover(
+            previous=previous,
+            max_skew=self.max_skew,
+            hold_limit=self.hold_limit,
+        )
+        self.ask_stand_down()
+        LEADING.set(1)
+        log.write(events.LEADER_ELECTED, placer=self.own, epoch=self.epoch)
+        self.on_change(True)
+
+    async def renew(self) -> None:
+        """Extends the lease, or asks for a hold when the table is down."""
+        self.ask_stand_down()
+        record = dataclasses.replace(
+            self.record,
+            expires_at=self.clock.wall() + leadership.LEASE_SECONDS,
+            lent_until=self.lent_until,
+        )
+        if self.settled() and self.roster:
+            roster = {**self.roster, self.own: self.link.address}
+            record = dataclasses.replace(record, roster=roster)
+        if await self.write(record):
+            self.hold = None
+        elif self.leading and not await self.reread():
+            self.step_down("lease was taken")
+
+    async def reread(self) -> bool:
+        """Adopts the version of an own write whose reply had been lost.
+
+        Returns:
+            False when another placer holds the lease.
+        """
+        found = await self.table.get(LEADER_KEY)
+        if found is None:
+            return False
+        record = to_record(found.value)
+        if (record.holder, record.epoch) != (self.own, self.epoch):
+            return False
+        self.version = found.version
+        return True
+
+    def settled(self) -> bool:
+        """Tells whether every earlier leader has surely stopped."""
+        return self.clock.wall() > self.takeover.moves_after()
+
+    async def write(self, record: leadership.LeaderRecord) -> bool:
+        """Writes the leader record conditionally.
+
+        Returns:
+            False when another placer wrote it meanwhile.
+
+        Raises:
+            TableError: The table did not answer; the write stays unresolved.
+        """
+        outcome = await self.table.put(
+            LEADER_KEY, dataclasses.asdict(record), expected=self.version
+        )
+        match outcome:
+            case table.Written(version=version):
+                self.seen()
+                self.version = version
+                self.record = record
+                self.table_until = record.expires_at
+                return True
+            case table.Conflict():
+                self.seen()
+                return False
+        raise table.TableError("the leader record is unresolved")
+
+    def ask_stand_down(self) -> None:
+        """Asks the earlier leader's roster to promise it nothing more."""
+        message = wire.StandDown(placer=self.own, epoch=self.epoch)
+        for address in self.takeover.missing().values():
+            self.link.send(address, message)
+
+    def ask_hold(self) -> None:
+        """Asks the roster for promises while the table is down."""
+        if not self.leading:
+            return
+        if self.hold is None:
+            self.hold = leadership.Hold(roster=self.record.roster, own=self.own)
+            log.write(events.LEADER_HOLDING, epoch=self.epoch)
+        until = self.clock.wall() + leadership.PROMISE_SECONDS
+        message = wire.HoldRequest(
+            placer=self.own, epoch=self.epoch, until=until
+        )
+        for address in self.record.roster.values():
+            self.link.send(address, message)
+
+    def step_down(self, reason: str) -> None:
+        """Stops leading."""
+        self.leading = False
+        self.hold = None
+        LEADING.set(0)
+        log.write(events.LEADER_LOST, epoch=self.epoch, reason=reason)
+        self.on_change(False)
+
+    async def give_up(self) -> None:
+        """Releases the lease at a graceful stop."""
+        self.stopping = True
+        if not self.leading:
+            return
+        self.step_down("stopping")
+        record = dataclasses.replace(
+            self.record,
+            expires_at=self.clock.wall() - self.max_skew,
+            lent_until=max(self.lent_until, self.record.lent_until),
+        )
+        try:
+            await self.write(record)
+        except table.TableError:
+            pass
+
+    def receive(self, sender: str, message: wire.Message) -> None:
+        """Answers the leadership messages of other placers."""
+        now = self.clock.wall()
+        match message:
+            case wire.HoldRequest(epoch=epoch, until=until):
+                granted = self.promises.request(
+                    epoch, until, now, self.table_down()
+                )
+                answer = wire.HoldPromise(
+                    placer=self.own, epoch=epoch, until=until, granted=granted
+                )
+                self.link.send(sender, answer)
+            case wire.HoldPromise(granted=True) if self.hold is not None:
+                if message.epoch == self.epoch:
+                    self.hold.promise(message.placer, message.until)
+            case wire.StandDown(epoch=epoch):
+                until = self.promises.stand_down(epoch)
+                answer = wire.StoodDown(
+                    placer=self.own, epoch=epoch, until=until
+                )
+                self.link.send(sender, answer)
+            case wire.StoodDown() if message.epoch == self.epoch:
+                if self.takeover is not None:
+                    self.takeover.record(message.placer, message.until)
+
+
+def to_record(value: dict) -> leadership.LeaderRecord:
+    """Converts a stored value."""
+    fields = {
+        field.name: value[field.name]
+        for field in dataclasses.fields(leadership.LeaderRecord)
+    }
+    return leadership.LeaderRecord(**fields)
--- /dev/null
+++ b/oleanderhoist/placer/roster.py
@@ -0,0 +1,87 @@
+"""Which entries are live, by their answers to the leader's loans."""
+
+import dataclasses
+
+from oleanderhoist import events
+from oleanderhoist import log
+from oleanderhoist.peers import wire
+from oleanderhoist.policy import topology
+
+SILENT_SECONDS = 0.35
+FORGET_SECONDS = 60.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class Member:
+    """One entry as the leader sees it."""
+
+    entry: topology.Entry
+    heard_at: float
+    status: wire.Status | None = None
+    view_sent_at: float = 0.0
+
+
+class Roster:
+    """Live entries.
+
+    A higher `generation` means that the set of live entries has changed.
+    """
+
+    def __init__(self):
+        self.members: dict[str, Member] = {}
+        self.leaving: dict[str, float] = {}
+        self.gone: dict[str, float] = {}
+        self.generation = 0
+
+    def join(self, entry: topology.Entry, now: float) -> None:
+        """Counts an entry as live, unless it said goodbye."""
+        if entry.id in self.leaving:
+            return
+        member = self.members.get(entry.id)
+        if member is not None and member.entry == entry:
+            member.heard_at = now
+            return
+        self.members[entry.id] = Member(entry=entry, heard_at=now)
+        self.gone.pop(entry.id, None)
+        self.generation += 1
+        log.write(events.ENTRY_JOINED, entry=entry.id, address=entry.address)
+
+    def leave(self, entry: str, now: float) -> None:
+        """Counts an entry as leaving."""
+        self.leaving[entry] = now
+        self.remove(entry, now, "goodbye")
+
+    def hear(self, status: wire.Status, now: float) -> None:
+        """Records an entry's answer."""
+        member = self.members.get(status.entry)
+        if member is not None:
+            member.heard_at = now
+            member.status = status
+
+    def remove(self, entry: str, now: float, reason: str) -> None:
+        """Counts an entry as lost."""
+        if self.members.pop(entry, None) is None:
+            return
+        self.gone[entry] = now
+        self.generation += 1
+        log.write(events.ENTRY_LOST, entry=entry, reason=reason)
+
+    def sweep(self, now: float) -> None:
+        """Removes entries that have been silent for too long."""
+        for id, member in list(self.members.items()):
+            if now - member.heard_at > SILENT_SECONDS:
+                self.remove(id, now, "silent")
+        for id, since in list(self.leaving.items()):
+            if now - since > FORGET_SECONDS:
+                del self.leaving[id]
+
+    def forgotten(self, now: float) -> list[str]:
+        """Returns entries gone for so long that their records may go."""
+        old = [i for i, t in self.gone.items() if now - t > FORGET_SECONDS]
+        for id in old:
+            del self.gone[id]
+        return old
+
+    def entries(self) -> list[topology.Entry]:
+        """Returns the live entries by id."""
+        return [self.members[id].entry for id in sorted(self.members)]
--- /dev/null
+++ b/oleanderhoist/placer/shares.py
@@ -0,0 +1,52 @@
+"""Divides each contract's limits among the live entries, window by window."""
+
+import asyncio
+
+from oleanderhoist.peers import wire
+from oleanderhoist.placer import lender
+from oleanderhoist.policy import limits
+
+TICK_SECONDS = 0.1
+FIRST_WINDOWS_SKIPPED = 2
+
+
+class Shares:
+    """Sends every entry its share of the next window.
+
+    Args:
+        lender: The leader's loans, for the live entries and their demands.
+    """
+
+    def __init__(self, *, lender: lender.Lender):
+        self.lender = lender
+        self.limits: dict[str, float] = {}
+        now = limits.window_of(lender.clock.wall())
+        self.divided = now + FIRST_WINDOWS_SKIPPED
+
+    async def run(self) -> None:
+        """Divides until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            window = limits.window_of(self.lender.clock.wall()) + 1
+            if window > self.divided:
+                self.divided = window
+                self.divide(window)
+
+    def divide(self, window: int) -> None:
+        """Sends the shares of one window."""
+        members = self.lender.roster.members
+        rates: dict[str, dict[str, float]] = {id: {} for id in members}
+        for name, limit in self.limits.items():
+            demands = {
+                id: member.status.demands.get(name, 0.0)
+                if member.status
+                else 0.0
+                for id, member in members.items()
+            }
+            for id, rate in limits.divide(limit, demands).items():
+                rates[id][name] = rate
+        for id, member in members.items():
+            message = wire.Shares(
+                epoch=self.lender.epoch, window=window, rates=rates[id]
+            )
+            self.lender.link.send(member.entry.address, message)
--- /dev/null
+++ b/oleanderhoist/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's services."""
--- /dev/null
+++ b/oleanderhoist/platform/inventory.py
@@ -0,0 +1,69 @@
+"""Client of the platform's configuration and its lagging list of servers."""
+
+import pydantic
+
+from oleanderhoist.http import client
+from oleanderhoist.policy import topology
+
+TIMEOUT_SECONDS = 1.0
+
+
+class InventoryError(Exception):
+    """The list could not be read."""
+
+
+class Listed(pydantic.BaseModel):
+    """One server of the platform's list."""
+
+    id: str
+    pool: str
+    address: str
+    data_center: str
+    slots: int = pydantic.Field(ge=1, le=10_000)
+    connections: int = pydantic.Field(ge=1, le=1_000_000)
+    checks_sender: bool
+    keyed: bool
+    leaving: bool = False
+
+
+_LIST = pydantic.TypeAdapter(list[Listed])
+
+
+class Inventory:
+    """Reads the platform's list of servers."""
+
+    def __init__(self, *, address: client.Address):
+        self.client = client.Client(address=address)
+
+    async def servers(self) -> list[topology.Server]:
+        """Returns the servers the platform lists.
+
+        Raises:
+            InventoryError: The list did not come or is malformed.
+        """
+        try:
+            response = await self.client.request(
+                "GET", "/servers", timeout=TIMEOUT_SECONDS
+            )
+            listed = _LIST.validate_json(response.body)
+        except (client.ExchangeError, pydantic.ValidationError) as error:
+            raise InventoryError(str(error)) from error
+        return [to_server(item) for item in listed]
+
+
+def to_server(item: Listed) -> topology.Server:
+    """Converts a validated item."""
+    state = topology.ServerState.UP
+    if item.leaving:
+        state = topology.ServerState.LEAVING
+    return topology.Server(
+        id=item.id,
+        pool=item.pool,
+        address=item.address,
+        data_center=item.data_center,
+        slots=item.slots,
+        connections=item.connections,
+        checks_sender=item.checks_sender,
+        keyed=item.keyed,
+        state=state,
+    )
--- /dev/null
+++ b/oleanderhoist/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: pure functions and state machines without I/O."""
--- /dev/null
+++ b/oleanderhoist/policy/loans.py
@@ -0,0 +1,103 @@
+"""How long an earlier assignment of a server may still be in force.
+
+The leader lends entries the right to renew servers' leases. Every order that
+an entry sends carries an absolute deadline no later than the limit of its
+loan. A partition may move once the latest deadline that any order for the
+server's earlier assignment can carry has passed, plus the clock skew.
+"""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Loan:
+    """A right to renew one server, lent to one entry.
+
+    Attributes:
+        version: Assignment version the entry may state.
+        revision: View revision the loan was made under.
+        limit: Latest deadline an order may carry, wall clock, in seconds.
+    """
+
+    version: int
+    revision: int
+    limit: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Sent:
+    """An entry's word on the orders it sent for a server and version."""
+
+    version: int
+    deadline: float
+
+
+class LoanBook:
+    """Remembers outstanding loans and what entries say of their orders."""
+
+    def __init__(self):
+        self.loans: dict[str, dict[str, dict[int, Loan]]] = {}
+        self.acked: dict[str, int] = {}
+        self.sent: dict[tuple[str, str], dict[int, float]] = {}
+
+    def lend(
+        self,
+        *,
+        entry: str,
+        server: str,
+        version: int,
+        revision: int,
+        limit: float,
+    ) -> None:
+        """Records a loan before it is sent."""
+        loans = self.loans.setdefault(server, {}).setdefault(entry, {})
+        loans[version] = Loan(version=version, revision=revision, limit=limit)
+
+    def acknowledge(self, entry: str, revision: int) -> None:
+        """Records that an entry acts on a view, and on none before it."""
+        self.acked[entry] = max(revision, self.acked.get(entry, 0))
+
+    def report(
+        self, entry: str, server: str, version: int, deadline: float
+    ) -> None:
+        """Records the latest deadline an entry sent for a version."""
+        deadlines = self.sent.setdefault((entry, server), {})
+        deadlines[version] = max(deadline, deadlines.get(version, 0.0))
+
+    def bound(self, server: str, version: int, revision: int) -> float:
+        """Returns when the assignments below a version have surely lapsed.
+
+        Args:
+            server: The server that loses partitions.
+            version: Its first assignment without them.
+            revision: The first view that states this version.
+
+        Returns:
+            Wall-clock seconds, without the allowance for skew; 0 when no
+            earlier assignment can be in force.
+        """
+        latest = 0.0
+        for entry, loans in self.loans.get(server, {}).items():
+            for loan in loans.values():
+                if loan.version < version:
+                    latest = max(
+                        latest, self.latest(entry, server, loan, revision)
+                    )
+        return latest
+
+    def latest(
+        self, entry: str, server: str, loan: Loan, revision: int
+    ) -> float:
+        """Returns the latest deadline an entry can have sent on a loan."""
+        if self.acked.get(entry, 0) < revision:
+            return loan.limit
+        deadlines = self.sent.get((entry, server), {})
+        return min(loan.limit, deadlines.get(loan.version, 0.0))
+
+    def forget_before(self, now: float) -> None:
+        """Drops loans whose limit has passed."""
+        for entries in self.loans.values():
+            for loans in entries.values():
+                for version in list(loans):
+                    if loans[version].limit < now:
+                        del loans[version]
--- /dev/null
+++ b/oleanderhoist/policy/retry.py
@@ -0,0 +1,58 @@
+"""When a request may be sent a second time."""
+
+import dataclasses
+import enum
+
+BUDGET_FRACTION = 0.1
+BUDGET_CREDIT = 10.0
+MAX_TRIES = 3
+
+
+class Failure(enum.StrEnum):
+    """How a try ended without an answer."""
+
+    NOT_SENT = "not-sent"
+    REFUSED = "refused"
+    LOST = "lost"
+
+
+@dataclasses.dataclass(kw_only=True)
+class Budget:
+    """Bounds retries to a fraction of first tries.
+
+    Attributes:
+        credit: Retries that may be made now.
+    """
+
+    credit: float = BUDGET_CREDIT
+
+    def earn(self) -> None:
+        """Counts a first try."""
+        self.credit = min(BUDGET_CREDIT, self.credit + BUDGET_FRACTION)
+
+    def spend(self) -> bool:
+        """Takes one retry when the budget allows it."""
+        if self.credit < 1.0:
+            return False
+        self.credit -= 1.0
+        return True
+
+
+def allowed(
+    *, failure: Failure, repeatable: bool, tries: int, left: float
+) -> bool:
+    """Tells whether another try is right, before the budget is asked.
+
+    Args:
+        failure: How the last try ended.
+        repeatable: Whether the contract lets this work run twice.
+        tries: Tries made so far.
+        left: Time until the deadline, in seconds.
+    """
+    if left <= 0:
+        return False
+    if failure is Failure.NOT_SENT:
+        return True
+    if failure is Failure.LOST and not repeatable:
+        return False
+    return tries < MAX_TRIES
--- /dev/null
+++ b/oleanderhoist/policy/topology.py
@@ -0,0 +1,171 @@
+"""What the system knows of servers, entries and key ownership."""
+
+import dataclasses
+import enum
+
+from oleanderhoist.policy import hashing
+
+
+class ServerState(enum.StrEnum):
+    """Whether a server may be given work."""
+
+    UP = "up"
+    LEAVING = "leaving"
+    LOST = "lost"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Server:
+    """A backend server as the platform's configuration describes it.
+
+    Attributes:
+        id: Name of the server.
+        pool: Pool it belongs to.
+        address: ``host:port``.
+        data_center: Where it runs.
+        slots: Requests it works on at once.
+        connections: Connections it accepts.
+        checks_sender: Whether it refuses orders of an earlier epoch.
+        keyed: Whether its pool is divided by key.
+        state: Whether it may be given work.
+    """
+
+    id: str
+    pool: str
+    address: str
+    data_center: str
+    slots: int
+    connections: int
+    checks_sender: bool
+    keyed: bool
+    state: ServerState = ServerState.UP
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Entry:
+    """A live entry process."""
+
+    id: str
+    address: str
+    data_center: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Holding:
+    """Who owns a partition or an isolated key.
+
+    Attributes:
+        owner: Server id; empty while nobody owns it.
+        fence: Grows by one with every new owner.
+    """
+
+    owner: str = ""
+    fence: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Assignment:
+    """Everything one server owns, as one numbered statement.
+
+    Attributes:
+        version: Grows with every change of the server's holdings.
+        fences: Fence of each partition, by partition name.
+        excluded: Keys that are isolated out of the partitions above.
+    """
+
+    version: int = 0
+    fences: dict[str, int] = dataclasses.field(default_factory=dict)
+    excluded: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(kw_only=True)
+class SpaceMap:
+    """Ownership of one key space.
+
+    Attributes:
+        pool: Pool whose servers own the keys.
+        partitions: Holding of each partition.
+        hot: Holding of each key isolated out of its partition.
+        versions: Version of each server's assignment.
+    """
+
+    pool: str
+    partitions: list[Holding]
+    hot: dict[str, Holding] = dataclasses.field(default_factory=dict)
+    versions: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    def locate(self, key: str) -> tuple[str, Holding]:
+        """Returns the partition name of a key and its holding."""
+        if key in self.hot:
+            return hot_name(key), self.hot[key]
+        index = hashing.partition_of(key, len(self.partitions))
+        return str(index), self.partitions[index]
+
+    def holding(self, name: str) -> Holding:
+        """Returns the holding of a partition name."""
+        if name.startswith("key:"):
+            return self.hot[name.removeprefix("key:")]
+        return self.partitions[int(name)]
+
+    def set_holding(self, name: str, holding: Holding) -> None:
+        """Replaces the holding of a partition name."""
+        if name.startswith("key:"):
+            self.hot[name.removeprefix("key:")] = holding
+        else:
+            self.partitions[int(name)] = holding
+
+    def names(self) -> list[str]:
+        """Returns all partition names, isolated keys last."""
+        indexes = [str(index) for index in range(len(self.partitions))]
+        return indexes + [hot_name(key) for key in self.hot]
+
+    def assignment(self, server: str) -> Assignment:
+        """Returns what a server owns."""
+        fences = {
+            name: self.holding(name).fence
+            for name in self.names()
+            if self.holding(name).owner == server
+        }
+        excluded = tuple(sorted(key for key in self.hot))
+        return Assignment(
+            version=self.versions.get(server, 0),
+            fences=fences,
+            excluded=excluded,
+        )
+
+    def copy(self) -> "SpaceMap":
+        """Returns a copy that can be changed."""
+        return SpaceMap(
+            pool=self.pool,
+            partitions=list(self.partitions),
+            hot=dict(self.hot),
+            versions=dict(self.versions),
+        )
+
+
+def hot_name(key: str) -> str:
+    """Returns the partition name of an isolated key."""
+    return f"key:{key}"
+
+
+def homes(servers: list[Server], entries: list[Entry]) -> dict[str, str]:
+    """Picks the home entry of every server.
+
+    The home is the first by rendezvous hashing among the live entries of the
+    server's data centre, or among all when none is left there.
+
+    Returns:
+        Entry id by server id; empty when there are no entries.
+    """
+    if not entries:
+        return {}
+    by_place: dict[str, list[str]] = {}
+    for entry in entries:
+        by_place.setdefault(entry.data_center, []).append(entry.id)
+    everywhere = [entry.id for entry in entries]
+    return {
+        server.id: hashing.first(
+            server.id, by_place.get(server.data_center, everywhere)
+        )
+        for server in servers
+    }
--- /dev/null
+++ b/oleanderhoist/program.py
@@ -0,0 +1,77 @@
+"""What every long-running program does: health port, signals, loop lag."""
+
+import asyncio
+from collections.abc import Callable
+import signal
+
+import prometheus_client
+
+from oleanderhoist import clock
+from oleanderhoist import events
+from oleanderhoist import log
+from oleanderhoist.http import client
+from oleanderhoist.http import messages
+from oleanderhoist.http import server
+
+LAG_INTERVAL_SECONDS = 0.05
+
+LOOP_LAG = prometheus_client.Gauge(
+    "oleander_loop_lag_seconds", "Lateness of the event loop's last timer"
+)
+
+
+class Lag:
+    """Measures how late the event loop runs its timers."""
+
+    def __init__(self, *, clock: clock.Clock):
+        self.clock = clock
+        self.seconds = 0.0
+
+    async def run(self) -> None:
+        """Measures until cancelled."""
+        while True:
+            before = self.clock.monotonic()
+            await asyncio.sleep(LAG_INTERVAL_SECONDS)
+            late = self.clock.monotonic() - before - LAG_INTERVAL_SECONDS
+            self.seconds = max(0.0, late)
+            LOOP_LAG.set(self.seconds)
+
+
+class Health:
+    """Serves /livez, /readyz and /metrics.
+
+    Args:
+        address: Where to listen.
+        ready: Returns why the program is not ready, or an empty text.
+    """
+
+    def __init__(self, *, address: client.Address, ready: Callable[[], str]):
+        self.ready = ready
+        self.server = server.Server(
+            handler=self.handle, host=address.host, port=address.port
+        )
+
+    async def handle(self, request: messages.Request) -> messages.Response:
+        """Answers one probe."""
+        if request.path == "/livez":
+            return messages.json_response({"live": True})
+        if request.path == "/readyz":
+            reason = self.ready()
+            status = 503 if reason else 200
+            return messages.json_response({"reason": reason}, status)
+        if request.path == "/metrics":
+            return messages.Response(
+                headers=[(b"content-type", b"text/plain; version=0.0.4")],
+                body=prometheus_client.generate_latest(),
+            )
+        return messages.json_response({"error": "not found"}, 404)
+
+
+async def wait_for_stop(name: str) -> None:
+    """Returns when SIGTERM or SIGINT arrives."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await stop.wait()
+    log.write(events.PROGRAM_STOPPING, program=name)
--- /dev/null
+++ b/oleanderhoist/queries/__init__.py
@@ -0,0 +1,1 @@
+"""Operations that only read."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems outside oleanderhoist."""
