--- a/bench/demo.py
+++ b/bench/demo.py
@@ -119,24 +119,6 @@
     }
 
 
-async def check_runs(one: fleet.Fleet, told: list[caller.Told]) -> list[str]:
-    """Compares what callers were told with the servers' own records."""
-    runs = collections.Counter()
-    for record in await one.records():
-        runs.update(run["nonce"] for run in record["runs"])
-    repeatable = {k.name for k in caller.MIX if k.method == "GET"}
-    problems = []
-    for answer in told:
-        count = runs[answer.nonce]
-        if answer.outcome == "complete" and not count:
-            problems.append(f"{answer.nonce}: complete but never run")
-        if answer.outcome == "not-run" and count:
-            problems.append(f"{answer.nonce}: not-run but run")
-        if answer.kind not in repeatable and count > 1:
-            problems.append(f"{answer.nonce}: run {count} times")
-    return problems
-
-
 async def demo(requests: int, rate: float, kill: str) -> int:
     """Runs the demo; returns the exit code."""
     one = fleet.Fleet(pools=POOLS)
@@ -150,7 +132,7 @@
         await apply_contracts(one)
         click.echo("both contracts are in force", err=True)
         told = await offer(one, requests, rate, kill)
-        problems = await check_runs(one, told)
+        problems = one.check(told)
     except asyncio.CancelledError:
         click.echo("stopped", err=True)
         return 130
@@ -158,10 +140,8 @@
         await one.stop()
     click.echo(table(told))
     for answer in [t for t in told if t.outcome != "complete"][:10]:
-        click.echo(
-            f"{answer.kind} {answer.outcome} {answer.code} {answer.detail}",
-            err=True,
-        )
+        line = f"{answer.kind} {answer.outcome} {answer.code}"
+        click.echo(f"{line} {answer.detail}", err=True)
     for problem in problems:
         click.echo(problem, err=True)
     figures = summary(told, requests)
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -1,12 +1,11 @@
 """Stand-in for backend servers: slots, shedding, drain, fenced grants.
 
-One process serves one or more instances. Each keeps its own record of what it
-ran and of what it believed it owned, at ``GET /oleander/record``. Faults are
-switched by ``PUT /oleander/faults``.
+One process serves one or more instances. Each keeps a record of what it ran
+and of what it believed it owned. Faults are switched by
+``PUT /oleander/faults``.
 """
 
 import asyncio
-import dataclasses
 import hashlib
 import json
 import time
@@ -17,6 +16,7 @@
 from oleanderhoist.http import server
 from standins import base
 from standins import ownership
+from standins import record
 
 LOAD_LAG_SECONDS = 0.5
 COLD_FACTOR = 4.0
@@ -24,17 +24,6 @@
 TRUNCATED_BYTES = 8
 
 
-@dataclasses.dataclass(kw_only=True)
-class Run:
-    """One piece of work that the server ran, wall-clock seconds."""
-
-    nonce: str
-    path: str
-    partition: str
-    began: float
-    ended: float
-
-
 class Backend:
     """One backend server."""
 
@@ -47,15 +36,18 @@
         checks_sender: bool,
         keyed: bool,
         cold_seconds: float,
+        records: str,
     ):
+        self.recorder = record.Recorder(server=id, folder=records)
         self.id = id
         self.slots = asyncio.Semaphore(slots)
         self.slot_count = slots
         self.service_seconds = service_ms / 1000
         self.keyed = keyed
         self.warm_at = time.monotonic() + cold_seconds
-        self.owned = ownership.Ownership(checks_sender=checks_sender)
-        self.runs: list[Run] = []
+        self.owned = ownership.Ownership(
+            checks_sender=checks_sender, recorder=self.recorder
+        )
         self.admitted = 0
         self.draining = False
         self.shown_load = 0
@@ -86,12 +78,13 @@
             return self.stamp(self.owned.renew(value))
         if action == "drain":
             self.draining = True
+            self.recorder.draining()
             return base.plain(204)
         if action == "faults":
             self.faults.update(value)
             return messages.json_response(self.faults)
-        if action == "record":
-            return self.record()
+        if action == "busy":
+            return messages.json_response({"busy_seconds": self.busy_seconds})
         if action.startswith("requests/") and request.method == "DELETE":
             return self.cancel(action.removeprefix("requests/"))
         return base.plain(404)
@@ -114,18 +107,6 @@
             self.shown_load, self.shown_at = self.admitted, now
         return messages.json_response({"ok": True, "load": self.shown_load})
 
-    def record(self) -> messages.Response:
-        """Answers with what ran and what the server believed it owned."""
-        return messages.json_response(
-            {
-                "server": self.id,
-                "slots": self.slot_count,
-                "busy_seconds": self.busy_seconds,
-                "runs": [dataclasses.asdict(run) for run in self.runs],
-                "beliefs": [dataclasses.asdict(b) for b in self.owned.beliefs],
-            }
-        )
-
     def cancel(self, id: str) -> messages.Response:
         """Cancels a request that has not ended."""
         task = self.running.get(id)
@@ -139,6 +120,7 @@
             body = await request.read()
         except server.BodyError:
             return base.plain(400)
+        self.recorder.received(request.path)
         if self.faults["hang"]:
             await asyncio.sleep(3600)
         if self.admitted >= self.slot_count * QUEUE_PER_SLOT:
@@ -166,7 +148,6 @@
             return refused(504, "too late")
         if not self.entitled(request):
             return refused(421, "not the owner")
-        began = time.time()
         cold = time.monotonic() < self.warm_at
         seconds = self.service_seconds * (COLD_FACTOR if cold else 1.0)
         await asyncio.sleep(seconds + self.faults["delay_ms"] / 1000)
@@ -174,14 +155,8 @@
         if not self.entitled(request):
             return refused(421, "no longer the owner")
         nonce = request.header(b"x-nonce") or ""
-        run = Run(
-            nonce=nonce,
-            path=request.path,
-            partition=request.header(b"oleander-partition") or "",
-            began=began,
-            ended=time.time(),
-        )
-        self.runs.append(run)
+        partition = request.header(b"oleander-partition") or ""
+        self.recorder.ran(nonce, request.path, partition)
         return await self.answer(request, nonce, body)
 
     def entitled(self, request: messages.Request) -> bool:
@@ -241,6 +216,7 @@
 @click.option("--checks-sender/--no-checks-sender", default=True)
 @click.option("--keyed/--no-keyed", default=False)
 @click.option("--cold-seconds", default=0.0)
+@click.option("--records", default="")
 def main(
     ids: tuple[str, ...],
     listen: tuple[str, ...],
@@ -249,6 +225,7 @@
     checks_sender: bool,
     keyed: bool,
     cold_seconds: float,
+    records: str,
 ) -> None:
     """Runs one or more backend servers."""
     addresses = list(listen) or ["127.0.0.1:0"] * len(ids)
@@ -262,6 +239,7 @@
                 checks_sender=checks_sender,
                 keyed=keyed,
                 cold_seconds=cold_seconds,
+                records=records,
             )
             for id in ids
         ]
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -126,6 +126,8 @@
     ),
 ]
 
+REPEATABLE = frozenset(kind.name for kind in MIX if kind.method == "GET")
+
 
 class Caller:
     """Sends requests to entries.
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
 import hashlib
@@ -17,12 +18,19 @@
 
 from oleanderhoist.http import client
 from oleanderhoist.http import messages
+from standins import caller
+from standins import record
 
 HOST = "127.0.0.1"
 ADMIN_TOKEN = "operators-token"
 START_SECONDS = 30.0
 
-Route = Callable[[str, str], str]
+Route = Callable[[str, str], Awaitable[str]]
+
+
+async def direct(name: str, address: str) -> str:
+    """Routes without a proxy."""
+    return address
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -88,7 +96,7 @@
         entries: int = 3,
         placers: int = 3,
         data_centers: tuple[str, ...] = ("dc1", "dc2", "dc3", "dc4"),
-        route: Route = lambda name, address: address,
+        route: Route = direct,
         entry_flags: tuple[str, ...] = (),
         placer_flags: tuple[str, ...] = (),
     ):
@@ -151,6 +159,7 @@
             "--checks-sender" if pool.checks_sender else "--no-checks-sender"
         )
         arguments.append(checks)
+        arguments += ["--records", self.folder.name]
         for id in ids:
             arguments += ["--id", id]
         name = ids[0] if pool.apart else pool.name
@@ -161,7 +170,7 @@
             self.servers[id] = {
                 "id": id,
                 "pool": pool.name,
-                "address": self.route(id, address),
+                "address": await self.route(id, address),
                 "data_center": self.data_center(number),
                 "slots": pool.slots,
                 "connections": pool.connections,
@@ -180,7 +189,9 @@
         body = json.dumps(listed).encode()
         await self.call("inventory", "PUT", "/servers", body)
 
-    def node_arguments(self, name: str) -> tuple[list[str], dict[str, str]]:
+    async def node_arguments(
+        self, name: str
+    ) -> tuple[list[str], dict[str, str]]:
         """Returns the flags of a node and its real addresses."""
         number = int(name.rpartition("-")[2]) - 1
         roles = ("listen", "peer-listen", "health-listen")
@@ -188,8 +199,8 @@
             role: f"{HOST}:{port}"
             for role, port in zip(roles, free_ports(3), strict=True)
         }
-        advertised = self.route(name, addresses["peer-listen"])
-        table = self.route(f"table:{name}", self.real["table"])
+        advertised = await self.route(name, addresses["peer-listen"])
+        table = await self.route(f"table:{name}", self.real["table"])
         arguments = ["--id", name, "--data-center", self.data_center(number)]
         for role, address in addresses.items():
             arguments += [f"--{role}", address]
@@ -203,7 +214,7 @@
 
     async def start_placer(self, name: str) -> None:
         """Starts a placer."""
-        arguments, addresses = self.node_arguments(name)
+        arguments, addresses = await self.node_arguments(name)
         token = hashlib.sha256(ADMIN_TOKEN.encode()).hexdigest()
         arguments += ["--inventory", self.real["inventory"]]
         arguments += ["--admin-sha256", token, *self.placer_flags]
@@ -213,7 +224,7 @@
 
     async def start_entry(self, name: str) -> None:
         """Starts an entry."""
-        arguments, addresses = self.node_arguments(name)
+        arguments, addresses = await self.node_arguments(name)
         arguments += self.entry_flags
         await self.start_node(
             name, "oleanderhoist.cli.entry", arguments, addresses
@@ -352,16 +363,12 @@
                 raise TimeoutError(f"waited {seconds} s for {what}")
             await asyncio.sleep(0.02)
 
-    async def records(self) -> list[dict]:
-        """Returns the servers' own records of what they ran."""
-        found = []
-        for id in self.servers:
-            try:
-                response = await self.call(id, "GET", "/oleander/record")
-            except client.ExchangeError:
-                continue
-            found.append(json.loads(response.body))
-        return found
+    def check(self, told: list[caller.Told]) -> list[str]:
+        """Compares the servers' records with what callers were told."""
+        records = record.read(self.folder.name)
+        return record.check_owners(records) + record.check_answers(
+            records, told
+        )
 
     def events(self, name: str) -> list[dict]:
         """Returns a node's log lines so far."""
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -42,7 +42,7 @@
             told += await asyncio.gather(*batch)
         counts = collections.Counter(t.outcome for t in told)
         self.assertEqual({"complete": len(told)}, dict(counts), told)
-        self.assertEqual([], await demo.check_runs(self.fleet, told))
+        self.assertEqual([], self.fleet.check(told))
 
 
 if __name__ == "__main__":
