Spread renewals over their period; probe keyless servers less

Cause: py-spy put 46% of an entry's busy samples into renewals, and all tasks woke together on a new view, so that bursts stalled the loop. Change: each server renews at a phase of its own; the assignment is computed once a view; servers without keys are probed every 200 ms.

--- a/oleanderhoist/entry/renewer.py
+++ b/oleanderhoist/entry/renewer.py
@@ -11,10 +11,12 @@
 from oleanderhoist.http import client
 from oleanderhoist.http import messages
 from oleanderhoist.peers import wire
+from oleanderhoist.policy import hashing
 from oleanderhoist.policy import topology
 
 LEASE_SECONDS = 0.5
 RENEW_SECONDS = 0.1
+PROBE_SECONDS = 0.2
 ORDER_SECONDS = 0.15
 FAILURES_TO_LOSE = 2
 REPORT_SECONDS = 2.0
@@ -83,18 +85,27 @@
         """Renews one server for as long as this entry is its home."""
         watch = self.watches[id]
         while self.views.picture.homes.get(id) == self.views.own:
-            began = self.clock.monotonic()
-            watch.homed_until = began
+            watch.homed_until = self.clock.monotonic()
             picture = self.views.picture
             await self.renew(id, watch)
-            if self.views.picture is not picture:
-                continue
-            spent = self.clock.monotonic() - began
-            await self.views.wait_for_change(max(0.0, RENEW_SECONDS - spent))
+            if self.views.picture is picture:
+                await self.views.wait_for_change(self.until_phase(id))
         watch.state = UNKNOWN
         watch.failures = 0
         watch.task = None
 
+    def until_phase(self, id: str) -> float:
+        """Returns the seconds until a server's next renewal.
+
+        Each server has a phase of its own within the period, so that
+        renewals never come in a burst that stalls the event loop.
+        """
+        keyed = self.views.picture.servers[id].keyed
+        period = RENEW_SECONDS if keyed else PROBE_SECONDS
+        phase = hashing.digest(id) % 1000 / 1000
+        periods = self.clock.monotonic() / period - phase
+        return (1.0 - periods % 1.0) * period
+
     async def renew(self, id: str, watch: Watch) -> None:
         """Sends one order, or two when the server is behind."""
         server = self.views.picture.servers[id]
--- a/oleanderhoist/entry/view.py
+++ b/oleanderhoist/entry/view.py
@@ -30,11 +30,20 @@
     homes: dict[str, str] = dataclasses.field(default_factory=dict)
     contracts: dict[str, int] = dataclasses.field(default_factory=dict)
     contracts_revision: int = 0
+    assignments: dict[str, topology.Assignment] = dataclasses.field(
+        default_factory=dict
+    )
 
     def assignment(self, server: topology.Server) -> topology.Assignment:
-        """Returns what a server owns."""
-        space = self.spaces.get(server.pool)
-        return space.assignment(server.id) if space else topology.Assignment()
+        """Returns what a server owns; computed once for each view."""
+        found = self.assignments.get(server.id)
+        if found is None:
+            space = self.spaces.get(server.pool)
+            found = topology.Assignment()
+            if space is not None:
+                found = space.assignment(server.id)
+            self.assignments[server.id] = found
+        return found
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
