Let urgent requests start before their home grants a slot

Cause: with always-ask, each lookup waits for a round trip to the server's home before a byte leaves; between data centres that adds their distance. Change: permit policies are a registry. 'early-urgent' sends rank 1 at once and tells the home, which answers 'busy' past half of the slots; for 1 s after that word the entry asks first. Conclusion: early-urgent is the default.

--- a/oleanderhoist/cli/entry.py
+++ b/oleanderhoist/cli/entry.py
@@ -11,6 +11,7 @@
 from oleanderhoist.http import client
 from oleanderhoist.policy import choice
 from oleanderhoist.policy import dispatch
+from oleanderhoist.policy import permit
 
 
 @click.command()
@@ -32,10 +33,12 @@
     help="How a server of a pool without keys is chosen.",
 )
 @click.option(
-    "--permits/--no-permits",
-    default=True,
+    "--permits",
+    "permit_policy",
+    default="early-urgent",
+    type=click.Choice(permit.PERMITS.names()),
     envvar="OLEANDER_PERMITS",
-    help="Whether slots are asked of the servers' homes.",
+    help="How a slot of a server is got.",
 )
 @click.option(
     "--stop-seconds",
@@ -56,7 +59,7 @@
     log_file: str,
     dispatch_policy: str,
     choice_policy: str,
-    permits: bool,
+    permit_policy: str,
     stop_seconds: float,
 ) -> None:
     """Serves callers and is home to servers."""
@@ -72,7 +75,7 @@
         log_file=log_file,
         dispatch=dispatch_policy,
         choice=choice_policy,
-        permits=permits,
+        permits=permit_policy,
         stop_seconds=stop_seconds,
     )
     program = core.Entry(
--- a/oleanderhoist/entry/core.py
+++ b/oleanderhoist/entry/core.py
@@ -66,7 +66,11 @@
             policy=settings.dispatch,
         )
         self.permits = permits.Permits(
-            own=settings.id, views=self.views, link=self.link, clock=clock
+            own=settings.id,
+            views=self.views,
+            link=self.link,
+            clock=clock,
+            policy=settings.permits,
         )
         self.claims = claims.Claims(table=self.table, clock=clock)
         self.admission = admission.Admission(views=self.views, clock=clock)
@@ -76,7 +80,6 @@
             claims=self.claims,
             clock=clock,
             policy=settings.choice,
-            use_permits=settings.permits,
             rng=rng,
         )
         self.front = front.Front(
--- a/oleanderhoist/entry/permits.py
+++ b/oleanderhoist/entry/permits.py
@@ -14,6 +14,7 @@
 from oleanderhoist.peers import link
 from oleanderhoist.peers import wire
 from oleanderhoist.policy import choice
+from oleanderhoist.policy import permit
 
 HOME_SECONDS = 0.08
 SUSPECT_SECONDS = 0.5
@@ -22,6 +23,7 @@
 QUEUED = "queued"
 TURNED = "turned"
 MOVED = "moved"
+BUSY = "busy"
 
 BYPASSED = prometheus_client.Counter(
     "oleander_permits_bypassed", "Requests sent without a home's permit"
@@ -68,6 +70,7 @@
         views: The adopted views.
         link: Link to peers.
         clock: Time source.
+        policy: Registered name of the permit policy.
     """
 
     def __init__(
@@ -77,8 +80,11 @@
         views: view.Views,
         link: link.Link,
         clock: clock.Clock,
+        policy: str,
     ):
         self.own = own
+        self.policy = permit.PERMITS.get(policy)()
+        self.busy_until: dict[str, float] = {}
         self.views = views
         self.link = link
         self.clock = clock
@@ -111,6 +117,12 @@
             deadline: Monotonic seconds.
         """
         number = next(self.numbers)
+        if not self.policy.asks():
+            return Slot(server=want.server, request=number, home="")
+        busy_until = self.busy_until.get(want.server, 0.0)
+        now = self.clock.monotonic()
+        if self.policy.early(want.rank, busy_until, now):
+            return self.start(number, want, deadline - now)
         self.waiting[number] = asyncio.Queue()
         try:
             while True:
@@ -132,7 +144,17 @@
         left = deadline - now
         if left <= 0:
             return Turned(code=codes.TOO_LATE)
-        message = wire.Acquire(
+        message = self.question(number, want, left, started=False)
+        if not self.link.send(home, message):
+            self.suspects[home] = now + SUSPECT_SECONDS
+            return self.bypass(number, want, "unsent")
+        return await self.follow(number, want, home, deadline)
+
+    def question(
+        self, number: int, want: Want, left: float, *, started: bool
+    ) -> wire.Acquire:
+        """Returns the message that asks for a slot or tells of one taken."""
+        return wire.Acquire(
             entry=self.own,
             request=number,
             server=want.server,
@@ -140,11 +162,16 @@
             worth=want.worth,
             left_ms=left * 1000,
             expected_ms=want.expected * 1000,
+            started=started,
         )
-        if not self.link.send(home, message):
-            self.suspects[home] = now + SUSPECT_SECONDS
-            return self.bypass(number, want, "unsent")
-        return await self.follow(number, want, home, deadline)
+
+    def start(self, number: int, want: Want, left: float) -> Slot:
+        """Takes a slot and lets the home know."""
+        home = self.home(want.server)
+        if home:
+            message = self.question(number, want, left, started=True)
+            self.link.send(home, message)
+        return Slot(server=want.server, request=number, home=home)
 
     async def follow(
         self, number: int, want: Want, home: str, deadline: float
@@ -202,12 +229,18 @@
     def note(self, answer: wire.Permit) -> None:
         """Takes in a home's word on a server's load."""
         load = self.loads.get(answer.server)
+        if answer.state in (BUSY, QUEUED, TURNED):
+            busy_until = self.clock.monotonic() + permit.BUSY_SECONDS
+            self.busy_until[answer.server] = busy_until
         if load is not None:
             load.depth = answer.depth
             load.heard_at = self.clock.monotonic()
 
     def receive(self, message: wire.Permit) -> None:
         """Hands an answer to the request that waits, or gives it back."""
+        if message.state == BUSY:
+            self.note(message)
+            return
         queue = self.waiting.get(message.request)
         if queue is not None:
             queue.put_nowait(message)
--- a/oleanderhoist/entry/router.py
+++ b/oleanderhoist/entry/router.py
@@ -70,7 +70,6 @@
         claims: Claims on Idempotency-Keys.
         clock: Time source.
         policy: Registered name of the choice policy.
-        use_permits: Whether slots are asked of the servers' homes.
         rng: Source of chance.
     """
 
@@ -82,7 +81,6 @@
         claims: claims.Claims,
         clock: clock.Clock,
         policy: str,
-        use_permits: bool,
         rng: random.Random,
     ):
         self.views = views
@@ -90,7 +88,6 @@
         self.claims = claims
         self.clock = clock
         self.policy = choice.CHOICES.get(policy)()
-        self.use_permits = use_permits
         self.rng = rng
         self.budget = retry.Budget()
         self.clients: dict[str, client.Client] = {}
@@ -224,7 +221,13 @@
         slot = None
         took = None
         try:
-            slot = await self.slot(one, server)
+            want = permits.Want(
+                server=server.id,
+                rank=one.work.rank,
+                worth=one.work.worth,
+                expected=one.work.service_ms / 1000,
+            )
+            slot = await self.permits.acquire(want, one.deadline)
             if isinstance(slot, permits.Turned):
                 return self.turned(one, target, slot)
             began = self.clock.monotonic()
@@ -237,20 +240,6 @@
             if isinstance(slot, permits.Slot):
                 self.permits.release(slot, took)
 
-    async def slot(
-        self, one: call.Call, server: topology.Server
-    ) -> permits.Slot | permits.Turned:
-        """Gets a slot of the server."""
-        if not self.use_permits:
-            return permits.Slot(server=server.id, request=0, home="")
-        want = permits.Want(
-            server=server.id,
-            rank=one.work.rank,
-            worth=one.work.worth,
-            expected=one.work.service_ms / 1000,
-        )
-        return await self.permits.acquire(want, one.deadline)
-
     def turned(
         self, one: call.Call, target: Target, turned: permits.Turned
     ) -> outcomes.NotRun | Failed:
--- a/oleanderhoist/entry/slots.py
+++ b/oleanderhoist/entry/slots.py
@@ -161,6 +161,9 @@
             self.turn(ticket, codes.NO_SERVER, 0)
             return
         dispatcher = self.dispatcher(server)
+        if message.started:
+            self.note_started(ticket, dispatcher)
+            return
         if not dispatcher.offer(ticket, now):
             self.turn(ticket, codes.OVERLOADED, dispatcher.depth())
             return
@@ -168,6 +171,14 @@
         if key not in dispatcher.running and key in self.askers:
             self.send(ticket, permits.QUEUED, 0, dispatcher.depth())
 
+    def note_started(
+        self, ticket: dispatch.Ticket, dispatcher: dispatch.Dispatcher
+    ) -> None:
+        """Counts a request that started before it asked."""
+        if dispatcher.start(ticket):
+            self.send(ticket, permits.BUSY, 0, dispatcher.depth())
+        self.askers.pop((ticket.holder, ticket.id), None)
+
     def release(self, message: wire.Release) -> None:
         """Takes a slot back."""
         self.askers.pop((message.entry, message.request), None)
--- a/oleanderhoist/peers/wire.py
+++ b/oleanderhoist/peers/wire.py
@@ -115,7 +115,7 @@
 
 
 class Acquire(Message):
-    """Asks a server's home for a slot.
+    """Asks a server's home for a slot, or tells of one taken (`started`).
 
     `left_ms` is the time until the request's deadline, in milliseconds.
     """
@@ -127,10 +127,11 @@
     worth: float
     left_ms: float
     expected_ms: float
+    started: bool
 
 
 class Permit(Message):
-    """A home's answer: granted, queued, or turned away with a code."""
+    """A home's answer; see entry.permits for the states."""
 
     request: int
     server: str
--- a/oleanderhoist/policy/dispatch.py
+++ b/oleanderhoist/policy/dispatch.py
@@ -4,6 +4,7 @@
 import dataclasses
 from typing import Protocol
 
+from oleanderhoist.policy import permit
 from oleanderhoist.policy import registry
 
 RANKS = (1, 2, 3)
@@ -169,6 +170,15 @@
         queue.append(ticket)
         return True
 
+    def start(self, ticket: Ticket) -> bool:
+        """Counts a ticket that took a slot without asking.
+
+        Returns:
+            Whether the server is busy.
+        """
+        self.running[(ticket.holder, ticket.id)] = ticket
+        return self.depth() > self.slots * permit.BUSY_FRACTION
+
     def next(self, now: float) -> tuple[list[Ticket], list[Ticket]]:
         """Fills free slots.
 
--- a/oleanderhoist/settings.py
+++ b/oleanderhoist/settings.py
@@ -41,13 +41,13 @@
     Attributes:
         dispatch: Registered name of the dispatch policy.
         choice: Registered name of the choice policy.
-        permits: Whether slots are asked of the servers' homes.
+        permits: Registered name of the permit policy.
         stop_seconds: Longest graceful stop, in seconds.
     """
 
     dispatch: str
     choice: str
-    permits: bool
+    permits: str
     stop_seconds: float
 
 
