--- a/oleanderhoist/entry/core.py
+++ b/oleanderhoist/entry/core.py
@@ -56,7 +56,10 @@
         self.contracts = contracts.Contracts(
             table=self.table, views=self.views, clock=clock
         )
-        self.renewer = renewer.Renewer(views=self.views, clock=clock)
+        self.lag = program.Lag(clock=clock)
+        self.renewer = renewer.Renewer(
+            views=self.views, clock=clock, lag=self.lag
+        )
         self.slots = slots.Slots(
             views=self.views,
             renewer=self.renewer,
@@ -97,7 +100,6 @@
         self.health = program.Health(
             address=settings.health_listen, ready=self.not_ready
         )
-        self.lag = program.Lag(clock=clock)
         self.placers: list[str] = []
         self.tasks: list[asyncio.Task] = []
 
--- a/oleanderhoist/entry/renewer.py
+++ b/oleanderhoist/entry/renewer.py
@@ -7,6 +7,7 @@
 from oleanderhoist import clock
 from oleanderhoist import events
 from oleanderhoist import log
+from oleanderhoist import program
 from oleanderhoist.entry import view
 from oleanderhoist.http import client
 from oleanderhoist.http import messages
@@ -19,6 +20,7 @@
 PROBE_SECONDS = 0.2
 ORDER_SECONDS = 0.15
 FAILURES_TO_LOSE = 2
+EXCUSED_LAG_SECONDS = 0.05
 REPORT_SECONDS = 2.0
 
 UNKNOWN = "unknown"
@@ -58,11 +60,15 @@
     Args:
         views: The adopted views and loans.
         clock: Time source.
+        lag: This process's own lag, which excuses missing answers.
     """
 
-    def __init__(self, *, views: view.Views, clock: clock.Clock):
+    def __init__(
+        self, *, views: view.Views, clock: clock.Clock, lag: program.Lag
+    ):
         self.views = views
         self.clock = clock
+        self.lag = lag
         self.watches: dict[str, Watch] = {}
         self.clients: dict[str, client.Client] = {}
 
@@ -174,9 +180,11 @@
             return None
 
     def fail(self, server: topology.Server, watch: Watch) -> None:
-        """Counts an order without an answer."""
-        watch.failures += 1
+        """Counts an order without an answer, unless this process lagged."""
         watch.acked = (0, -1)
+        if self.lag.recent() > EXCUSED_LAG_SECONDS:
+            return
+        watch.failures += 1
         if watch.failures >= FAILURES_TO_LOSE and watch.state != LOST:
             watch.state = LOST
             log.write(
--- a/oleanderhoist/placer/core.py
+++ b/oleanderhoist/placer/core.py
@@ -55,6 +55,7 @@
             hold_limit=HOLD_LIMIT_SECONDS,
             on_change=self.change_reign,
         )
+        self.lag = program.Lag(clock=clock)
         self.reign: leader.Leader | None = None
         self.api = api.Api(
             election=self.election,
@@ -92,6 +93,7 @@
                 table=self.table,
                 inventory=self.inventory,
                 clock=self.clock,
+                lag=self.lag,
                 policy=placement.PLACEMENTS.get(self.settings.placement)(),
                 partitions=self.settings.partitions,
             )
@@ -134,13 +136,12 @@
         own = f"{self.settings.listen.host}:{self.front.port}"
         self.election.api_address = self.settings.advertise or own
         await self.health.server.start()
-        lag = program.Lag(clock=self.clock)
         for loop in (
             self.register,
             self.election.run,
             self.election.watch_authority,
             self.election.refresh_roster,
-            lag.run,
+            self.lag.run,
         ):
             self.tasks.append(asyncio.create_task(loop()))
         log.write(events.PROGRAM_STARTED, program="placer", id=self.settings.id)
--- a/oleanderhoist/placer/leader.py
+++ b/oleanderhoist/placer/leader.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from oleanderhoist import clock
+from oleanderhoist import program
 from oleanderhoist.peers import link
 from oleanderhoist.peers import wire
 from oleanderhoist.placer import activation
@@ -33,6 +34,7 @@
         table: The table client.
         inventory: The platform's list of servers.
         clock: Time source.
+        lag: This process's own lag.
         policy: The placement policy.
         partitions: Partitions of a new key space.
     """
@@ -45,6 +47,7 @@
         table: table.Table,
         inventory: inventory.Inventory,
         clock: clock.Clock,
+        lag: program.Lag,
         policy: placement_policy.Policy,
         partitions: int,
     ):
@@ -52,7 +55,9 @@
         self.table = table
         self.inventory = inventory
         self.clock = clock
-        self.lender = lender.Lender(election=election, link=link, clock=clock)
+        self.lender = lender.Lender(
+            election=election, link=link, clock=clock, lag=lag
+        )
         self.maps = maps.Maps(table=table, epoch=election.epoch)
         self.activation = activation.Activation(table=table)
         self.placement = placement.Placement(
--- a/oleanderhoist/placer/lender.py
+++ b/oleanderhoist/placer/lender.py
@@ -5,6 +5,7 @@
 import prometheus_client
 
 from oleanderhoist import clock
+from oleanderhoist import program
 from oleanderhoist.peers import link
 from oleanderhoist.peers import views
 from oleanderhoist.peers import wire
@@ -48,6 +49,7 @@
         election: This placer's leadership.
         link: Link to peers.
         clock: Time source.
+        lag: This process's own lag, which excuses missing answers.
     """
 
     def __init__(
@@ -56,7 +58,9 @@
         election: election.Election,
         link: link.Link,
         clock: clock.Clock,
+        lag: program.Lag,
     ):
+        self.lag = lag
         self.election = election
         self.link = link
         self.clock = clock
@@ -104,7 +108,7 @@
 
     def tick(self) -> None:
         """Drops silent entries, then lends."""
-        self.roster.sweep(self.clock.monotonic())
+        self.roster.sweep(self.clock.monotonic(), self.lag.recent())
         if self.view is None or self.generation != self.roster.generation:
             self.publish()
             return
--- a/oleanderhoist/placer/roster.py
+++ b/oleanderhoist/placer/roster.py
@@ -67,10 +67,15 @@
         self.generation += 1
         log.write(events.ENTRY_LOST, entry=entry, reason=reason)
 
-    def sweep(self, now: float) -> None:
-        """Removes entries that have been silent for too long."""
+    def sweep(self, now: float, lag: float) -> None:
+        """Removes entries that have been silent for too long.
+
+        Args:
+            now: Monotonic seconds.
+            lag: This process's own recent lag, in seconds.
+        """
         for id, member in list(self.members.items()):
-            if now - member.heard_at > SILENT_SECONDS:
+            if now - member.heard_at > SILENT_SECONDS + lag:
                 self.remove(id, now, "silent")
         for id, since in list(self.leaving.items()):
             if now - since > FORGET_SECONDS:
--- a/oleanderhoist/program.py
+++ b/oleanderhoist/program.py
@@ -14,6 +14,7 @@
 from oleanderhoist.http import server
 
 LAG_INTERVAL_SECONDS = 0.05
+LAG_MEMORY_SECONDS = 1.0
 
 LOOP_LAG = prometheus_client.Gauge(
     "oleander_loop_lag_seconds", "Lateness of the event loop's last timer"
@@ -21,20 +22,37 @@
 
 
 class Lag:
-    """Measures how late the event loop runs its timers."""
+    """Measures how late the event loop runs its timers.
+
+    A process that was paused must not take the silence of its own pause for
+    the silence of others, so detectors ask for the recent lag.
+    """
 
     def __init__(self, *, clock: clock.Clock):
         self.clock = clock
         self.seconds = 0.0
+        self.worst = 0.0
+        self.worst_at = 0.0
 
     async def run(self) -> None:
         """Measures until cancelled."""
         while True:
             before = self.clock.monotonic()
             await asyncio.sleep(LAG_INTERVAL_SECONDS)
-            late = self.clock.monotonic() - before - LAG_INTERVAL_SECONDS
-            self.seconds = max(0.0, late)
-            LOOP_LAG.set(self.seconds)
+            self.note(self.clock.monotonic() - before - LAG_INTERVAL_SECONDS)
+
+    def note(self, late: float) -> None:
+        """Takes in one measurement, in seconds."""
+        self.seconds = max(0.0, late)
+        LOOP_LAG.set(self.seconds)
+        if self.seconds >= self.recent():
+            self.worst = self.seconds
+            self.worst_at = self.clock.monotonic()
+
+    def recent(self) -> float:
+        """Returns the worst lag of the last second."""
+        age = self.clock.monotonic() - self.worst_at
+        return self.worst if age < LAG_MEMORY_SECONDS else 0.0
 
 
 class Health:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -375,6 +375,21 @@
         with open(self.log_path(name)) as lines:
             return [json.loads(line) for line in lines if line.endswith("\n")]
 
+    def story(self) -> str:
+        """Returns the nodes' notable log lines in order of time."""
+        lines = []
+        for name in self.processes:
+            if not name.startswith(("entry-", "placer-")):
+                continue
+            for event in self.events(name):
+                kind = event.pop("message_type")
+                at = event.pop("timestamp")
+                for field in ("task_uuid", "task_level", "event"):
+                    event.pop(field, None)
+                if not kind.startswith(("request.", "view.", "permit.")):
+                    lines.append((at, f"{at:.3f} {name} {kind} {event}"))
+        return "\n".join(line[:300] for _, line in sorted(lines))
+
     async def stop(self) -> None:
         """Ends every process that this fleet started."""
         for process in self.processes.values():
