Prove truthful answers, at most once, contracts and leaving by scenarios

Found by the scenarios: (1) a leaving entry was never shown the view without itself and waited for its whole stop time: the leader now sends it; (2) a replaced entry of the same name was kept out as leaving: goodbyes carry an incarnation. Ruled out: shortening the stop time, which would cut uploads in flight.

--- a/oleanderhoist/entry/core.py
+++ b/oleanderhoist/entry/core.py
@@ -24,6 +24,7 @@
 
 HELLO_SECONDS = 0.1
 SILENCE_SECONDS = 0.3
+LINGER_SECONDS = 1.0
 REGISTER_SECONDS = 5.0
 PLACERS_SECONDS = 2.0
 
@@ -46,6 +47,7 @@
     ):
         self.settings = settings
         self.clock = clock
+        self.incarnation = round(clock.wall() * 1000)
         self.table = table.Table(address=settings.table)
         self.link = link.Link(
             listen=str(settings.peer_listen),
@@ -161,11 +163,16 @@
         while True:
             silent = self.clock.monotonic() - self.views.heard_at
             if self.front.stopping:
-                self.tell(wire.Goodbye(entry=self.settings.id))
+                self.tell(
+                    wire.Goodbye(
+                        entry=self.settings.id, incarnation=self.incarnation
+                    )
+                )
             elif silent > SILENCE_SECONDS:
                 self.tell(
                     wire.Hello(
                         entry=self.settings.id,
+                        incarnation=self.incarnation,
                         address=self.link.address,
                         data_center=self.settings.data_center,
                     )
@@ -194,13 +201,14 @@
         key = "members/entry/" + self.settings.id
         value = {
             "id": self.settings.id,
+            "incarnation": self.incarnation,
             "address": self.link.address,
             "data_center": self.settings.data_center,
         }
         while not self.front.stopping:
             try:
                 found = await self.table.get(key)
-                if found is None or found.value["address"] != value["address"]:
+                if found is None or not same(found.value, value):
                     version = found.version if found else None
                     await self.table.put(key, value, expected=version)
             except table.TableError:
@@ -227,13 +235,11 @@
     async def stop(self) -> None:
         """Fails readiness, ends all work in flight, hands homes over."""
         self.front.stopping = True
-        deadline = self.clock.monotonic() + self.settings.stop_seconds
-        for connection in list(self.server.connections):
-            if not connection.busy:
-                connection.finish()
-        while self.clock.monotonic() < deadline:
+        began = self.clock.monotonic()
+        while self.clock.monotonic() < began + self.settings.stop_seconds:
+            waited = self.clock.monotonic() - began
             listed = self.settings.id in self.views.picture.entries
-            if not self.front.in_flight and not listed:
+            if waited > LINGER_SECONDS and not (self.front.in_flight or listed):
                 break
             await asyncio.sleep(HELLO_SECONDS / 2)
         await self.server.stop(1.0)
@@ -247,3 +253,8 @@
         await self.start()
         await program.wait_for_stop("entry")
         await self.stop()
+
+
+def same(stored: dict, wanted: dict) -> bool:
+    """Tells whether a stored record says what is wanted."""
+    return all(stored.get(name) == value for name, value in wanted.items())
--- a/oleanderhoist/entry/front.py
+++ b/oleanderhoist/entry/front.py
@@ -89,6 +89,7 @@
             if not self.in_flight:
                 self.idle.set()
         response.headers.append((b"oleander-request-id", id.encode()))
+        response.close = response.close or self.stopping
         self.count(id, rank, response, began)
         return response
 
--- a/oleanderhoist/peers/wire.py
+++ b/oleanderhoist/peers/wire.py
@@ -10,9 +10,13 @@
 
 
 class Hello(Message):
-    """An entry asks the leader to be counted as live."""
+    """An entry asks the leader to be counted as live.
+
+    `incarnation` grows with every process of the same name.
+    """
 
     entry: str
+    incarnation: int
     address: str
     data_center: str
 
@@ -21,6 +25,7 @@
     """An entry asks the leader to be counted as leaving."""
 
     entry: str
+    incarnation: int
 
 
 class EntryItem(msgspec.Struct, array_like=True, kw_only=True, frozen=True):
--- a/oleanderhoist/placer/core.py
+++ b/oleanderhoist/placer/core.py
@@ -103,7 +103,7 @@
         """Routes a peer's message."""
         self.election.receive(sender, message)
         if self.reign is not None:
-            self.reign.receive(message)
+            self.reign.receive(sender, message)
 
     async def register(self) -> None:
         """Keeps this placer's record in the table."""
--- a/oleanderhoist/placer/leader.py
+++ b/oleanderhoist/placer/leader.py
@@ -109,7 +109,8 @@
         self.placement.add_spaces()
         now = self.clock.monotonic()
         for record in await self.table.scan(ENTRIES_PREFIX):
-            self.lender.roster.join(to_entry(record.value), now)
+            value = record.value
+            self.lender.roster.join(to_entry(value), value["incarnation"], now)
         self.loaded = True
 
     def note_contracts(self) -> None:
@@ -195,7 +196,7 @@
         self.lender.publish()
         return outcome
 
-    def receive(self, message: wire.Message) -> None:
+    def receive(self, sender: str, message: wire.Message) -> None:
         """Takes in what entries say."""
         if not self.loaded:
             return
@@ -207,9 +208,12 @@
                     address=message.address,
                     data_center=message.data_center,
                 )
-                roster.join(entry, self.clock.monotonic())
+                now = self.clock.monotonic()
+                roster.join(entry, message.incarnation, now)
             case wire.Goodbye():
-                roster.leave(message.entry, self.clock.monotonic())
+                now = self.clock.monotonic()
+                roster.leave(message.entry, message.incarnation, now)
+                self.lender.farewell(sender)
             case wire.Status():
                 self.lender.hear(message)
 
--- a/oleanderhoist/placer/lender.py
+++ b/oleanderhoist/placer/lender.py
@@ -106,6 +106,12 @@
         member.view_sent_at = self.clock.monotonic()
         member.view_queued = self.link.send(member.entry.address, self.view)
 
+    def farewell(self, address: str) -> None:
+        """Shows an entry that leaves the view it is no longer in."""
+        if self.generation != self.roster.generation:
+            self.publish()
+        self.link.send(address, self.view)
+
     def tick(self) -> None:
         """Drops silent entries, then lends."""
         self.roster.sweep(self.clock.monotonic(), self.lag.recent())
--- a/oleanderhoist/placer/roster.py
+++ b/oleanderhoist/placer/roster.py
@@ -30,13 +30,13 @@
 
     def __init__(self):
         self.members: dict[str, Member] = {}
-        self.leaving: dict[str, float] = {}
+        self.leaving: dict[str, int] = {}
         self.gone: dict[str, float] = {}
         self.generation = 0
 
-    def join(self, entry: topology.Entry, now: float) -> None:
-        """Counts an entry as live, unless it said goodbye."""
-        if entry.id in self.leaving:
+    def join(self, entry: topology.Entry, incarnation: int, now: float) -> None:
+        """Counts an entry as live, unless this process said goodbye."""
+        if incarnation <= self.leaving.get(entry.id, -1):
             return
         member = self.members.get(entry.id)
         if member is not None and member.entry == entry:
@@ -47,9 +47,9 @@
         self.generation += 1
         log.write(events.ENTRY_JOINED, entry=entry.id, address=entry.address)
 
-    def leave(self, entry: str, now: float) -> None:
+    def leave(self, entry: str, incarnation: int, now: float) -> None:
         """Counts an entry as leaving."""
-        self.leaving[entry] = now
+        self.leaving[entry] = incarnation
         self.remove(entry, now, "goodbye")
 
     def hear(self, status: wire.Status, now: float) -> None:
@@ -77,9 +77,6 @@
         for id, member in list(self.members.items()):
             if now - member.heard_at > SILENT_SECONDS + lag:
                 self.remove(id, now, "silent")
-        for id, since in list(self.leaving.items()):
-            if now - since > FORGET_SECONDS:
-                del self.leaving[id]
 
     def forgotten(self, now: float) -> list[str]:
         """Returns entries gone for so long that their records may go."""
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -80,6 +80,9 @@
             self.draining = True
             self.recorder.draining()
             return base.plain(204)
+        if action == "listed":
+            self.recorder.draining()
+            return base.plain(204)
         if action == "faults":
             self.faults.update(value)
             return messages.json_response(self.faults)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -16,6 +16,7 @@
 import tempfile
 import time
 
+from oleanderhoist import codes
 from oleanderhoist.http import client
 from oleanderhoist.http import messages
 from standins import caller
@@ -283,14 +284,16 @@
             (b"authorization", f"Bearer {ADMIN_TOKEN}".encode()),
             (b"if-match", b'"%d"' % base),
         ]
-        response = messages.Response(status=503)
+        response = messages.problem(codes.NO_LEADER)
         for name in self.named("placer-"):
             try:
-                response = await self.call(name, method, path, body, headers)
+                answer = await self.call(name, method, path, body, headers)
             except client.ExchangeError:
                 continue
-            if response.status not in (307, 503):
-                return response
+            if answer.status not in (307, 503):
+                return answer
+            if answer.status == 503:
+                response = answer
         return response
 
     async def has_leader(self) -> bool:
@@ -366,9 +369,11 @@
     def check(self, told: list[caller.Told]) -> list[str]:
         """Compares the servers' records with what callers were told."""
         records = record.read(self.folder.name)
-        return record.check_owners(records) + record.check_answers(
-            records, told
-        )
+        return [
+            *record.check_owners(records),
+            *record.check_drains(records),
+            *record.check_answers(records, told),
+        ]
 
     def events(self, name: str) -> list[dict]:
         """Returns a node's log lines so far."""
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -42,6 +42,7 @@
         self.listener: asyncio.Server | None = None
         self.address = ""
         self.writers: set[asyncio.StreamWriter] = set()
+        self.silent: set[asyncio.StreamWriter] = set()
         self.tasks: set[asyncio.Task] = set()
 
     async def start(self, address: str) -> None:
@@ -79,6 +80,7 @@
         for one in pair:
             one.close()
         self.writers -= pair
+        self.silent -= pair
         self.tasks -= tasks
 
     async def carry(
@@ -93,6 +95,8 @@
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK_BYTES):
                 faults = self.faults
+                if writer in self.silent:
+                    continue
                 if faults.hole_back if back else faults.hole_forward:
                     continue
                 if back and faults.drop_replies > 0:
@@ -121,6 +125,10 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def silence(self) -> None:
+        """Makes the open connections silent for good; new ones work."""
+        self.silent |= self.writers
+
     def heal(self) -> None:
         """Ends all faults; connections that lost bytes are reset."""
         lossy = self.faults.hole_forward or self.faults.hole_back
--- a/standins/record.py
+++ b/standins/record.py
@@ -12,6 +12,8 @@
 
 from standins import caller
 
+DRAIN_SECONDS = 2.0
+
 
 class Recorder:
     """Writes one server's record.
@@ -141,6 +143,21 @@
     return problems
 
 
+def check_drains(records: dict[str, list[dict]]) -> list[str]:
+    """Returns every piece of work sent to a server long since leaving."""
+    problems = []
+    for server, lines in records.items():
+        since = None
+        for line in lines:
+            if line["kind"] == "draining" and since is None:
+                since = line["at"]
+            late = since is not None and line["at"] > since + DRAIN_SECONDS
+            if late and line["kind"] == "received":
+                after = line["at"] - since
+                problems.append(f"{server}: work {after:.3f} s after its drain")
+    return problems
+
+
 def check_answers(
     records: dict[str, list[dict]], told: list[caller.Told]
 ) -> list[str]:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -232,7 +232,9 @@
 @verb
 async def refused(run: Scenario, code: float, rate: float) -> None:
     """Applies a contract that must be refused with a code."""
-    response = await run.fleet.apply(contract(rate), run.version)
+    response = await run.fleet.admin(
+        "PUT", "/v1/contracts/guild", contract(rate).encode(), run.version
+    )
     found = json.loads(response.body).get("code")
     if found != int(code):
         raise ExpectationError(f"refused: {found}, not {int(code)}")
@@ -339,6 +341,12 @@
     run.proxies.by_name[link].faults.hole_back = True
 
 
+@verb
+async def silence(run: Scenario, link: str) -> None:
+    """Makes a link's open connections silent while new ones work."""
+    run.proxies.by_name[link].silence()
+
+
 @verb
 async def drop(run: Scenario, link: str, count: float) -> None:
     """Swallows replies after their requests were delivered."""
@@ -386,6 +394,7 @@
 @verb
 async def leave(run: Scenario, server: str) -> None:
     """Lets the platform's list say that a server leaves."""
+    await run.fleet.call(server, "PUT", "/oleander/listed")
     run.fleet.servers[server]["leaving"] = True
     await run.fleet.list_servers()
 
