Add make red: each proof shown to fail without its mechanism

Cause: the proofs were only ever seen green. Ruled out: switches in the product that turn safety off; they could be left on by mistake. A mutation edits a scratch copy instead. Change: tests/mutations.toml names the mechanism, the edit and the scenario; tests/red.py runs them. Conclusion: a table that anyone can rerun.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed
 
-.PHONY: demo test lint format bench capacity clean
+.PHONY: demo test lint format bench capacity red clean
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -32,3 +32,6 @@
 
 clean:
 	rm -rf $(VENV) build *.egg-info
+
+red: $(STAMP)
+	$(BIN)/python -m tests.red
--- /dev/null
+++ b/tests/red.py
@@ -0,0 +1,96 @@
+"""Shows that each proof fails without the mechanism it is meant for.
+
+Every mutation takes one mechanism out of a scratch copy of the tree and runs
+one scenario there, which must fail. Usage: ``python -m tests.red [SCENARIO]``.
+"""
+
+import concurrent.futures
+import dataclasses
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+import tomllib
+
+TABLE = pathlib.Path("tests/mutations.toml")
+COPIED = ("oleanderhoist", "standins", "tests", "bench", "examples")
+PARALLEL = 2
+LIMIT_SECONDS = 180
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Edit:
+    """One replacement in one file."""
+
+    file: str
+    old: str
+    new: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Mutation:
+    """A mechanism taken out, and the scenario that must then fail."""
+
+    scenario: str
+    mechanism: str
+    edits: tuple[Edit, ...]
+
+
+def read() -> list[Mutation]:
+    """Returns all mutations."""
+    rows = tomllib.loads(TABLE.read_text())["mutation"]
+    return [
+        Mutation(
+            scenario=row["scenario"],
+            mechanism=row["mechanism"],
+            edits=tuple(Edit(**edit) for edit in row["edits"]),
+        )
+        for row in rows
+    ]
+
+
+def run(mutation: Mutation) -> tuple[bool, str]:
+    """Runs one mutation; returns whether it failed, and how."""
+    with tempfile.TemporaryDirectory() as folder:
+        for name in COPIED:
+            shutil.copytree(name, f"{folder}/{name}")
+        for edit in mutation.edits:
+            path = pathlib.Path(folder) / edit.file
+            source = path.read_text()
+            if edit.old not in source:
+                return False, f"{edit.file} has no {edit.old!r}"
+            path.write_text(source.replace(edit.old, edit.new))
+        test = mutation.scenario.replace("-", "_")
+        command = [sys.executable, "-m", "unittest"]
+        command += [f"tests.test_scenarios.ScenarioTest.test_{test}"]
+        done = subprocess.run(
+            command,
+            cwd=folder,
+            capture_output=True,
+            text=True,
+            timeout=LIMIT_SECONDS,
+            check=False,
+        )
+    lines = [x for x in done.stderr.splitlines() if "Error: " in x]
+    return done.returncode != 0, lines[-1][:160] if lines else "passed"
+
+
+def main() -> int:
+    """Runs the mutations; returns 1 when a scenario passed without its own."""
+    wanted = set(sys.argv[1:])
+    mutations = [m for m in read() if not wanted or m.scenario in wanted]
+    green = 0
+    with concurrent.futures.ThreadPoolExecutor(PARALLEL) as pool:
+        for mutation, (red, how) in zip(
+            mutations, pool.map(run, mutations), strict=True
+        ):
+            green += not red
+            verdict = "red" if red else "NOT RED"
+            print(f"{verdict}: {mutation.scenario}: {mutation.mechanism}")
+            print(f"    {how}", flush=True)
+    return 1 if green else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -311,6 +311,13 @@
     run.epoch = status["leader"]["epoch"] if status else run.epoch
 
 
+@verb
+async def same(run: Scenario, one: str, other: str) -> None:
+    """Two names must stand for the same process."""
+    if one != other:
+        raise ExpectationError(f"{one!r} is not {other!r}")
+
+
 @verb
 async def restart(run: Scenario, name: str) -> None:
     """Replaces an ended node by a new process of the same name."""
