--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,251 @@
+"""Slopes for docs/CAPACITY.md: bytes, processor time and table operations."""
+
+import asyncio
+import json
+import os
+import pathlib
+import statistics
+import time
+import tracemalloc
+
+import click
+
+from bench import demo
+from oleanderhoist.entry import view
+from oleanderhoist.peers import views
+from oleanderhoist.peers import wire
+from oleanderhoist.policy import hashing
+from oleanderhoist.policy import topology
+from standins import fleet
+
+IDLE_SECONDS = 10.0
+LOAD_RATE = 150.0
+LOAD_SECONDS = 10.0
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+def make_view(entries: int, servers: int, partitions: int) -> wire.View:
+    """Returns a view of the given size."""
+    listed = [
+        topology.Server(
+            id=f"phase-tables-{n}",
+            pool="phase-tables",
+            address=f"10.0.{n // 250}.{n % 250}:8080",
+            data_center=f"dc{n % 7}",
+            slots=3,
+            connections=300,
+            checks_sender=True,
+            keyed=True,
+        )
+        for n in range(servers)
+    ]
+    space = topology.SpaceMap(
+        pool="phase-tables",
+        partitions=[
+            topology.Holding(owner=listed[n % servers].id, fence=n % 1000)
+            for n in range(partitions)
+        ],
+        versions={server.id: 17 for server in listed},
+    )
+    live = [
+        topology.Entry(
+            id=f"entry-{n}",
+            address=f"10.1.{n // 250}.{n % 250}:7000",
+            data_center=f"dc{n % 7}",
+        )
+        for n in range(entries)
+    ]
+    return wire.View(
+        epoch=3,
+        revision=9,
+        entries=[views.pack_entry(entry) for entry in live],
+        servers=[views.pack_server(server) for server in listed],
+        spaces=[views.pack_space(space)],
+        contracts={"guild": 1},
+        contracts_revision=5,
+    )
+
+
+def size(message: wire.Message) -> int:
+    """Returns a message's bytes on the wire."""
+    envelope = wire.Envelope(sender="10.1.0.1:7000", body=message)
+    return len(wire.encode(envelope))
+
+
+def microseconds(work, runs: int = 2000) -> float:
+    """Returns the median time of a call, in microseconds."""
+    times = []
+    for _ in range(5):
+        began = time.perf_counter()
+        for _ in range(runs):
+            work()
+        times.append((time.perf_counter() - began) / runs)
+    return round(statistics.median(times) * 1e6, 2)
+
+
+def view_slopes() -> dict:
+    """Returns bytes and time per entry, server and partition of a view."""
+    small = make_view(10, 50, 256)
+    more = {
+        "entry": make_view(110, 50, 256),
+        "server": make_view(10, 150, 256),
+        "partition": make_view(10, 50, 1256),
+    }
+    counts = {"entry": 100, "server": 100, "partition": 1000}
+    slopes = {"view_bytes_small": size(small)}
+    for name, large in more.items():
+        grown = size(large) - size(small)
+        slopes[f"view_bytes_per_{name}"] = round(grown / counts[name], 2)
+    large = make_view(690, 2000, 4096)
+    began = time.perf_counter()
+    tracemalloc.start()
+    built = view.build(large)
+    slopes["view_target_memory_mb"] = round(
+        tracemalloc.get_traced_memory()[0] / 1e6, 2
+    )
+    tracemalloc.stop()
+    began = time.perf_counter()
+    built = view.build(large)
+    slopes["view_target_build_ms"] = round(
+        (time.perf_counter() - began) * 1000, 1
+    )
+    slopes["view_target_bytes"] = size(large)
+    slopes["view_target_homes"] = len(built.homes)
+    return slopes
+
+
+def message_slopes() -> dict:
+    """Returns sizes and times of the regular messages."""
+    lend = wire.Lend(
+        epoch=3,
+        sequence=10_000,
+        revision=9,
+        contracts_revision=5,
+        sent_at=1.7e9,
+        limit=1.7e9,
+    )
+    report = wire.ServerReport(
+        server="phase-tables-10",
+        state="up",
+        acked_epoch=3,
+        acked_version=17,
+        sent={17: 1.7e9},
+    )
+
+    def status(count: int) -> wire.Status:
+        return wire.Status(
+            entry="entry-10",
+            epoch=3,
+            sequence=10_000,
+            revision=9,
+            contracts_revision=5,
+            confirmed=True,
+            lag_ms=0.1,
+            servers=[report] * count,
+            demands={"guild/orders": 10.0},
+            hot={},
+        )
+
+    envelope = wire.Envelope(sender="10.1.0.1:7000", body=status(3))
+    data = wire.encode(envelope)
+    space = views.unpack_space(make_view(1, 15, 256).spaces[0])
+    return {
+        "lend_bytes": size(lend),
+        "status_bytes": size(status(0)),
+        "status_bytes_per_server": size(status(1)) - size(status(0)),
+        "status_encode_us": microseconds(lambda: wire.encode(envelope)),
+        "status_decode_us": microseconds(lambda: wire.decode(data)),
+        "locate_key_us": microseconds(lambda: space.locate("k17")),
+        "home_pick_us_per_entry": microseconds(
+            lambda: hashing.digest("server-1|entry-1")
+        ),
+    }
+
+
+def cpu_seconds(process: fleet.Process) -> float:
+    """Returns the processor time a process has used."""
+    fields = pathlib.Path(f"/proc/{process.handle.pid}/stat").read_text()
+    parts = fields.rpartition(")")[2].split()
+    return (int(parts[11]) + int(parts[12])) / TICKS
+
+
+def resident_mb(process: fleet.Process) -> float:
+    """Returns a process's resident memory."""
+    text = pathlib.Path(f"/proc/{process.handle.pid}/statm").read_text()
+    pages = int(text.split()[1])
+    return round(pages * os.sysconf("SC_PAGE_SIZE") / 1e6, 1)
+
+
+async def counts(one: fleet.Fleet) -> dict:
+    """Returns the table's operations so far."""
+    response = await one.call("table", "GET", "/counts")
+    return json.loads(response.body)
+
+
+async def fleet_slopes(entries: int) -> dict:
+    """Returns what daemons use when idle and under load."""
+    one = fleet.Fleet(pools=demo.POOLS, entries=entries)
+    try:
+        await one.start()
+        await demo.apply_contracts(one)
+        await asyncio.sleep(1.0)
+        names = one.named("entry-") + one.named("placer-")
+        before = {n: cpu_seconds(one.processes[n]) for n in names}
+        table_before = await counts(one)
+        await asyncio.sleep(IDLE_SECONDS)
+        table_after = await counts(one)
+        idle = {
+            n: (cpu_seconds(one.processes[n]) - before[n]) / IDLE_SECONDS
+            for n in names
+        }
+        status = await one.status()
+        leader = status["leader"]["id"]
+        before = {n: cpu_seconds(one.processes[n]) for n in names}
+        requests = int(LOAD_RATE * LOAD_SECONDS)
+        told = await demo.offer(one, requests, LOAD_RATE, "")
+        loaded = {
+            n: (cpu_seconds(one.processes[n]) - before[n]) / LOAD_SECONDS
+            for n in names
+        }
+        memory = {n: resident_mb(one.processes[n]) for n in names}
+    finally:
+        await one.stop()
+    entry_names = [n for n in names if n.startswith("entry-")]
+    idle_entries = sum(idle[n] for n in entry_names)
+    loaded_entries = sum(loaded[n] for n in entry_names)
+    followers = [n for n in names if n.startswith("placer-") and n != leader]
+    return {
+        "entries": entries,
+        "servers": len(one.servers),
+        "idle_core_per_entry": round(idle_entries / entries, 4),
+        "idle_core_per_server": round(idle_entries / len(one.servers), 5),
+        "idle_core_leader": round(idle[leader], 4),
+        "idle_core_follower": round(
+            sum(idle[n] for n in followers) / len(followers), 4
+        ),
+        "table_reads_per_s": round(
+            (table_after["reads"] - table_before["reads"]) / IDLE_SECONDS, 1
+        ),
+        "table_writes_per_s": round(
+            (table_after["writes"] - table_before["writes"]) / IDLE_SECONDS, 1
+        ),
+        "entry_us_per_request": round(
+            (loaded_entries - idle_entries) * LOAD_SECONDS / len(told) * 1e6
+        ),
+        "entry_mb": max(memory[n] for n in entry_names),
+        "leader_mb": memory[leader],
+    }
+
+
+@click.command()
+@click.option("--entries", multiple=True, default=[3, 6], type=int)
+def main(entries: tuple[int, ...]) -> None:
+    """Measures the slopes and prints one JSON line for each group."""
+    click.echo(json.dumps({"view": view_slopes()}))
+    click.echo(json.dumps({"messages": message_slopes()}))
+    for count in entries:
+        click.echo(json.dumps({"fleet": asyncio.run(fleet_slopes(count))}))
+
+
+if __name__ == "__main__":
+    main()
--- a/oleanderhoist/placer/activation.py
+++ b/oleanderhoist/placer/activation.py
@@ -86,6 +86,8 @@
         """Returns one immutable contract version."""
         if (customer, version) not in self.known:
             source = await read_source(self.table, customer, version)
+            if source is None:
+                raise table.TableError(f"no contract {customer} {version}")
             self.known[(customer, version)] = contract.parse(source)
         return self.known[(customer, version)]
 
@@ -164,10 +166,10 @@
             f"customer {wanted.customer!r}: you started from version {base}, "
             f"version {present} is in force"
         ]
-        if base and present:
-            before = await self.fetch(wanted.customer, base)
+        before = await read_source(self.table, wanted.customer, base)
+        if before is not None and present:
             after = await self.fetch(wanted.customer, present)
-            details += differences(before, after)
+            details += differences(contract.parse(before), after)
         return Refused(
             code=codes.CONTRACT_CONFLICT, details=details, present=present
         )
@@ -236,16 +238,16 @@
         )
 
 
-async def read_source(table_: table.Table, customer: str, version: int) -> str:
-    """Returns the TOML of one contract version.
+async def read_source(
+    table_: table.Table, customer: str, version: int
+) -> str | None:
+    """Returns the TOML of one contract version, or None without it.
 
     Raises:
-        TableError: The table did not answer, or has no such version.
+        TableError: The table did not answer.
     """
     record = await table_.get(f"{CONTRACTS_PREFIX}{customer}/{version}")
-    if record is None:
-        raise table.TableError(f"no contract {customer} version {version}")
-    return record.value["source"]
+    return record.value["source"] if record is not None else None
 
 
 def pools_without_keys(
@@ -255,7 +257,7 @@
     keyed = {server.pool: server.keyed for server in servers}
     return [
         f"work.{index}.path: pool {work.pool!r} "
-        + ("is divided by key, so the path needs '{key}'")
+        "is divided by key, so the path needs '{key}'"
         for index, work in enumerate(wanted.work)
         if keyed.get(work.pool) and not work.keyed
     ]
--- a/oleanderhoist/placer/api.py
+++ b/oleanderhoist/placer/api.py
@@ -192,6 +192,8 @@
         source = await activation.read_source(
             self.table, customer, int(version)
         )
+        if source is None:
+            return messages.problem(codes.NOT_FOUND)
         return messages.json_response(
             {"customer": customer, "version": int(version), "source": source}
         )
