--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed
 
-.PHONY: demo test lint format bench capacity red clean
+.PHONY: demo test lint format bench overload failover placement capacity red clean
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -27,6 +27,15 @@
 bench: $(STAMP)
 	$(BIN)/python -m bench.path
 
+overload: $(STAMP)
+	$(BIN)/python -m bench.overload
+
+failover: $(STAMP)
+	$(BIN)/python -m bench.failover
+
+placement: $(STAMP)
+	$(BIN)/python -m bench.placement
+
 capacity: $(STAMP)
 	$(BIN)/python -m bench.capacity
 
