Judge tickets by the measured service time when it is the longer one

Ruled out: the entry's deadline handling (it cut the exchange in time). Change: expiry and admission use the greater of contract and measurement.

--- a/oleanderhoist/policy/dispatch.py
+++ b/oleanderhoist/policy/dispatch.py
@@ -154,6 +154,13 @@
         service = max(self.service, 0.0) or ticket.expected
         return busy * service / max(1, self.slots)
 
+    def needed(self, ticket: Ticket) -> float:
+        """Returns the time a ticket will hold a slot, in seconds.
+
+        The contract's word counts until the server proves slower.
+        """
+        return max(ticket.expected, self.service)
+
     def offer(self, ticket: Ticket, now: float) -> bool:
         """Queues a ticket.
 
@@ -164,7 +171,7 @@
         if len(queue) >= QUEUE_LIMIT:
             return False
         guaranteed = not queue and self.shares.get(ticket.rank, 0.0) > 0
-        end = now + self.wait(ticket) + ticket.expected
+        end = now + self.wait(ticket) + self.needed(ticket)
         if end > ticket.deadline and not guaranteed:
             return False
         queue.append(ticket)
@@ -200,7 +207,7 @@
         """Removes tickets that can no longer end in time."""
         late = []
         for queue in self.queues.values():
-            while queue and now + queue[0].expected > queue[0].deadline:
+            while queue and now + self.needed(queue[0]) > queue[0].deadline:
                 late.append(queue.popleft())
         return late
 
