Split sending from routing; one membership record for both programs

Ruled out: a common base class of the two programs; they share little else. Change: entry/sending.py performs one exchange and tells what is proved; platform/members.py keeps a record. Mutations follow their lines.

--- a/oleanderhoist/entry/core.py
+++ b/oleanderhoist/entry/core.py
@@ -20,12 +20,12 @@
 from oleanderhoist.http import server
 from oleanderhoist.peers import link
 from oleanderhoist.peers import wire
+from oleanderhoist.platform import members
 from oleanderhoist.platform import table
 
 HELLO_SECONDS = 0.1
 SILENCE_SECONDS = 0.3
 LINGER_SECONDS = 1.0
-REGISTER_SECONDS = 5.0
 PLACERS_SECONDS = 2.0
 
 
@@ -49,6 +49,9 @@
         self.clock = clock
         self.incarnation = round(clock.wall() * 1000)
         self.table = table.Table(address=settings.table)
+        self.membership = members.Membership(
+            table=self.table, key=members.ENTRIES_PREFIX + settings.id
+        )
         self.link = link.Link(
             listen=str(settings.peer_listen),
             advertise=settings.peer_advertise,
@@ -190,7 +193,7 @@
         """Keeps the placers' addresses up to date."""
         while True:
             try:
-                found = await self.table.scan("members/placer/")
+                found = await self.table.scan(members.PLACERS_PREFIX)
                 self.placers = [record.value["address"] for record in found]
                 for address in self.placers:
                     self.link.connect(address)
@@ -200,22 +203,14 @@
 
     async def register(self) -> None:
         """Keeps this entry's record in the table."""
-        key = "members/entry/" + self.settings.id
-        value = {
-            "id": self.settings.id,
-            "incarnation": self.incarnation,
-            "address": self.link.address,
-            "data_center": self.settings.data_center,
-        }
-        while not self.front.stopping:
-            try:
-                found = await self.table.get(key)
-                if found is None or not same(found.value, value):
-                    version = found.version if found else None
-                    await self.table.put(key, value, expected=version)
-            except table.TableError:
-                pass
-            await asyncio.sleep(REGISTER_SECONDS)
+        await self.membership.keep(
+            {
+                "id": self.settings.id,
+                "incarnation": self.incarnation,
+                "address": self.link.address,
+                "data_center": self.settings.data_center,
+            }
+        )
 
     async def start(self) -> None:
         """Opens all sockets and starts all tasks."""
@@ -237,6 +232,7 @@
     async def stop(self) -> None:
         """Fails readiness, ends all work in flight, hands homes over."""
         self.front.stopping = True
+        self.membership.leaving = True
         began = self.clock.monotonic()
         while self.clock.monotonic() < began + self.settings.stop_seconds:
             waited = self.clock.monotonic() - began
@@ -255,8 +251,3 @@
         await self.start()
         await program.wait_for_stop("entry")
         await self.stop()
-
-
-def same(stored: dict, wanted: dict) -> bool:
-    """Tells whether a stored record says what is wanted."""
-    return all(stored.get(name) == value for name, value in wanted.items())
--- a/oleanderhoist/entry/front.py
+++ b/oleanderhoist/entry/front.py
@@ -18,6 +18,7 @@
 from oleanderhoist.entry import claims
 from oleanderhoist.entry import contracts
 from oleanderhoist.entry import router
+from oleanderhoist.entry import sending
 from oleanderhoist.http import messages
 from oleanderhoist.http import server
 
@@ -214,7 +215,7 @@
             return outcomes.Unknown(
                 code=codes.REFUSED_UNCHECKED, detail=outcome.code.title
             )
-        return router.from_claim(earlier)
+        return sending.from_claim(earlier)
 
 
 def unread(request: messages.Request) -> bool:
--- a/oleanderhoist/placer/core.py
+++ b/oleanderhoist/placer/core.py
@@ -14,12 +14,12 @@
 from oleanderhoist.placer import election
 from oleanderhoist.placer import leader
 from oleanderhoist.platform import inventory
+from oleanderhoist.platform import members
 from oleanderhoist.platform import table
 from oleanderhoist.policy import leadership
 from oleanderhoist.policy import placement
 
 HOLD_LIMIT_SECONDS = 4 * 3600.0
-REGISTER_SECONDS = 5.0
 STOP_SECONDS = 2.0
 
 
@@ -38,6 +38,9 @@
         self.clock = clock
         self.table = table.Table(address=settings.table)
         self.inventory = inventory.Inventory(address=settings.inventory)
+        self.membership = members.Membership(
+            table=self.table, key=members.PLACERS_PREFIX + settings.id
+        )
         self.link = link.Link(
             listen=str(settings.peer_listen),
             advertise=settings.peer_advertise,
@@ -107,27 +110,8 @@
 
     async def register(self) -> None:
         """Keeps this placer's record in the table."""
-        key = election.MEMBERS_PREFIX + self.settings.id
         value = {"id": self.settings.id, "address": self.link.address}
-        while not self.election.stopping:
-            try:
-                found = await self.table.get(key)
-                if found is None or found.value["address"] != value["address"]:
-                    version = found.version if found else None
-                    await self.table.put(key, value, expected=version)
-            except table.TableError:
-                pass
-            await asyncio.sleep(REGISTER_SECONDS)
-
-    async def deregister(self) -> None:
-        """Deletes this placer's record."""
-        key = election.MEMBERS_PREFIX + self.settings.id
-        try:
-            found = await self.table.get(key)
-            if found is not None:
-                await self.table.delete(key, expected=found.version)
-        except table.TableError:
-            pass
+        await self.membership.keep(value)
 
     async def start(self) -> None:
         """Opens all sockets and starts all tasks."""
@@ -149,7 +133,7 @@
     async def stop(self) -> None:
         """Gives up leadership, ends running exchanges and closes."""
         await self.election.give_up()
-        await self.deregister()
+        await self.membership.remove()
         await self.front.stop(STOP_SECONDS)
         for task in self.tasks:
             task.cancel()
--- a/oleanderhoist/placer/election.py
+++ b/oleanderhoist/placer/election.py
@@ -11,11 +11,11 @@
 from oleanderhoist import log
 from oleanderhoist.peers import link
 from oleanderhoist.peers import wire
+from oleanderhoist.platform import members
 from oleanderhoist.platform import table
 from oleanderhoist.policy import leadership
 
 LEADER_KEY = "leader"
-MEMBERS_PREFIX = "members/placer/"
 POLL_SECONDS = 0.1
 ROSTER_SECONDS = 0.5
 FORGET_SECONDS = 60.0
@@ -147,7 +147,7 @@
         Raises:
             TableError: The table did not answer.
         """
-        found = await self.table.scan(MEMBERS_PREFIX)
+        found = await self.table.scan(members.PLACERS_PREFIX)
         self.seen()
         self.roster = {r.value["id"]: r.value["address"] for r in found}
         self.roster[self.own] = self.link.address
@@ -163,7 +163,7 @@
         for placer, address in self.roster.items():
             heard = self.heard.setdefault(placer, now)
             if now - heard > FORGET_SECONDS:
-                record = await self.table.get(MEMBERS_PREFIX + placer)
+                record = await self.table.get(members.PLACERS_PREFIX + placer)
                 if record is not None:
                     await self.table.delete(record.key, expected=record.version)
             self.link.send(address, question)
--- a/oleanderhoist/placer/leader.py
+++ b/oleanderhoist/placer/leader.py
@@ -14,11 +14,11 @@
 from oleanderhoist.placer import placement
 from oleanderhoist.placer import shares
 from oleanderhoist.platform import inventory
+from oleanderhoist.platform import members
 from oleanderhoist.platform import table
 from oleanderhoist.policy import placement as placement_policy
 from oleanderhoist.policy import topology
 
-ENTRIES_PREFIX = "members/entry/"
 LOAD_RETRY_SECONDS = 0.05
 RECONCILE_SECONDS = 0.05
 INVENTORY_SECONDS = 0.5
@@ -108,7 +108,7 @@
         self.note_contracts()
         self.placement.add_spaces()
         now = self.clock.monotonic()
-        for record in await self.table.scan(ENTRIES_PREFIX):
+        for record in await self.table.scan(members.ENTRIES_PREFIX):
             value = record.value
             self.lender.roster.join(to_entry(value), value["incarnation"], now)
         self.loaded = True
@@ -158,7 +158,7 @@
             try:
                 await self.follow_inventory()
                 for id in self.lender.roster.forgotten(self.clock.monotonic()):
-                    await self.forget_entry(ENTRIES_PREFIX + id)
+                    await self.forget_entry(members.ENTRIES_PREFIX + id)
             except (inventory.InventoryError, table.TableError):
                 continue
 
