Cancel work at the server once its deadline has passed

Ruled out: counting a cancellation as 'not run': its answer may be late, so the outcome stays unknown. The fleet launcher's own calls get their whole time limit for connecting (0.3 s made one red run fail for a reason not meant).

--- a/oleanderhoist/entry/sending.py
+++ b/oleanderhoist/entry/sending.py
@@ -1,5 +1,6 @@
 """Sends one try of a call to a server and tells what is proved by it."""
 
+import asyncio
 import dataclasses
 
 from oleanderhoist import clock
@@ -17,6 +18,7 @@
 LOAD_HEADER = b"oleander-load"
 AVOID_SECONDS = 1.0
 FRESH_SECONDS = 0.5
+CANCEL_SECONDS = 1.0
 RETRY_AFTER_SECONDS = 1.0
 
 
@@ -60,6 +62,7 @@
         self.permits = permits
         self.clients: dict[str, client.Client] = {}
         self.avoid: dict[str, float] = {}
+        self.cancels: set[asyncio.Task] = set()
 
     def shun(self, server: str) -> None:
         """Leaves a server out of the choice for a moment."""
@@ -92,9 +95,29 @@
                 ),
             )
         except client.ExchangeError as error:
+            if error.late and error.sent:
+                self.cancel(one, peer)
             return self.broken(one, target, error)
         return self.answered(target, response)
 
+    def cancel(self, one: call.Call, peer: client.Client) -> None:
+        """Asks a server to drop a request that nobody waits for any more.
+
+        Its answer proves nothing, so the outcome stays unknown.
+        """
+        task = asyncio.create_task(self.ask_to_cancel(one.id, peer))
+        self.cancels.add(task)
+        task.add_done_callback(self.cancels.discard)
+
+    async def ask_to_cancel(self, id: str, peer: client.Client) -> None:
+        """Sends one cancellation."""
+        try:
+            await peer.request(
+                "DELETE", f"/oleander/requests/{id}", timeout=CANCEL_SECONDS
+            )
+        except client.ExchangeError:
+            pass
+
     def peer(self, address: str) -> client.Client:
         """Returns the client of a server."""
         if address not in self.clients:
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -53,7 +53,7 @@
         self.shown_load = 0
         self.shown_at = 0.0
         self.busy_seconds = 0.0
-        self.cancelled: set[str] = set()
+        self.cancellations = 0
         self.running: dict[str, asyncio.Task] = {}
         self.faults = {"hang": False, "truncate": 0, "delay_ms": 0, "mute": 0}
 
@@ -87,7 +87,12 @@
             self.faults.update(value)
             return messages.json_response(self.faults)
         if action == "busy":
-            return messages.json_response({"busy_seconds": self.busy_seconds})
+            return messages.json_response(
+                {
+                    "busy_seconds": self.busy_seconds,
+                    "cancelled": self.cancellations,
+                }
+            )
         if action.startswith("requests/") and request.method == "DELETE":
             return self.cancel(action.removeprefix("requests/"))
         return base.plain(404)
@@ -137,6 +142,7 @@
                 return await self.run(request, body)
         except asyncio.CancelledError:
             task.uncancel()
+            self.cancellations += 1
             return refused(499, "cancelled")
         finally:
             self.admitted -= 1
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -26,6 +26,7 @@
 HOST = "127.0.0.1"
 ADMIN_TOKEN = "operators-token"
 START_SECONDS = 30.0
+CALL_SECONDS = 2.0
 FIRST_PORT = 10_000
 PORT_COUNT = 20_000
 
@@ -266,10 +267,11 @@
         path: str,
         body: bytes = b"",
         headers: messages.Headers | None = None,
-        timeout: float = 2.0,
+        timeout: float = CALL_SECONDS,
     ) -> messages.Response:
         """Performs one exchange with a process."""
-        peer = client.Client(address=client.Address.parse(self.real[name]))
+        address = client.Address.parse(self.real[name])
+        peer = client.Client(address=address, connect_seconds=timeout)
         try:
             return await peer.request(
                 method, path, timeout=timeout, body=body, headers=headers
@@ -328,7 +330,8 @@
     async def is_ready(self, name: str) -> bool:
         """Tells whether a node's /readyz says yes."""
         address = self.processes[name].addresses["health-listen"]
-        peer = client.Client(address=client.Address.parse(address))
+        parsed = client.Address.parse(address)
+        peer = client.Client(address=parsed, connect_seconds=1.0)
         try:
             response = await peer.request("GET", "/readyz", timeout=1.0)
         except client.ExchangeError:
--- a/tests/conditions.py
+++ b/tests/conditions.py
@@ -111,3 +111,10 @@
     """The leader counts so many entries as live."""
     status = await run.fleet.status()
     return bool(status) and len(status["entries"]) == int(count)
+
+
+@scenario.condition
+async def cancelled(run: scenario.Scenario, server: str) -> bool:
+    """A server was asked to drop work that it still had."""
+    response = await run.fleet.call(server, "GET", "/oleander/busy")
+    return json.loads(response.body)["cancelled"] > 0
