--- a/oleanderhoist/entry/core.py
+++ b/oleanderhoist/entry/core.py
@@ -25,7 +25,7 @@
 
 HELLO_SECONDS = 0.1
 SILENCE_SECONDS = 0.3
-LINGER_SECONDS = 1.0
+LINGER_SECONDS = 2.0
 PLACERS_SECONDS = 2.0
 
 
--- a/tests/verbs.py
+++ b/tests/verbs.py
@@ -171,6 +171,7 @@
     if name.startswith("placer-"):
         await run.fleet.start_placer(name)
         return
+    run.told_to_stop.pop(name, None)
     await run.fleet.start_entry(name)
     address = run.fleet.real[name]
     run.callers.add(name, address)
