Free claims off the request path; one reader, one client cache, less dead code

Cause: reading the whole change again. (1) After a surely not-run order the router awaited Claims.free, which tries again until the table answers: in an outage a caller would have waited past its deadline, holding a slot; the background twin, abandon, was never called. (2) Entry and placer each read contract versions by code and key of their own. (3) Sender and Renewer each kept a cache of clients. (4) limits.Limit, loans.Sent and hashing.rendezvous were used nowhere; RETRY_AFTER_SECONDS stood three times. Ruled out: a background task alone for (1): the next try would meet its own claim, so one deletion is still awaited. Change: abandon tries once, then goes on in the background; platform/sources reads contract versions; http.client.Clients is the cache; dead code is out. Otherwise behaviour is unchanged.

--- a/oleanderhoist/entry/claims.py
+++ b/oleanderhoist/entry/claims.py
@@ -144,9 +144,17 @@
         value = {**claim.value, "state": DONE, **keep(response)}
         await self.table.put(claim.key, value, expected=claim.version)
 
-    def abandon(self, claim: Fresh) -> None:
-        """Frees a key whose request was surely not run."""
-        self.spawn(self.free(claim.key, claim.version))
+    async def abandon(self, claim: Fresh) -> None:
+        """Frees a key whose request was surely not run.
+
+        Tries once, so that the caller is not kept waiting; while the table
+        is down the rest is done in the background.
+        """
+        try:
+            await self.table.delete(claim.key, expected=claim.version)
+        except table.TableError:
+            self.note_failure()
+            self.spawn(self.free(claim.key, claim.version))
 
     async def free(self, key: str, version: int) -> None:
         """Deletes a claim, trying again while the table is down."""
--- a/oleanderhoist/entry/contracts.py
+++ b/oleanderhoist/entry/contracts.py
@@ -10,6 +10,7 @@
 from oleanderhoist import log
 from oleanderhoist.entry import view
 from oleanderhoist.peers import wire
+from oleanderhoist.platform import sources
 from oleanderhoist.platform import table
 
 CONFIRM_SECONDS = 3.0
@@ -112,7 +113,7 @@
 
     async def fetch(self, customer: str, version: int) -> contract.Contract:
         """Reads one immutable contract version."""
-        record = await self.table.get(f"contracts/{customer}/{version}")
-        if record is None:
+        source = await sources.read(self.table, customer, version)
+        if source is None:
             raise table.TableError(f"no contract {customer} {version}")
-        return contract.parse(record.value["source"])
+        return contract.parse(source)
--- a/oleanderhoist/entry/front.py
+++ b/oleanderhoist/entry/front.py
@@ -23,7 +23,6 @@
 from oleanderhoist.http import server
 
 MAX_IN_FLIGHT = 2_000
-RETRY_AFTER_SECONDS = 1.0
 
 _IDEMPOTENCY_KEY = re.compile(r"[\x21-\x7e]{1,128}")
 
@@ -187,7 +186,7 @@
             return outcomes.NotRun(
                 code=codes.OVERLOADED,
                 detail="this entry is full",
-                retry_after=RETRY_AFTER_SECONDS,
+                retry_after=outcomes.RETRY_AFTER_SECONDS,
             )
         if not self.admission.admit(one.customer, one.work):
             return outcomes.NotRun(
@@ -196,7 +195,7 @@
                     f"{one.work.name}: {one.work.rate_per_second:g} requests "
                     "a second for all entries together"
                 ),
-                retry_after=RETRY_AFTER_SECONDS,
+                retry_after=outcomes.RETRY_AFTER_SECONDS,
             )
         return None
 
--- a/oleanderhoist/entry/renewer.py
+++ b/oleanderhoist/entry/renewer.py
@@ -70,7 +70,7 @@
         self.clock = clock
         self.lag = lag
         self.watches: dict[str, Watch] = {}
-        self.clients: dict[str, client.Client] = {}
+        self.clients = client.Clients(connect_seconds=ORDER_SECONDS)
 
     def state(self, server: str) -> str:
         """Returns whether a server answers orders."""
@@ -164,13 +164,8 @@
         self, server: topology.Server, path: str, order: dict
     ) -> messages.Response | None:
         """Performs one exchange with a server."""
-        if server.address not in self.clients:
-            address = client.Address.parse(server.address)
-            self.clients[server.address] = client.Client(
-                address=address, connect_seconds=ORDER_SECONDS
-            )
         try:
-            return await self.clients[server.address].request(
+            return await self.clients.get(server.address).request(
                 "PUT",
                 path,
                 timeout=ORDER_SECONDS,
--- a/oleanderhoist/entry/router.py
+++ b/oleanderhoist/entry/router.py
@@ -19,7 +19,6 @@
 from oleanderhoist.policy import topology
 
 OWNER_WAIT_SECONDS = 0.1
-RETRY_AFTER_SECONDS = 1.0
 
 RETRIES = prometheus_client.Counter(
     "oleander_retries", "Requests sent a second time", ["rank"]
@@ -108,7 +107,7 @@
         return outcomes.NotRun(
             code=codes.NO_OWNER if keyed else codes.NO_SERVER,
             detail=f"pool {one.work.pool!r}",
-            retry_after=RETRY_AFTER_SECONDS,
+            retry_after=outcomes.RETRY_AFTER_SECONDS,
         )
 
     async def target(self, one: call.Call) -> sending.Target | None:
@@ -216,7 +215,7 @@
         outcome = outcomes.NotRun(
             code=turned.code,
             detail=f"server {target.server.id}",
-            retry_after=RETRY_AFTER_SECONDS,
+            retry_after=outcomes.RETRY_AFTER_SECONDS,
         )
         if turned.code is codes.NO_SERVER:
             self.sender.shun(target.server.id)
@@ -240,5 +239,5 @@
         if isinstance(result, outcomes.Complete):
             await self.claims.finish(claim, result.response)
         elif sending.is_not_run(result):
-            await self.claims.free(claim.key, claim.version)
+            await self.claims.abandon(claim)
         return result
--- a/oleanderhoist/entry/sending.py
+++ b/oleanderhoist/entry/sending.py
@@ -19,7 +19,6 @@
 AVOID_SECONDS = 1.0
 FRESH_SECONDS = 0.5
 CANCEL_SECONDS = 1.0
-RETRY_AFTER_SECONDS = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -60,7 +59,7 @@
     def __init__(self, *, clock: clock.Clock, permits: permits.Permits):
         self.clock = clock
         self.permits = permits
-        self.clients: dict[str, client.Client] = {}
+        self.clients = client.Clients()
         self.avoid: dict[str, float] = {}
         self.cancels: set[asyncio.Task] = set()
 
@@ -79,7 +78,7 @@
         left = one.deadline - self.clock.monotonic()
         if left <= 0:
             return outcomes.NotRun(code=codes.TOO_LATE)
-        peer = self.peer(target.server.address)
+        peer = self.clients.get(target.server.address)
         try:
             response = await peer.request(
                 one.request.method,
@@ -118,14 +117,6 @@
         except client.ExchangeError:
             pass
 
-    def peer(self, address: str) -> client.Client:
-        """Returns the client of a server."""
-        if address not in self.clients:
-            self.clients[address] = client.Client(
-                address=client.Address.parse(address)
-            )
-        return self.clients[address]
-
     def headers(
         self, one: call.Call, target: Target, left: float
     ) -> messages.Headers:
@@ -163,7 +154,7 @@
             outcome=outcomes.NotRun(
                 code=codes.SERVER_REFUSED,
                 detail=f"server {target.server.id}: {response.status}",
-                retry_after=RETRY_AFTER_SECONDS,
+                retry_after=outcomes.RETRY_AFTER_SECONDS,
             ),
         )
 
@@ -189,7 +180,7 @@
                 outcome=outcomes.NotRun(
                     code=codes.NO_SERVER,
                     detail=where,
-                    retry_after=RETRY_AFTER_SECONDS,
+                    retry_after=outcomes.RETRY_AFTER_SECONDS,
                 ),
             )
         code = codes.LOST
@@ -227,5 +218,5 @@
         case claims.Running():
             return outcomes.Unknown(code=codes.IN_PROGRESS)
     return outcomes.NotRun(
-        code=codes.CLAIM_UNAVAILABLE, retry_after=RETRY_AFTER_SECONDS
+        code=codes.CLAIM_UNAVAILABLE, retry_after=outcomes.RETRY_AFTER_SECONDS
     )
--- a/oleanderhoist/http/client.py
+++ b/oleanderhoist/http/client.py
@@ -12,6 +12,7 @@
 
 READ_BYTES = 65_536
 IDLE_SECONDS = 4.0
+CONNECT_SECONDS = 0.3
 WHOLE_BODY_BYTES = 262_144
 
 
@@ -85,7 +86,9 @@
         connect_seconds: Time allowed for opening a connection, in seconds.
     """
 
-    def __init__(self, *, address: Address, connect_seconds: float = 0.3):
+    def __init__(
+        self, *, address: Address, connect_seconds: float = CONNECT_SECONDS
+    ):
         self.address = address
         self.connect_seconds = connect_seconds
         self.idle: collections.deque[Connection] = collections.deque()
@@ -179,6 +182,27 @@
             self.idle.pop().writer.close()
 
 
+class Clients:
+    """One client for each peer, made at the first use.
+
+    Args:
+        connect_seconds: Time allowed for opening a connection, in seconds.
+    """
+
+    def __init__(self, *, connect_seconds: float = CONNECT_SECONDS):
+        self.connect_seconds = connect_seconds
+        self.by_address: dict[str, Client] = {}
+
+    def get(self, address: str) -> Client:
+        """Returns the client of a peer, named by ``host:port``."""
+        if address not in self.by_address:
+            self.by_address[address] = Client(
+                address=Address.parse(address),
+                connect_seconds=self.connect_seconds,
+            )
+        return self.by_address[address]
+
+
 class Exchange:
     """One request and its answer on one connection."""
 
--- a/oleanderhoist/outcomes.py
+++ b/oleanderhoist/outcomes.py
@@ -5,6 +5,8 @@
 from oleanderhoist import codes
 from oleanderhoist.http import messages
 
+RETRY_AFTER_SECONDS = 1.0
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Complete:
--- a/oleanderhoist/placer/activation.py
+++ b/oleanderhoist/placer/activation.py
@@ -8,12 +8,12 @@
 from oleanderhoist import contract
 from oleanderhoist import events
 from oleanderhoist import log
+from oleanderhoist.platform import sources
 from oleanderhoist.platform import table
 from oleanderhoist.policy import capacity
 from oleanderhoist.policy import topology
 
 HEAD_KEY = "contract-head"
-CONTRACTS_PREFIX = "contracts/"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -85,7 +85,7 @@
     async def fetch(self, customer: str, version: int) -> contract.Contract:
         """Returns one immutable contract version."""
         if (customer, version) not in self.known:
-            source = await read_source(self.table, customer, version)
+            source = await sources.read(self.table, customer, version)
             if source is None:
                 raise table.TableError(f"no contract {customer} {version}")
             self.known[(customer, version)] = contract.parse(source)
@@ -166,7 +166,7 @@
             f"customer {wanted.customer!r}: you started from version {base}, "
             f"version {present} is in force"
         ]
-        before = await read_source(self.table, wanted.customer, base)
+        before = await sources.read(self.table, wanted.customer, base)
         if before is not None and present:
             after = await self.fetch(wanted.customer, present)
             details += differences(contract.parse(before), after)
@@ -186,7 +186,7 @@
         now = datetime.datetime.now(datetime.UTC).isoformat()
         while True:
             outcome = await self.table.put(
-                f"{CONTRACTS_PREFIX}{customer}/{version}",
+                f"{sources.CONTRACTS_PREFIX}{customer}/{version}",
                 {"source": source, "written_at": now},
                 expected=None,
             )
@@ -238,18 +238,6 @@
         )
 
 
-async def read_source(
-    table_: table.Table, customer: str, version: int
-) -> str | None:
-    """Returns the TOML of one contract version, or None without it.
-
-    Raises:
-        TableError: The table did not answer.
-    """
-    record = await table_.get(f"{CONTRACTS_PREFIX}{customer}/{version}")
-    return record.value["source"] if record is not None else None
-
-
 def pools_without_keys(
     wanted: contract.Contract, servers: list[topology.Server]
 ) -> list[str]:
--- a/oleanderhoist/placer/api.py
+++ b/oleanderhoist/placer/api.py
@@ -13,6 +13,7 @@
 from oleanderhoist.placer import activation
 from oleanderhoist.placer import election
 from oleanderhoist.placer import leader
+from oleanderhoist.platform import sources
 from oleanderhoist.platform import table
 from oleanderhoist.policy import topology
 
@@ -189,9 +190,7 @@
         self, request: messages.Request, customer: str, version: str
     ) -> messages.Response:
         """Returns one version of a contract."""
-        source = await activation.read_source(
-            self.table, customer, int(version)
-        )
+        source = await sources.read(self.table, customer, int(version))
         if source is None:
             return messages.problem(codes.NOT_FOUND)
         return messages.json_response(
@@ -209,7 +208,7 @@
         """Lists all stored versions of a contract."""
         head = await self.table.get(activation.HEAD_KEY)
         present = head.value["versions"].get(customer) if head else None
-        prefix = f"{activation.CONTRACTS_PREFIX}{customer}/"
+        prefix = f"{sources.CONTRACTS_PREFIX}{customer}/"
         found = await self.table.scan(prefix)
         rows = [
             {
--- a/oleanderhoist/policy/hashing.py
+++ b/oleanderhoist/policy/hashing.py
@@ -15,13 +15,6 @@
     return digest(key) % count
 
 
-def rendezvous(subject: str, names: Iterable[str]) -> list[str]:
-    """Returns names by descending weight for a subject."""
-    return sorted(
-        names, key=lambda name: digest(f"{subject}|{name}"), reverse=True
-    )
-
-
 def first(subject: str, names: Iterable[str]) -> str:
     """Returns the name with the highest weight for a subject."""
     return max(names, key=lambda name: digest(f"{subject}|{name}"))
--- a/oleanderhoist/policy/limits.py
+++ b/oleanderhoist/policy/limits.py
@@ -12,19 +12,6 @@
 FLOOR_FRACTION = 0.2
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Limit:
-    """A contract's rate for one kind of work.
-
-    Attributes:
-        rate: Requests per second.
-        burst: Requests admitted at once after a pause.
-    """
-
-    rate: float
-    burst: float
-
-
 @dataclasses.dataclass(kw_only=True)
 class Bucket:
     """A token bucket whose rate may change."""
--- a/oleanderhoist/policy/loans.py
+++ b/oleanderhoist/policy/loans.py
@@ -24,14 +24,6 @@
     limit: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Sent:
-    """An entry's word on the orders it sent for a server and version."""
-
-    version: int
-    deadline: float
-
-
 class LoanBook:
     """Remembers outstanding loans and what entries say of their orders."""
 
