--- a/oleanderhoist/clock.py
+++ b/oleanderhoist/clock.py
@@ -13,3 +13,7 @@
     def monotonic(self) -> float:
         """Returns seconds on a clock that never goes back."""
         return time.monotonic()
+
+    def boottime(self) -> float:
+        """Returns seconds on a clock that also counts suspended time."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/oleanderhoist/entry/claims.py
+++ b/oleanderhoist/entry/claims.py
@@ -12,7 +12,7 @@
 
 from oleanderhoist import clock
 from oleanderhoist.http import messages
-from oleanderhoist.platform import table
+from oleanderhoist.native import table
 from oleanderhoist.policy import limits
 
 CLAIMS_PREFIX = "claims/"
--- a/oleanderhoist/entry/contracts.py
+++ b/oleanderhoist/entry/contracts.py
@@ -9,9 +9,9 @@
 from oleanderhoist import events
 from oleanderhoist import log
 from oleanderhoist.entry import view
+from oleanderhoist.native import sources
+from oleanderhoist.native import table
 from oleanderhoist.peers import wire
-from oleanderhoist.platform import sources
-from oleanderhoist.platform import table
 
 CONFIRM_SECONDS = 3.0
 RETRY_SECONDS = 0.1
--- a/oleanderhoist/entry/core.py
+++ b/oleanderhoist/entry/core.py
@@ -18,10 +18,10 @@
 from oleanderhoist.entry import slots
 from oleanderhoist.entry import view
 from oleanderhoist.http import server
+from oleanderhoist.native import members
+from oleanderhoist.native import table
 from oleanderhoist.peers import link
 from oleanderhoist.peers import wire
-from oleanderhoist.platform import members
-from oleanderhoist.platform import table
 
 HELLO_SECONDS = 0.1
 SILENCE_SECONDS = 0.3
--- a/oleanderhoist/events.py
+++ b/oleanderhoist/events.py
@@ -163,7 +163,169 @@
     240,
     "table.write_resolved",
     "A table write whose reply was lost was resolved by reading it back.",
-    "oleanderhoist.platform.table",
+    "oleanderhoist.native.table",
+)
+PICTURE_ADOPTED = define(
+    400,
+    "picture.adopted",
+    "A router took over a newer picture: servers, members, owners.",
+    "oleanderhoist.node.state",
+)
+TERMS_IN_FORCE = define(
+    401,
+    "terms.in_force",
+    "A router put a version of the contracts in force.",
+    "oleanderhoist.node.state",
+)
+TERMS_REFUSED = define(
+    402,
+    "terms.refused",
+    "Contracts cannot be honoured; the last good ones stay.",
+    "oleanderhoist.node.state",
+)
+CALL_ENDED = define(
+    410,
+    "call.ended",
+    "A router answered a request: code, server, time taken.",
+    "oleanderhoist.node.front",
+)
+REQUEST_SENT = define(
+    411,
+    "request.sent",
+    "A request was sent to a server: lane, home, result.",
+    "oleanderhoist.node.router",
+)
+HOME_SILENT = define(
+    412,
+    "home.silent",
+    "The home of a lane did not reply; it is passed over.",
+    "oleanderhoist.node.permits",
+)
+SERVER_BLOCKED = define(
+    413,
+    "server.blocked",
+    "A server failed most requests and gets none for a while.",
+    "oleanderhoist.node.homes",
+)
+STORE_LOST = define(
+    420,
+    "store.lost",
+    "The store stopped answering this process.",
+    "oleanderhoist.node.follower",
+)
+STORE_BACK = define(
+    421,
+    "store.back",
+    "The store answers this process again.",
+    "oleanderhoist.node.follower",
+)
+LEADER_SILENT = define(
+    422,
+    "leader.silent",
+    "A router hears nothing fresh from its leader.",
+    "oleanderhoist.node.follower",
+)
+LEADER_HEARD = define(
+    423,
+    "leader.heard",
+    "A router follows a leader.",
+    "oleanderhoist.node.follower",
+)
+ENTRY_REJECTED = define(
+    424,
+    "entry.rejected",
+    "An entry of the directory cannot be read and is passed over.",
+    "oleanderhoist.node.directory",
+)
+LEADERSHIP_TAKEN = define(
+    430,
+    "leadership.taken",
+    "A router became the leader.",
+    "oleanderhoist.node.leader",
+)
+LEADERSHIP_LOST = define(
+    431,
+    "leadership.lost",
+    "A leader was replaced, or gave up its leadership.",
+    "oleanderhoist.node.leader",
+)
+LEADERSHIP_FAILED = define(
+    432,
+    "leadership.failed",
+    "A router tried to become the leader in vain.",
+    "oleanderhoist.node.follower",
+)
+MEMBER_JOINED = define(
+    433,
+    "member.joined",
+    "The leader counts a router as live.",
+    "oleanderhoist.node.leader",
+)
+MEMBER_LOST = define(
+    434,
+    "member.lost",
+    "The leader counts a router as lost.",
+    "oleanderhoist.node.leader",
+)
+KEYS_MOVING = define(
+    440,
+    "keys.moving",
+    "Keys are taken from a server: which, to whom, why.",
+    "oleanderhoist.node.owner",
+)
+KEYS_MOVED = define(
+    441,
+    "keys.moved",
+    "Keys have a new owner.",
+    "oleanderhoist.node.owner",
+)
+LEASE_FAILED = define(
+    442,
+    "lease.failed",
+    "A lease could not be renewed.",
+    "oleanderhoist.node.owner",
+)
+LEASE_BACK = define(
+    443,
+    "lease.back",
+    "A lease is renewed again.",
+    "oleanderhoist.node.owner",
+)
+ROW_UNREADABLE = define(
+    444,
+    "row.unreadable",
+    "A row of the system's own cannot be read.",
+    "oleanderhoist.node.records",
+)
+WRITE_READ_BACK = define(
+    445,
+    "write.read_back",
+    "A write whose answer was lost was found in the store.",
+    "oleanderhoist.node.records",
+)
+DATAGRAM_MALFORMED = define(
+    450,
+    "datagram.malformed",
+    "A datagram could not be decoded.",
+    "oleanderhoist.node.peers",
+)
+DATAGRAM_FAILED = define(
+    451,
+    "datagram.failed",
+    "A datagram could not be sent.",
+    "oleanderhoist.node.peers",
+)
+SETTINGS_RELOADED = define(
+    460,
+    "settings.reloaded",
+    "Settings were read again.",
+    "oleanderhoist.node.core",
+)
+TASK_FAILED = define(
+    461,
+    "task.failed",
+    "A task of the program failed and was started again.",
+    "oleanderhoist.node.core",
 )
 PROGRAM_STARTED = define(
     300, "program.started", "A program serves.", "oleanderhoist.program"
--- a/oleanderhoist/http/client.py
+++ b/oleanderhoist/http/client.py
@@ -3,17 +3,25 @@
 import asyncio
 import collections
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import dataclasses
 import time
 
 import h11
 
 from oleanderhoist.http import messages
+from oleanderhoist.http import streams
 
 READ_BYTES = 65_536
 IDLE_SECONDS = 4.0
 CONNECT_SECONDS = 0.3
+KEEP_ALIVE_FRACTION = 0.6
 WHOLE_BODY_BYTES = 262_144
+MAX_STRAY_RESPONSES = 4
+
+HOST_ONLY = [(b"host", b"-")]
+
+Accept = Callable[[messages.Headers], bool]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, order=True)
@@ -66,16 +74,23 @@
 class Connection:
     """One connection to a peer."""
 
-    reader: asyncio.StreamReader
+    reader: streams.Reader
     writer: asyncio.StreamWriter
     protocol: h11.Connection
     idle_since: float = 0.0
+    keep_seconds: float = IDLE_SECONDS
 
     def usable(self, now: float, idle_seconds: float) -> bool:
-        """Tells whether a kept connection may carry another request."""
+        """Tells whether a kept connection may carry another request.
+
+        Bytes that arrived while no request was waiting belong to nobody, so
+        such a connection is not used again.
+        """
         if self.writer.is_closing() or self.reader.at_eof():
             return False
-        return now - self.idle_since < idle_seconds
+        if self.reader.unread:
+            return False
+        return now - self.idle_since < min(idle_seconds, self.keep_seconds)
 
 
 class Client:
@@ -92,6 +107,7 @@
         self.address = address
         self.connect_seconds = connect_seconds
         self.idle: collections.deque[Connection] = collections.deque()
+        self.opened = 0
 
     async def request(
         self,
@@ -103,6 +119,9 @@
         body: bytes | AsyncIterator[bytes] = b"",
         stream: bool = False,
         idle_seconds: float = IDLE_SECONDS,
+        host: bytes | None = None,
+        accept: Accept | None = None,
+        kept_only: bool = False,
     ) -> messages.Response:
         """Performs one exchange, once.
 
@@ -114,6 +133,11 @@
             body: The body, whole or as chunks.
             stream: Whether a large answer may be returned as a stream.
             idle_seconds: Longest idle time of a connection to use again.
+            host: Host header; the peer's address without it.
+            accept: Tells by its headers whether a response belongs to this
+                request; others are read and dropped.
+            kept_only: Whether the exchange fails rather than open a
+                connection.
 
         Returns:
             The response, whole unless it came as a stream.
@@ -122,8 +146,14 @@
             ExchangeError: No whole answer came.
         """
         deadline = time.monotonic() + timeout
-        connection = await self.acquire(timeout, idle_seconds)
-        exchange = Exchange(connection=connection, client=self)
+        connection = self.take_kept(idle_seconds)
+        if connection is None and kept_only:
+            raise ExchangeError("the connection has closed", sent=False)
+        if connection is None:
+            connection = await self.open(timeout)
+        exchange = Exchange(
+            connection=connection, client=self, host=host, accept=accept
+        )
         try:
             async with asyncio.timeout_at(
                 asyncio.get_running_loop().time() + deadline - time.monotonic()
@@ -142,19 +172,43 @@
             exchange.abort()
             raise
 
-    async def acquire(self, timeout: float, idle_seconds: float) -> Connection:
-        """Returns a kept connection that is still good, or opens one."""
+    def take_kept(self, idle_seconds: float) -> Connection | None:
+        """Returns a kept connection that is still good, or None."""
         now = time.monotonic()
         while self.idle:
             connection = self.idle.pop()
             if connection.usable(now, idle_seconds):
                 return connection
             connection.writer.close()
+        return None
+
+    async def prepare(self, timeout: float) -> int:
+        """Makes sure that a kept connection is there.
+
+        Returns:
+            How many connections were opened so far.
+
+        Raises:
+            ExchangeError: The peer cannot be reached.
+        """
+        connection = self.take_kept(IDLE_SECONDS)
+        if connection is None:
+            connection = await self.open(timeout)
+        connection.idle_since = time.monotonic()
+        self.idle.append(connection)
+        return self.opened
+
+    async def open(self, timeout: float) -> Connection:
+        """Opens a connection.
+
+        Raises:
+            ExchangeError: The peer cannot be reached.
+        """
         try:
-            reader, writer = await asyncio.wait_for(
-                asyncio.open_connection(self.address.host, self.address.port),
-                min(timeout, self.connect_seconds),
-            )
+            async with asyncio.timeout(min(timeout, self.connect_seconds)):
+                reader, writer = await streams.connect(
+                    self.address.host, self.address.port
+                )
         except TimeoutError as error:
             raise ExchangeError(
                 f"cannot connect to {self.address} in time",
@@ -163,11 +217,20 @@
             ) from error
         except OSError as error:
             raise ExchangeError(str(error), sent=False) from error
+        self.opened += 1
         protocol = h11.Connection(h11.CLIENT)
         return Connection(reader=reader, writer=writer, protocol=protocol)
 
     def keep(self, connection: Connection) -> None:
-        """Keeps a connection whose exchange ended whole."""
+        """Keeps a connection whose exchange ended whole.
+
+        Bytes after a whole answer, or of the request that were not taken
+        yet, make the connection unfit for another request.
+        """
+        stray = connection.reader.unread or connection.protocol.trailing_data[0]
+        if stray or connection.writer.transport.get_write_buffer_size():
+            connection.writer.transport.abort()
+            return
         try:
             connection.protocol.start_next_cycle()
         except h11.LocalProtocolError:
@@ -206,9 +269,19 @@
 class Exchange:
     """One request and its answer on one connection."""
 
-    def __init__(self, *, connection: Connection, client: Client):
+    def __init__(
+        self,
+        *,
+        connection: Connection,
+        client: Client,
+        host: bytes | None = None,
+        accept: Accept | None = None,
+    ):
         self.connection = connection
         self.client = client
+        self.host = host
+        self.accept = accept
+        self.strays = 0
         self.sent = False
         self.answered = False
 
@@ -245,9 +318,17 @@
                 response.stream = self.rest(chunks)
                 return response
         response.body = b"".join(chunks)
-        self.client.keep(self.connection)
+        self.finish(response)
         return response
 
+    def finish(self, response: messages.Response) -> None:
+        """Keeps the connection for later, or closes it."""
+        if self.strays:
+            self.abort()
+            return
+        self.connection.keep_seconds = keep_seconds(response.headers)
+        self.client.keep(self.connection)
+
     async def send(
         self,
         method: str,
@@ -257,7 +338,8 @@
     ) -> None:
         """Sends head and body."""
         connection = self.connection
-        all_headers = [(b"host", str(self.client.address).encode()), *headers]
+        host = self.host or str(self.client.address).encode()
+        all_headers = [(b"host", host), *headers]
         whole = isinstance(body, bytes)
         if whole and (body or method not in ("GET", "HEAD", "DELETE")):
             all_headers.append((b"content-length", b"%d" % len(body)))
@@ -269,8 +351,6 @@
             head += connection.protocol.send(h11.EndOfMessage())
             self.sent = True
             connection.writer.write(head)
-            if len(body) > READ_BYTES:
-                await connection.writer.drain()
             return
         self.sent = True
         connection.writer.write(head)
@@ -285,8 +365,30 @@
         """Returns the head of the final response."""
         while True:
             event = await self.next_event()
-            if isinstance(event, h11.Response):
+            if not isinstance(event, h11.Response):
+                continue
+            if self.accept is None or self.accept(list(event.headers)):
                 return event
+            await self.skip_stray()
+
+    async def skip_stray(self) -> None:
+        """Drops a response that belongs to another request.
+
+        Raises:
+            h11.RemoteProtocolError: There are too many of them.
+        """
+        self.strays += 1
+        if self.strays > MAX_STRAY_RESPONSES:
+            raise h11.RemoteProtocolError("only answers to other requests")
+        while await self.read_chunk() is not None:
+            pass
+        trailing = self.connection.protocol.trailing_data[0]
+        renewed = h11.Connection(h11.CLIENT)
+        renewed.send(h11.Request(method="GET", target="/", headers=HOST_ONLY))
+        renewed.send(h11.EndOfMessage())
+        if trailing:
+            renewed.receive_data(trailing)
+        self.connection.protocol = renewed
 
     async def read_chunk(self) -> bytes | None:
         """Returns the next chunk of the answer, or None at its end."""
@@ -297,8 +399,8 @@
 
     async def next_event(self) -> h11.Event:
         """Returns h11's next event, reading from the socket as needed."""
-        protocol = self.connection.protocol
         while True:
+            protocol = self.connection.protocol
             event = protocol.next_event()
             if event is h11.NEED_DATA:
                 data = await self.connection.reader.read(READ_BYTES)
@@ -320,3 +422,20 @@
             self.abort()
             raise ConnectionAbortedError("the answer was cut short") from error
         self.client.keep(self.connection)
+
+
+def keep_seconds(headers: messages.Headers) -> float:
+    """Returns how long a connection may idle, by its Keep-Alive header.
+
+    Args:
+        headers: Headers of the answer that came last on it.
+
+    Returns:
+        Seconds, well below the time that the peer states.
+    """
+    stated = messages.find(headers, b"keep-alive") or ""
+    for part in stated.split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return int(value) * KEEP_ALIVE_FRACTION
+    return IDLE_SECONDS
--- a/oleanderhoist/http/server.py
+++ b/oleanderhoist/http/server.py
@@ -11,6 +11,7 @@
 
 from oleanderhoist import codes
 from oleanderhoist.http import messages
+from oleanderhoist.http import streams
 
 READ_BYTES = 65_536
 HEAD_BYTES = 16_384
@@ -36,6 +37,8 @@
         host: IP number to listen on.
         port: Port to listen on; 0 picks a free one.
         head_seconds: Time allowed for a request head, in seconds.
+        cancel_when_gone: Whether a handler is cancelled once its caller has
+            closed the connection.
     """
 
     def __init__(
@@ -45,23 +48,32 @@
         host: str,
         port: int,
         head_seconds: float = HEAD_SECONDS,
+        cancel_when_gone: bool = False,
     ):
         self.handler = handler
         self.host = host
         self.port = port
         self.head_seconds = head_seconds
+        self.head_bytes = HEAD_BYTES
+        self.idle_seconds = IDLE_SECONDS
+        self.cancel_when_gone = cancel_when_gone
+        self.closing_answers = False
         self.listener: asyncio.Server | None = None
         self.connections: set[Connection] = set()
 
     async def start(self) -> None:
         """Binds the socket; `port` then holds the real port."""
-        self.listener = await asyncio.start_server(
-            self.accept, self.host, self.port, backlog=1024
+        loop = asyncio.get_running_loop()
+        self.listener = await loop.create_server(
+            lambda: streams.make_protocol(self.accept),
+            self.host,
+            self.port,
+            backlog=1024,
         )
         self.port = self.listener.sockets[0].getsockname()[1]
 
     async def accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, reader: streams.Reader, writer: asyncio.StreamWriter
     ) -> None:
         """Serves one connection until it closes."""
         connection = Connection(server=self, reader=reader, writer=writer)
@@ -99,14 +111,14 @@
         self,
         *,
         server: Server,
-        reader: asyncio.StreamReader,
+        reader: streams.Reader,
         writer: asyncio.StreamWriter,
     ):
         self.server = server
         self.reader = reader
         self.writer = writer
         self.protocol = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=HEAD_BYTES
+            h11.SERVER, max_incomplete_event_size=server.head_bytes
         )
         self.busy = False
         self.finishing = False
@@ -125,7 +137,7 @@
     def finish(self) -> None:
         """Closes after the running exchange, or now when idle."""
         self.finishing = True
-        if not self.busy:
+        if not self.busy and not self.reader.unread:
             self.writer.close()
 
     async def exchange(self) -> bool:
@@ -138,17 +150,39 @@
         if request is None:
             return False
         self.busy = True
-        response = await self.server.handler(request)
+        response = await self.handle(request)
+        if response is None:
+            return False
         self.busy = False
-        close = response.close or self.finishing
+        close = response.close or self.finishing or self.server.closing_answers
         if self.protocol.their_state is not h11.DONE:
             close = True
         await self.write(response, request.method, close)
         return not close and self.protocol.our_state is h11.DONE
 
+    async def handle(
+        self, request: messages.Request
+    ) -> messages.Response | None:
+        """Runs the handler; returns None when the caller left meanwhile."""
+        if not self.server.cancel_when_gone:
+            return await self.server.handler(request)
+        task = asyncio.ensure_future(self.server.handler(request))
+        self.reader.on_end = task.cancel
+        if self.reader.ended:
+            task.cancel()
+        try:
+            return await task
+        except asyncio.CancelledError:
+            if not self.reader.ended:
+                raise
+            return None
+        finally:
+            self.reader.on_end = None
+            task.cancel()
+
     async def read_head(self) -> messages.Request | None:
         """Returns the next request, or None when the connection ends."""
-        wait = IDLE_SECONDS
+        wait = self.server.idle_seconds
         seen = bytearray(self.protocol.trailing_data[0])
         while True:
             refused = check_head(seen)
@@ -169,6 +203,7 @@
                 if data is None:
                     return None
                 seen.extend(data)
+                self.busy = self.busy or bool(data)
                 self.protocol.receive_data(data)
                 continue
             if isinstance(event, h11.Request):
@@ -178,7 +213,8 @@
     async def receive(self, wait: float, started: bool) -> bytes | None:
         """Reads bytes, or answers 408 when a started head stalls."""
         try:
-            return await asyncio.wait_for(self.reader.read(READ_BYTES), wait)
+            async with asyncio.timeout(wait):
+                return await self.reader.read(READ_BYTES)
         except TimeoutError:
             if started:
                 await self.refuse(codes.HEAD_TIMEOUT)
@@ -226,9 +262,8 @@
     async def receive_body(self) -> None:
         """Feeds h11 with the next bytes of a body."""
         try:
-            data = await asyncio.wait_for(
-                self.reader.read(READ_BYTES), BODY_STALL_SECONDS
-            )
+            async with asyncio.timeout(BODY_STALL_SECONDS):
+                data = await self.reader.read(READ_BYTES)
         except TimeoutError as error:
             raise BodyError("the body stalled") from error
         except OSError as error:
@@ -269,7 +304,8 @@
         """Waits until the socket takes more, within a bound."""
         if self.writer.transport.get_write_buffer_size() == 0:
             return
-        await asyncio.wait_for(self.writer.drain(), WRITE_SECONDS)
+        async with asyncio.timeout(WRITE_SECONDS):
+            await self.writer.drain()
 
 
 def check_head(data: bytes | bytearray) -> codes.Code | None:
--- a/oleanderhoist/log.py
+++ b/oleanderhoist/log.py
@@ -3,6 +3,7 @@
 import collections
 import json
 import threading
+import time
 import typing
 
 import eliot
@@ -11,7 +12,9 @@
 from oleanderhoist import events
 
 QUEUE_LINES = 20_000
-FLUSH_SECONDS = 0.05
+FLUSH_SECONDS = 0.2
+LIMITED_LINES_PER_SECOND = 60.0
+LIMITED_BURST_LINES = 120.0
 
 DROPPED = prometheus_client.Counter(
     "oleander_log_dropped", "Log lines dropped because the writer fell behind"
@@ -68,3 +71,49 @@
 def write(event: events.Event, **fields: object) -> None:
     """Logs one numbered event."""
     eliot.log_message(message_type=event.name, event=event.number, **fields)
+
+
+class Limiter:
+    """Bounds how many lines of one event are written.
+
+    Attributes:
+        tokens: Lines that may be written now.
+        left_out: Lines left out since the last that was written.
+    """
+
+    def __init__(self):
+        self.tokens = LIMITED_BURST_LINES
+        self.updated = time.monotonic()
+        self.left_out = 0
+
+    def take(self) -> bool:
+        """Tells whether a line may be written."""
+        now = time.monotonic()
+        grown = (now - self.updated) * LIMITED_LINES_PER_SECOND
+        self.tokens = min(LIMITED_BURST_LINES, self.tokens + grown)
+        self.updated = now
+        if self.tokens < 1.0:
+            self.left_out += 1
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+LIMITERS: collections.defaultdict[int, Limiter] = collections.defaultdict(
+    Limiter
+)
+
+
+def limited(event: events.Event, **fields: object) -> None:
+    """Logs one event of a kind that load may repeat without bound.
+
+    A line tells how many of its kind were left out before it.
+    """
+    limiter = LIMITERS[event.number]
+    if not limiter.take():
+        return
+    left_out = limiter.left_out
+    limiter.left_out = 0
+    if left_out:
+        fields["left_out"] = left_out
+    write(event, **fields)
--- /dev/null
+++ b/oleanderhoist/native/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the product's own table and list services."""
--- a/oleanderhoist/platform/members.py
+++ b/oleanderhoist/native/members.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from oleanderhoist.platform import table
+from oleanderhoist.native import table
 
 ENTRIES_PREFIX = "members/entry/"
 PLACERS_PREFIX = "members/placer/"
--- a/oleanderhoist/platform/sources.py
+++ b/oleanderhoist/native/sources.py
@@ -1,6 +1,6 @@
 """Reads the immutable contract versions in the table."""
 
-from oleanderhoist.platform import table
+from oleanderhoist.native import table
 
 CONTRACTS_PREFIX = "contracts/"
 
--- /dev/null
+++ b/oleanderhoist/node/__init__.py
@@ -0,0 +1,1 @@
+"""The router: one process on each VM that serves, places and leads."""
--- /dev/null
+++ b/oleanderhoist/node/core.py
@@ -0,0 +1,189 @@
+"""Puts a router together, starts it and stops it."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import contextlib
+import signal
+
+from oleanderhoist import clock
+from oleanderhoist import events
+from oleanderhoist import log
+from oleanderhoist import ports
+from oleanderhoist import program
+from oleanderhoist import settings
+from oleanderhoist.http import client
+from oleanderhoist.node import follower
+from oleanderhoist.node import front
+from oleanderhoist.node import homes
+from oleanderhoist.node import peers
+from oleanderhoist.node import permits
+from oleanderhoist.node import router
+from oleanderhoist.node import state
+from oleanderhoist.policy import fleet
+
+RESTART_SECONDS = 0.2
+LINGER_SECONDS = 2.6
+END_MARGIN_SECONDS = 0.6
+
+ReadSettings = Callable[[], settings.RouterSettings]
+
+
+class Node:
+    """One router.
+
+    Args:
+        settings: Checked settings.
+        read_settings: Reads the settings again.
+        platform: What the router runs on.
+        clock: Time source.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: settings.RouterSettings,
+        read_settings: ReadSettings,
+        platform: ports.Platform,
+        clock: clock.Clock,
+    ):
+        self.settings = settings
+        self.read_settings = read_settings
+        self.platform = platform
+        self.clock = clock
+        self.lag = program.Lag(clock=clock)
+        self.state = state.State()
+        self.peers = peers.Peers(host=settings.ip, port=settings.peer_port)
+        self.homes = homes.Homes(state=self.state, clock=clock)
+        self.permits = permits.Permits(
+            peers=self.peers, homes=self.homes, state=self.state, clock=clock
+        )
+        self.router = router.Router(
+            platform=platform,
+            permits=self.permits,
+            state=self.state,
+            clock=clock,
+            budget=router.Budgets(
+                ratio=settings.retry_ratio,
+                extra=settings.retry_extra,
+                state=self.state,
+            ),
+            data_center=settings.data_center,
+        )
+        self.front = front.Front(
+            address=settings.front,
+            platform=platform,
+            router=self.router,
+            state=self.state,
+            clock=clock,
+            memory_bytes=settings.memory_bytes,
+        )
+        self.follower = follower.Follower(
+            platform=platform,
+            peers=self.peers,
+            state=self.state,
+            clock=clock,
+            lag=self.lag,
+            me=fleet.Member(
+                address=self.peers.address,
+                data_center=settings.data_center,
+                cores=settings.cores,
+            ),
+            longest_hold=settings.longest_hold,
+            homes=self.homes,
+            router=self.router,
+        )
+        self.health = program.Health(
+            address=settings.ready,
+            ready=self.unready,
+            ready_path=platform.ready_path,
+        )
+        self.metrics = program.Health(
+            address=client.Address(
+                host=settings.ip, port=settings.metrics_port
+            ),
+            ready=self.unready,
+        )
+        self.stopping = False
+
+    def unready(self) -> str:
+        """Returns why callers should not be sent here, or nothing."""
+        if self.stopping:
+            return "stopping"
+        if self.state.terms is None:
+            return "no contracts"
+        if not self.state.picture.servers:
+            return "no servers"
+        return ""
+
+    async def run(self) -> None:
+        """Serves until told to stop."""
+        await self.peers.start()
+        await self.health.server.start()
+        await self.metrics.server.start()
+        await self.front.server.start()
+        tasks = [
+            asyncio.create_task(self.keep("lag", self.lag.run)),
+            asyncio.create_task(self.keep("homes", self.homes.run)),
+            asyncio.create_task(self.keep("follower", self.follower.run)),
+        ]
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGHUP, self.reload
+        )
+        log.write(
+            events.PROGRAM_STARTED,
+            program="router",
+            id=self.settings.id,
+            address=self.peers.address,
+        )
+        await program.wait_for_stop("router")
+        await self.stop(tasks)
+
+    async def keep(self, name: str, work: Callable[[], Coroutine]) -> None:
+        """Runs a task, and starts it again when it fails."""
+        while True:
+            try:
+                await work()
+                return
+            except asyncio.CancelledError:
+                raise
+            except Exception as error:
+                log.write(events.TASK_FAILED, task=name, reason=describe(error))
+            await asyncio.sleep(RESTART_SECONDS)
+
+    def reload(self) -> None:
+        """Reads the settings again; bad ones leave the present in force."""
+        try:
+            fresh = self.read_settings()
+        except settings.SettingsError as error:
+            log.write(events.SETTINGS_RELOADED, taken=False, reason=str(error))
+            return
+        self.router.budget.ratio = fresh.retry_ratio
+        self.router.budget.extra = fresh.retry_extra
+        self.follower.longest_hold = fresh.longest_hold
+        self.settings = fresh
+        log.write(events.SETTINGS_RELOADED, taken=True, id=fresh.id)
+
+    async def stop(self, tasks: list[asyncio.Task]) -> None:
+        """Answers what was read, then ends."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self.settings.stop_seconds - END_MARGIN_SECONDS
+        self.stopping = True
+        self.front.server.closing_answers = True
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(1.0):
+                await self.follower.stop()
+        await asyncio.sleep(LINGER_SECONDS)
+        await self.front.server.stop(max(0.0, end - loop.time()))
+        for task in tasks:
+            task.cancel()
+        self.peers.close()
+        await self.health.server.stop(0.0)
+        await self.metrics.server.stop(0.0)
+
+
+def describe(error: BaseException) -> str:
+    """Returns an error and, for a group, the first of its errors."""
+    if isinstance(error, BaseExceptionGroup):
+        return f"{error}: {describe(error.exceptions[0])}"
+    return f"{type(error).__name__}: {error}"
--- /dev/null
+++ b/oleanderhoist/node/follower.py
@@ -0,0 +1,361 @@
+"""Follows the leader, reads the store itself without one, and succeeds it."""
+
+import asyncio
+
+from oleanderhoist import clock
+from oleanderhoist import events
+from oleanderhoist import log
+from oleanderhoist import ports
+from oleanderhoist import program
+from oleanderhoist.node import directory
+from oleanderhoist.node import homes
+from oleanderhoist.node import leader
+from oleanderhoist.node import peers
+from oleanderhoist.node import records
+from oleanderhoist.node import router
+from oleanderhoist.node import state
+from oleanderhoist.node import termswatch
+from oleanderhoist.node import wire
+from oleanderhoist.policy import fleet
+from oleanderhoist.policy import succession
+from oleanderhoist.policy import tenure
+
+TICK_SECONDS = 0.1
+HELLO_SECONDS = 0.5
+OWN_READ_SECONDS = 0.9
+OWN_READ_AFTER_SECONDS = 1.1
+RECORD_READ_SECONDS = 0.35
+PAUSE_GROWTH = 1.5
+MAX_PAUSE = 4.0
+
+
+class Follower:
+    """Keeps this process's state fresh, and its leadership when it has one.
+
+    Args:
+        platform: Store, directory and orders.
+        peers: Datagrams to the other routers.
+        state: What this process knows.
+        clock: Time source.
+        lag: How late this process's own timers run.
+        me: This process as a member.
+        longest_hold: Longest lease that servers accept, in seconds.
+        homes: Lanes hosted here, for their servers' speeds.
+        router: Sends requests, for the keys that were asked for.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: ports.Platform,
+        peers: peers.Peers,
+        state: state.State,
+        clock: clock.Clock,
+        lag: program.Lag,
+        me: fleet.Member,
+        longest_hold: float,
+        homes: homes.Homes,
+        router: router.Router,
+    ):
+        self.platform = platform
+        self.peers = peers
+        self.state = state
+        self.clock = clock
+        self.lag = lag
+        self.me = me
+        self.longest_hold = longest_hold
+        self.homes = homes
+        self.router = router
+        self.terms_watch = termswatch.TermsWatch(platform=platform, state=state)
+        self.leader_address = ""
+        self.epoch = 0
+        self.heard = clock.monotonic()
+        self.age = 0.0
+        self.fresh = False
+        self.resigned = False
+        self.parts: dict[tuple[int, int], dict[int, bytes]] = {}
+        self.watch = succession.Watch()
+        self.record_read = 0.0
+        self.own_read = 0.0
+        self.pause = 1.0
+        self.unfit_until = 0.0
+        self.leading: leader.Leader | None = None
+        self.stopping = False
+        self.reading: asyncio.Task | None = None
+        self.reaching: asyncio.Task | None = None
+        peers.handlers[wire.Beat] = self.on_beat
+        peers.handlers[wire.Part] = self.on_part
+        peers.handlers[wire.Hello] = self.on_hello
+
+    def silent(self, now: float) -> float:
+        """Returns for how long nothing fresh was heard, in seconds."""
+        silence = now - self.heard - self.lag.recent()
+        if self.age > succession.STALE_AGE_SECONDS:
+            return max(silence, self.age)
+        return silence
+
+    async def run(self) -> None:
+        """Follows, and leads when it is this process's turn."""
+        hello = asyncio.create_task(self.say_hello())
+        try:
+            while True:
+                await self.step()
+                await asyncio.sleep(TICK_SECONDS)
+        finally:
+            hello.cancel()
+
+    async def step(self) -> None:
+        """Looks once whether the leader is heard, and acts without it."""
+        now = self.clock.monotonic()
+        silence = self.silent(now)
+        if silence < succession.SILENCE_SECONDS and not self.resigned:
+            return
+        if self.fresh:
+            self.fresh = False
+            log.write(
+                events.LEADER_SILENT,
+                leader=self.leader_address,
+                silent_s=round(silence, 2),
+                age_s=round(self.age, 2),
+            )
+        if silence > OWN_READ_AFTER_SECONDS or self.state.terms is None:
+            self.read_own(now)
+        await self.consider(now)
+
+    def read_own(self, now: float) -> None:
+        """Starts to read the store for this process alone."""
+        running = self.reading is not None and not self.reading.done()
+        if running or now - self.own_read < OWN_READ_SECONDS * self.pause:
+            return
+        self.own_read = now
+        self.reading = asyncio.create_task(self.refresh())
+
+    def back_off(self) -> None:
+        """Reads less often while the store does not answer."""
+        self.pause = min(MAX_PAUSE, self.pause * PAUSE_GROWTH)
+
+    async def refresh(self) -> None:
+        """Reads contracts, servers and owners from the store."""
+        await self.terms_watch.read()
+        reader = directory.Directory(
+            platform=self.platform, clock=self.clock, servers={}
+        )
+        before = self.state.picture
+        await reader.read()
+        if reader.lost:
+            self.back_off()
+            return
+        self.pause = 1.0
+        try:
+            rows = await self.platform.read_rows()
+        except ports.StoreError as error:
+            reader.note(error)
+            return
+        epoch = records.leadership_of(rows).epoch
+        if self.state.picture is not before or epoch < before.epoch:
+            return
+        picture = fleet.Picture(
+            epoch=before.epoch,
+            version=-1,
+            leader=before.leader,
+            members=before.members,
+            servers=reader.servers,
+            maps=records.maps_of(rows),
+        )
+        if picture.servers != before.servers or before.version != -1:
+            self.state.adopt(picture, "store")
+
+    async def consider(self, now: float) -> None:
+        """Tries to take the leadership when that is this process's turn."""
+        if self.stopping or now < self.unfit_until:
+            return
+        if now - self.record_read < RECORD_READ_SECONDS * self.pause:
+            return
+        members = [
+            m for m in self.state.picture.members if m != self.leader_address
+        ]
+        delay = succession.delay(self.me.address, members, self.epoch)
+        silence = self.silent(now)
+        if not self.resigned and silence < succession.SILENCE_SECONDS + delay:
+            return
+        self.record_read = now
+        try:
+            rows = await self.platform.read_rows()
+        except ports.StoreError:
+            self.watch = succession.Watch()
+            self.back_off()
+            return
+        self.pause = 1.0
+        now = self.clock.monotonic()
+        record = records.leadership_of(rows)
+        row = rows.get(records.LEADER_KEY)
+        self.watch.note(row.revision if row else 0, now)
+        vacant = not record.address or record.address == self.me.address
+        if not vacant and self.watch.unchanged(now) < (
+            succession.UNCHANGED_SECONDS
+        ):
+            return
+        heard = self.silent(self.clock.monotonic()) < (
+            succession.SILENCE_SECONDS
+        )
+        if heard and not self.resigned:
+            return
+        await self.take(rows, record)
+
+    async def take(
+        self, rows: dict[str, ports.Row], before: records.Leadership
+    ) -> None:
+        """Tries to take the leadership."""
+        epoch = before.epoch + 1
+        record = records.Leadership(epoch=epoch, address=self.me.address)
+        row = rows.get(records.LEADER_KEY)
+        try:
+            result = await self.platform.write_rows(
+                {records.LEADER_KEY: records.encode_leadership(record)},
+                {records.LEADER_KEY: row.revision if row else 0},
+            )
+            if isinstance(result, ports.Conflict):
+                log.write(events.LEADERSHIP_FAILED, reason="conflict")
+                return
+            sent = self.clock.boottime()
+            rows = await self.platform.read_rows()
+        except ports.StoreError as error:
+            log.write(events.LEADERSHIP_FAILED, reason=str(error))
+            return
+        if records.leadership_of(rows).epoch != epoch:
+            return
+        right = tenure.Tenure(
+            epoch=epoch,
+            confirmed=sent,
+            began=self.clock.boottime(),
+            longest_hold=self.longest_hold,
+        )
+        await self.lead(rows, right)
+
+    async def lead(
+        self, rows: dict[str, ports.Row], right: tenure.Tenure
+    ) -> None:
+        """Leads until replaced."""
+        log.write(
+            events.LEADERSHIP_TAKEN,
+            epoch=right.epoch,
+            members=len(self.state.picture.members),
+        )
+        self.epoch = right.epoch
+        self.resigned = False
+        self.leading = leader.Leader(
+            platform=self.platform,
+            peers=self.peers,
+            state=self.state,
+            clock=self.clock,
+            lag=self.lag,
+            me=self.me,
+            rows=rows,
+            tenure=right,
+            terms_watch=self.terms_watch,
+        )
+        reason = ""
+        try:
+            await self.leading.run()
+        except* records.DeposedError as group:
+            reason = str(group.exceptions[0])
+        except* leader.ResignedError as group:
+            reason = str(group.exceptions[0])
+            self.unfit_until = self.clock.monotonic() + succession.UNFIT_SECONDS
+            await self.leading.resign()
+        finally:
+            self.leading = None
+            self.heard = self.clock.monotonic()
+            self.watch = succession.Watch()
+        log.write(events.LEADERSHIP_LOST, epoch=right.epoch, reason=reason)
+
+    async def stop(self) -> None:
+        """Leaves: gives up a leadership, or tells the leader."""
+        self.stopping = True
+        if self.leading is not None:
+            await self.leading.resign()
+        elif self.leader_address:
+            self.peers.send(self.leader_address, self.hello(leaving=True))
+
+    def hello(self, *, leaving: bool = False) -> wire.Hello:
+        """Returns what this process tells the leader now."""
+        seen = self.router.seen_keys
+        self.router.seen_keys = {}
+        return wire.Hello(
+            data_center=self.me.data_center,
+            cores=self.me.cores,
+            epoch=self.state.picture.epoch,
+            version=self.state.picture.version,
+            keys=seen,
+            speeds=self.homes.speeds(),
+            leaving=leaving,
+        )
+
+    async def say_hello(self) -> None:
+        """Tells the leader regularly that this process lives."""
+        while True:
+            await asyncio.sleep(HELLO_SECONDS)
+            if self.stopping:
+                return
+            if self.leading is not None:
+                hello = self.hello()
+                self.leading.note_load(hello.keys, hello.speeds)
+            elif self.leader_address:
+                self.peers.send(self.leader_address, self.hello())
+
+    def on_hello(self, peer: str, message: wire.Hello) -> None:
+        """Hands a member's hello to the leadership, if there is one."""
+        if self.leading is not None:
+            self.leading.on_hello(peer, message)
+
+    def on_beat(self, peer: str, message: wire.Beat) -> None:
+        """Takes in that a leader lives."""
+        if self.leading is not None:
+            if message.epoch > self.epoch:
+                self.leading.deposed.set()
+            return
+        if message.epoch < self.epoch:
+            return
+        self.resigned = message.resigned
+        if (message.epoch, peer) != (self.epoch, self.leader_address):
+            self.epoch = message.epoch
+            self.leader_address = peer
+            self.peers.send(peer, self.hello())
+        self.heard = self.clock.monotonic()
+        self.age = message.age_ms / 1000
+        if not self.fresh and self.age < succession.STALE_AGE_SECONDS:
+            self.fresh = True
+            log.write(events.LEADER_HEARD, leader=peer, epoch=message.epoch)
+        if message.terms > self.state.terms_revision:
+            self.reach(message.terms)
+
+    def reach(self, revision: int) -> None:
+        """Starts to read newer contracts."""
+        if self.reaching is None or self.reaching.done():
+            self.reaching = asyncio.create_task(
+                self.terms_watch.reach(revision)
+            )
+
+    def on_part(self, peer: str, message: wire.Part) -> None:
+        """Takes a part of a picture, and adopts it once it is whole."""
+        name = (message.epoch, message.version)
+        present = (self.state.picture.epoch, self.state.picture.version)
+        if name <= present or self.leading is not None:
+            return
+        parts = self.parts.setdefault(name, {})
+        parts[message.index] = message.data
+        if len(parts) < message.count:
+            return
+        self.parts = {n: p for n, p in self.parts.items() if n > name}
+        data = b"".join(parts[index] for index in range(message.count))
+        try:
+            picture = wire.unpack(
+                data,
+                epoch=message.epoch,
+                version=message.version,
+                leader=peer,
+            )
+        except wire.DecodeError as error:
+            log.write(events.DATAGRAM_MALFORMED, peer=peer, reason=str(error))
+            return
+        self.state.adopt(picture, peer)
--- /dev/null
+++ b/oleanderhoist/node/holder.py
@@ -0,0 +1,211 @@
+"""Keeps the leases of one server that owns keys."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+
+from oleanderhoist import clock
+from oleanderhoist import events
+from oleanderhoist import log
+from oleanderhoist import ports
+from oleanderhoist.policy import fleet
+from oleanderhoist.policy import keys
+from oleanderhoist.policy import tenure
+
+RETRY_SECONDS = 0.15
+RAISE_HOLD_SECONDS = 0.5
+LOST_SECONDS = 0.5
+
+
+@dataclasses.dataclass(kw_only=True)
+class Fences:
+    """Fencing tokens of one epoch; each is above all earlier ones."""
+
+    epoch: int
+    count: int = 0
+
+    def next(self) -> int:
+        """Returns a token above all that were used before."""
+        self.count += 1
+        return (self.epoch << 20) + self.count
+
+
+class Holder:
+    """Grants and renews the keys of one server, and takes them back.
+
+    A new connection may lead to a new process of the server, which holds
+    nothing; so each connection has a fencing token of its own. A higher token
+    also shuts out earlier grants that are still on their way.
+
+    Args:
+        server: The server.
+        platform: Gives the channel for orders.
+        fences: Fencing tokens of this leadership.
+        tenure: The right to give orders.
+        clock: Time source.
+        ranges: Returns the ranges that the server should hold now.
+        until: When grants of earlier leaders have lapsed.
+    """
+
+    def __init__(
+        self,
+        *,
+        server: fleet.Server,
+        platform: ports.Platform,
+        fences: Fences,
+        tenure: tenure.Tenure,
+        clock: clock.Clock,
+        ranges: Callable[[], list[keys.Range]],
+        until: float,
+    ):
+        self.server = server
+        self.orders = platform.orders(server)
+        self.fences = fences
+        self.tenure = tenure
+        self.clock = clock
+        self.ranges = ranges
+        self.until = until
+        self.fence = 0
+        self.generation = -1
+        self.tokens: dict[int, str] = {}
+        self.failing_since: float | None = None
+        self.closed = False
+        self.wake = asyncio.Event()
+        self.turn = asyncio.Lock()
+
+    def lost(self) -> bool:
+        """Tells whether the server has failed renewals for a while."""
+        if self.failing_since is None:
+            return False
+        return self.clock.boottime() - self.failing_since > LOST_SECONDS
+
+    async def run(self) -> None:
+        """Renews until closed."""
+        while not self.closed:
+            self.wake.clear()
+            renewed = await self.renew()
+            pause = tenure.RENEW_SECONDS if renewed else RETRY_SECONDS
+            try:
+                async with asyncio.timeout(pause):
+                    await self.wake.wait()
+            except TimeoutError:
+                continue
+
+    async def renew(self) -> bool:
+        """Renews all ranges once; tells whether all were."""
+        async with self.turn:
+            ranges = self.ranges()
+            if not ranges:
+                return True
+            if not self.tenure.may_order(self.clock.boottime()):
+                return False
+            try:
+                await self.connect()
+                for one in ranges:
+                    await self.grant(one)
+            except ports.OrderError as error:
+                self.note_failure(str(error))
+                return False
+            self.settle()
+            return True
+
+    def settle(self) -> None:
+        """Takes in that all ranges were granted anew."""
+        now = self.clock.boottime()
+        self.until = tenure.lapse(now, self.tenure.hold(now))
+        if self.failing_since is not None:
+            self.failing_since = None
+            log.write(
+                events.LEASE_BACK, server=self.server.id, fence=self.fence
+            )
+
+    async def connect(self) -> None:
+        """Makes sure of a connection and of a fence that belongs to it."""
+        generation = await self.orders.connect()
+        if generation != self.generation or not self.fence:
+            self.generation = generation
+            self.fence = self.fences.next()
+
+    async def grant(self, one: keys.Range) -> None:
+        """Grants one range.
+
+        Raises:
+            ports.OrderError: It was not granted for sure.
+        """
+        now = self.clock.boottime()
+        hold = self.tenure.hold(now)
+        order = ports.Grant(
+            start=one.start,
+            end=one.end,
+            fence=self.fence,
+            hold=hold,
+            handover=self.tokens.get(one.start, ""),
+        )
+        accepted = await self.order(order)
+        if not accepted:
+            self.fence = self.fences.next()
+            raise ports.OrderError("a higher fence was seen")
+        self.tokens.pop(one.start, None)
+
+    async def order(self, order: ports.Grant) -> bool:
+        """Sends a grant and notes until when it may hold."""
+        try:
+            return await self.orders.grant(order)
+        finally:
+            now = self.clock.boottime()
+            self.until = max(self.until, tenure.lapse(now, order.hold))
+
+    def note_failure(self, reason: str) -> None:
+        """Takes in that a renewal failed."""
+        if self.failing_since is not None:
+            return
+        self.failing_since = self.clock.boottime()
+        log.write(
+            events.LEASE_FAILED,
+            server=self.server.id,
+            fence=self.fence,
+            until_s=round(self.until - self.failing_since, 2),
+            reason=reason,
+        )
+
+    async def take_back(self, one: keys.Range) -> str:
+        """Ends the server's hold on a range.
+
+        Returns:
+            The handover token; empty when the lease ran out instead.
+        """
+        while self.clock.boottime() < self.until:
+            if self.tenure.may_order(self.clock.boottime()):
+                try:
+                    return await self.release(one)
+                except ports.OrderError as error:
+                    self.note_failure(str(error))
+            await asyncio.sleep(RETRY_SECONDS)
+        return ""
+
+    async def release(self, one: keys.Range) -> str:
+        """Raises the fence of a range, then takes the range back.
+
+        Raises:
+            ports.OrderError: The server did not answer, or refused.
+        """
+        async with self.turn:
+            await self.connect()
+            fence = self.fences.next()
+            raised = await self.order(
+                ports.Grant(
+                    start=one.start,
+                    end=one.end,
+                    fence=fence,
+                    hold=RAISE_HOLD_SECONDS,
+                )
+            )
+        if not raised:
+            raise ports.OrderError("a higher fence was seen")
+        return await self.orders.release(one.start, one.end, fence)
+
+    def close(self) -> None:
+        """Ends the renewals."""
+        self.closed = True
+        self.wake.set()
+        self.orders.close()
--- /dev/null
+++ b/oleanderhoist/node/leader.py
@@ -0,0 +1,324 @@
+"""What the leader does: follows the directory, publishes, places keys."""
+
+import asyncio
+from collections.abc import Coroutine
+
+import prometheus_client
+
+from oleanderhoist import clock
+from oleanderhoist import events
+from oleanderhoist import log
+from oleanderhoist import ports
+from oleanderhoist import program
+from oleanderhoist.node import directory
+from oleanderhoist.node import holder
+from oleanderhoist.node import owner
+from oleanderhoist.node import peers
+from oleanderhoist.node import records
+from oleanderhoist.node import state
+from oleanderhoist.node import termswatch
+from oleanderhoist.node import wire
+from oleanderhoist.policy import fleet
+from oleanderhoist.policy import keys
+from oleanderhoist.policy import tenure
+
+RENEW_SECONDS = 0.5
+BEAT_SECONDS = 0.25
+DIRECTORY_SECONDS = 0.4
+MEMBER_LOST_SECONDS = 1.6
+PUBLISH_PAUSE_SECONDS = 0.01
+UNREACHABLE_FRACTION = 0.5
+
+LEADING = prometheus_client.Gauge("oleander_leading", "1 while this leads")
+
+
+class ResignedError(Exception):
+    """The leader gives up its leadership."""
+
+
+class Leader:
+    """One leadership of this process.
+
+    Args:
+        platform: Store, directory and orders.
+        peers: Datagrams to the other routers.
+        state: What this process knows.
+        clock: Time source.
+        lag: How late this process's own timers run.
+        me: This process as a member.
+        rows: Own rows, read after the leadership was taken.
+        tenure: The leadership's tenure.
+        terms_watch: Follows the contracts.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: ports.Platform,
+        peers: peers.Peers,
+        state: state.State,
+        clock: clock.Clock,
+        lag: program.Lag,
+        me: fleet.Member,
+        rows: dict[str, ports.Row],
+        tenure: tenure.Tenure,
+        terms_watch: termswatch.TermsWatch,
+    ):
+        self.platform = platform
+        self.peers = peers
+        self.state = state
+        self.clock = clock
+        self.lag = lag
+        self.me = me
+        self.tenure = tenure
+        self.terms_watch = terms_watch
+        self.fences = holder.Fences(epoch=tenure.epoch)
+        self.records = records.Records(
+            platform=platform,
+            clock=clock,
+            rows=rows,
+            tenure=tenure,
+            address=peers.address,
+        )
+        self.members = dict(state.picture.members)
+        self.members[me.address] = me
+        now = clock.monotonic()
+        self.heard = {address: now for address in self.members}
+        self.directory = directory.Directory(
+            platform=platform, clock=clock, servers=state.picture.servers
+        )
+        self.owners: dict[str, owner.Owner] = {}
+        self.version = 0
+        self.parts: list[bytes] = []
+        self.dirty = asyncio.Event()
+        self.deposed = asyncio.Event()
+        self.group: asyncio.TaskGroup | None = None
+
+    async def run(self) -> None:
+        """Leads until replaced.
+
+        Raises:
+            ExceptionGroup: With the reason why the leadership ended.
+        """
+        LEADING.set(1)
+        try:
+            async with asyncio.TaskGroup() as group:
+                self.group = group
+                recorded = records.maps_of(self.records.rows)
+                for pool, key_map in recorded.items():
+                    self.add_owner(pool, key_map)
+                self.dirty.set()
+                group.create_task(self.keep_record())
+                group.create_task(self.beat())
+                group.create_task(self.watch_rivals())
+                group.create_task(self.follow_directory())
+                group.create_task(self.publish())
+                group.create_task(self.terms_watch.follow())
+        finally:
+            LEADING.set(0)
+            for one in self.owners.values():
+                for kept in one.holders.values():
+                    kept.close()
+
+    def spawn(self, work: Coroutine) -> asyncio.Task:
+        """Starts a task that ends with the leadership."""
+        if self.group is None:
+            raise RuntimeError("the leadership has not begun")
+        return self.group.create_task(work)
+
+    def add_owner(self, pool: str, key_map: keys.KeyMap | None) -> None:
+        """Starts to place the keys of a pool."""
+        made = owner.Owner(
+            pool=pool,
+            key_map=key_map,
+            platform=self.platform,
+            records=self.records,
+            fences=self.fences,
+            tenure=self.tenure,
+            clock=self.clock,
+            publish=self.dirty.set,
+            spawn=self.spawn,
+        )
+        self.owners[pool] = made
+        made.update(self.servers_of(pool))
+        self.spawn(made.run())
+
+    def servers_of(self, pool: str) -> dict[str, fleet.Server]:
+        """Returns the servers of a pool."""
+        return {
+            id: server
+            for id, server in self.directory.servers.items()
+            if server.pool == pool
+        }
+
+    async def keep_record(self) -> None:
+        """Renews the leadership record.
+
+        Raises:
+            records.DeposedError: Another process leads.
+        """
+        while True:
+            try:
+                await self.records.renew()
+            except ports.StoreError as error:
+                self.directory.note(error)
+            await asyncio.sleep(RENEW_SECONDS)
+
+    async def watch_rivals(self) -> None:
+        """Ends the leadership once a later leader was heard.
+
+        Raises:
+            records.DeposedError: Another process leads.
+        """
+        await self.deposed.wait()
+        raise records.DeposedError("a later leader was heard")
+
+    async def beat(self) -> None:
+        """Tells all members that the leader lives, and what is newest."""
+        while True:
+            now = self.clock.monotonic()
+            self.drop_silent(now)
+            self.check_reach()
+            message = wire.encode(self.make_beat(now))
+            for address in self.members:
+                if address != self.me.address:
+                    self.peers.send_raw(address, message)
+            await asyncio.sleep(BEAT_SECONDS)
+
+    def make_beat(self, now: float, *, resigned: bool = False) -> wire.Beat:
+        """Returns what the leader tells now."""
+        age = min(60.0, now - self.directory.read_at)
+        return wire.Beat(
+            epoch=self.tenure.epoch,
+            version=self.version,
+            terms=self.state.terms_revision,
+            age_ms=round(age * 1000),
+            record=self.records.rows[records.LEADER_KEY].revision,
+            resigned=resigned,
+        )
+
+    def drop_silent(self, now: float) -> None:
+        """Forgets members that were not heard for a while."""
+        patience = MEMBER_LOST_SECONDS + self.lag.recent()
+        for address, heard in list(self.heard.items()):
+            if address == self.me.address or now - heard < patience:
+                continue
+            del self.heard[address]
+            del self.members[address]
+            self.dirty.set()
+            log.write(
+                events.MEMBER_LOST,
+                member=address,
+                silent_s=round(now - heard, 2),
+            )
+
+    def check_reach(self) -> None:
+        """Gives up the leadership if most servers cannot be reached from here.
+
+        Raises:
+            ResignedError: Another process will do better.
+        """
+        kept = [h for o in self.owners.values() for h in o.holders.values()]
+        failing = sum(h.lost() for h in kept)
+        if len(kept) < 3 or failing <= len(kept) * UNREACHABLE_FRACTION:
+            return
+        if len(self.members) > 1:
+            raise ResignedError(f"{failing} of {len(kept)} servers unreachable")
+
+    async def follow_directory(self) -> None:
+        """Follows the directory and the contracts' pools."""
+        while True:
+            changed = await self.directory.read()
+            if changed:
+                self.dirty.set()
+            self.update_owners()
+            await asyncio.sleep(DIRECTORY_SECONDS)
+
+    def update_owners(self) -> None:
+        """Brings servers and keyed pools to those that place keys."""
+        present = self.state.terms
+        if present is not None:
+            for pool in present.pools.values():
+                if pool.keyed and pool.name not in self.owners:
+                    self.add_owner(pool.name, None)
+        for pool, one in self.owners.items():
+            one.update(self.servers_of(pool))
+
+    async def publish(self) -> None:
+        """Publishes the picture after each change."""
+        while True:
+            await self.dirty.wait()
+            await asyncio.sleep(PUBLISH_PAUSE_SECONDS)
+            self.dirty.clear()
+            self.version += 1
+            picture = fleet.Picture(
+                epoch=self.tenure.epoch,
+                version=self.version,
+                leader=self.peers.address,
+                members=dict(self.members),
+                servers=dict(self.directory.servers),
+                maps={pool: o.published() for pool, o in self.owners.items()},
+            )
+            self.parts = [wire.encode(part) for part in wire.pack(picture)]
+            for address in self.members:
+                self.send_picture(address)
+            self.state.adopt(picture, "own")
+
+    def send_picture(self, address: str) -> None:
+        """Sends the picture to a member."""
+        if address == self.me.address:
+            return
+        for part in self.parts:
+            self.peers.send_raw(address, part)
+
+    def on_hello(self, peer: str, message: wire.Hello) -> None:
+        """Takes in that a member lives, and what it saw."""
+        if message.leaving:
+            self.forget(peer)
+            return
+        self.heard[peer] = self.clock.monotonic()
+        if peer not in self.members:
+            self.members[peer] = fleet.Member(
+                address=peer,
+                data_center=message.data_center,
+                cores=message.cores,
+            )
+            self.dirty.set()
+            log.write(events.MEMBER_JOINED, member=peer)
+        self.note_load(message.keys, message.speeds)
+        if (message.epoch, message.version) != (
+            self.tenure.epoch,
+            self.version,
+        ):
+            self.send_picture(peer)
+
+    def forget(self, peer: str) -> None:
+        """Takes a leaving member out."""
+        if self.members.pop(peer, None) is not None:
+            self.heard.pop(peer, None)
+            self.dirty.set()
+            log.write(events.MEMBER_LOST, member=peer, silent_s=0.0)
+
+    def note_load(
+        self, requested: dict[str, list[int]], speeds: dict[str, float]
+    ) -> None:
+        """Takes in the load that a member saw."""
+        for pool, found in requested.items():
+            if pool in self.owners:
+                self.owners[pool].rates.add(found)
+        for one in self.owners.values():
+            for id, speed in speeds.items():
+                if id in one.servers:
+                    one.speeds[id] = speed
+
+    async def resign(self) -> None:
+        """Gives up the leadership, so that another takes over at once."""
+        try:
+            await self.records.renew(resign=True)
+        except (ports.StoreError, records.DeposedError) as error:
+            log.write(events.LEADERSHIP_FAILED, reason=f"resigning: {error}")
+        now = self.clock.monotonic()
+        message = wire.encode(self.make_beat(now, resigned=True))
+        for address in self.members:
+            if address != self.me.address:
+                self.peers.send_raw(address, message)
--- /dev/null
+++ b/oleanderhoist/node/permits.py
@@ -0,0 +1,298 @@
+"""Asks the home of a lane for a slot of a server."""
+
+import asyncio
+import dataclasses
+import itertools
+
+import prometheus_client
+
+from oleanderhoist import clock
+from oleanderhoist import events
+from oleanderhoist import log
+from oleanderhoist.node import homes
+from oleanderhoist.node import peers
+from oleanderhoist.node import state
+from oleanderhoist.node import wire
+from oleanderhoist.policy import lanes
+
+REPLY_SECONDS = 0.06
+SHUN_SECONDS = 1.0
+WAIT_SLACK_SECONDS = 0.15
+
+BYPASSED = prometheus_client.Counter(
+    "oleander_permits_bypassed", "Requests sent without asking a home"
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Permit:
+    """The right to send one request to a server.
+
+    Attributes:
+        id: Id of the ask.
+        lane: Lane of the slot.
+        home: Process that granted it; empty for a choice without a home.
+        server: Id of the server.
+    """
+
+    id: int
+    lane: str
+    home: str
+    server: str
+
+
+@dataclasses.dataclass(kw_only=True)
+class Pending:
+    """An ask without a verdict.
+
+    Attributes:
+        future: Gets the verdict.
+        queued: Expected waiting time once the home has queued the ask.
+    """
+
+    future: asyncio.Future
+    queued: float | None = None
+
+
+class Permits:
+    """Gets and returns slots for this process's requests."""
+
+    def __init__(
+        self,
+        *,
+        peers: peers.Peers,
+        homes: homes.Homes,
+        state: state.State,
+        clock: clock.Clock,
+    ):
+        self.peers = peers
+        self.homes = homes
+        self.state = state
+        self.clock = clock
+        self.ids = itertools.count(1)
+        self.pending: dict[int, Pending] = {}
+        self.shunned: dict[str, float] = {}
+        peers.handlers[wire.Ask] = self.on_ask
+        peers.handlers[wire.Waiting] = self.on_waiting
+        peers.handlers[wire.Slot] = self.on_slot
+        peers.handlers[wire.Refusal] = self.on_refusal
+        peers.handlers[wire.Done] = self.on_done
+        peers.handlers[wire.Cancel] = self.on_cancel
+
+    async def ask(
+        self, lane: str, ticket: lanes.Ticket
+    ) -> Permit | lanes.Refused:
+        """Gets a slot, or a refusal.
+
+        A home that does not reply is passed over for a while; the slot is
+        then chosen here, without knowledge of other processes' requests.
+        """
+        home = self.state.picture.home(lane)
+        now = self.clock.monotonic()
+        if not home or self.shunned.get(home, 0.0) > now:
+            return self.bypass(lane, ticket)
+        pending = Pending(future=asyncio.get_running_loop().create_future())
+        self.pending[ticket.id] = pending
+        try:
+            self.send(home, lane, ticket, now)
+            return await self.verdict(home, lane, ticket, pending)
+        except asyncio.CancelledError:
+            self.cancel(home, lane, ticket.id)
+            raise
+        finally:
+            self.pending.pop(ticket.id, None)
+
+    def send(
+        self, home: str, lane: str, ticket: lanes.Ticket, now: float
+    ) -> None:
+        """Sends an ask to the home, or takes it here."""
+        if home == self.peers.address:
+            self.homes.ask(lane, ticket, self.settle)
+            return
+        self.peers.send(
+            home,
+            wire.Ask(
+                lane=lane,
+                id=ticket.id,
+                rank=ticket.rank,
+                left_ms=round((ticket.deadline - now) * 1000),
+                objective_ms=round((ticket.objective - now) * 1000),
+                data_center=ticket.data_center,
+                excluded=list(ticket.excluded),
+            ),
+        )
+
+    async def verdict(
+        self, home: str, lane: str, ticket: lanes.Ticket, pending: Pending
+    ) -> Permit | lanes.Refused:
+        """Waits for the verdict of an ask."""
+        future = pending.future
+        local = home == self.peers.address
+        if not local:
+            await asyncio.wait([future], timeout=REPLY_SECONDS)
+        left = ticket.deadline - self.clock.monotonic()
+        if not future.done() and (local or pending.queued is not None):
+            queued = pending.queued or 0.0
+            limit = left if local else 2 * queued + WAIT_SLACK_SECONDS
+            await asyncio.wait([future], timeout=min(left, limit))
+        if not future.done():
+            self.cancel(home, lane, ticket.id)
+            if not local:
+                self.shun(home, lane)
+            return self.bypass(lane, ticket)
+        verdict = future.result()
+        if isinstance(verdict, lanes.Refused):
+            return verdict
+        return Permit(id=ticket.id, lane=lane, home=home, server=verdict.server)
+
+    def shun(self, home: str, lane: str) -> None:
+        """Passes over a home that did not reply."""
+        until = self.clock.monotonic() + SHUN_SECONDS
+        if self.shunned.get(home, 0.0) < self.clock.monotonic():
+            log.write(events.HOME_SILENT, home=home, lane=lane)
+        self.shunned[home] = until
+
+    def bypass(self, lane: str, ticket: lanes.Ticket) -> Permit | lanes.Refused:
+        """Chooses a server here."""
+        BYPASSED.inc()
+        verdict: lanes.Verdict | None = None
+
+        def keep(given: lanes.Verdict) -> None:
+            nonlocal verdict
+            verdict = given
+
+        self.homes.ask(lane, ticket, keep)
+        if isinstance(verdict, lanes.Granted):
+            return Permit(
+                id=ticket.id,
+                lane=lane,
+                home=self.peers.address,
+                server=verdict.server,
+            )
+        self.homes.cancel(lane, ticket.asker, ticket.id)
+        if isinstance(verdict, lanes.Refused):
+            return verdict
+        return lanes.Refused(ticket=ticket, retry=WAIT_SLACK_SECONDS)
+
+    def done(
+        self, permit: Permit, *, seconds: float | None, failed: bool
+    ) -> None:
+        """Gives a slot back.
+
+        Args:
+            permit: The slot's permit.
+            seconds: Time that the server took, when that tells its speed.
+            failed: Whether the server failed the request.
+        """
+        if permit.home == self.peers.address:
+            self.homes.done(
+                permit.lane,
+                permit.home,
+                permit.id,
+                permit.server,
+                seconds=seconds,
+                failed=failed,
+            )
+            return
+        took = -1.0 if seconds is None else round(seconds * 1000, 1)
+        self.peers.send(
+            permit.home,
+            wire.Done(
+                lane=permit.lane,
+                id=permit.id,
+                server=permit.server,
+                took_ms=took,
+                failed=failed,
+            ),
+        )
+
+    def cancel(self, home: str, lane: str, id: int) -> None:
+        """Withdraws an ask."""
+        if home == self.peers.address:
+            self.homes.cancel(lane, home, id)
+        else:
+            self.peers.send(home, wire.Cancel(lane=lane, id=id))
+
+    def settle(self, verdict: lanes.Verdict) -> None:
+        """Takes a verdict of a lane that is hosted here."""
+        pending = self.pending.get(verdict.ticket.id)
+        if pending is not None and not pending.future.done():
+            pending.future.set_result(verdict)
+
+    def on_ask(self, peer: str, message: wire.Ask) -> None:
+        """Takes another process's ask."""
+        now = self.clock.monotonic()
+        ticket = lanes.Ticket(
+            id=message.id,
+            asker=peer,
+            rank=message.rank,
+            deadline=now + message.left_ms / 1000,
+            objective=now + message.objective_ms / 1000,
+            data_center=message.data_center,
+            excluded=frozenset(message.excluded),
+        )
+        wait = self.homes.ask(
+            message.lane, ticket, lambda verdict: self.reply(peer, verdict)
+        )
+        if wait:
+            self.peers.send(
+                peer,
+                wire.Waiting(
+                    id=message.id, wait_ms=round(min(wait, 60) * 1000)
+                ),
+            )
+
+    def reply(self, peer: str, verdict: lanes.Verdict) -> None:
+        """Sends a verdict to the process that asked."""
+        id = verdict.ticket.id
+        if isinstance(verdict, lanes.Granted):
+            self.peers.send(peer, wire.Slot(id=id, server=verdict.server))
+        else:
+            retry = round(verdict.retry * 1000)
+            self.peers.send(peer, wire.Refusal(id=id, retry_ms=retry))
+
+    def on_waiting(self, peer: str, message: wire.Waiting) -> None:
+        """Notes that an ask is queued."""
+        pending = self.pending.get(message.id)
+        if pending is not None:
+            pending.queued = message.wait_ms / 1000
+
+    def on_slot(self, peer: str, message: wire.Slot) -> None:
+        """Takes a granted slot."""
+        pending = self.pending.get(message.id)
+        if pending is None or pending.future.done():
+            return
+        ticket = lanes.Ticket(
+            id=message.id, asker="", rank=0, deadline=0.0, objective=0.0
+        )
+        pending.future.set_result(
+            lanes.Granted(ticket=ticket, server=message.server)
+        )
+
+    def on_refusal(self, peer: str, message: wire.Refusal) -> None:
+        """Takes a refusal."""
+        pending = self.pending.get(message.id)
+        if pending is None or pending.future.done():
+            return
+        ticket = lanes.Ticket(
+            id=message.id, asker="", rank=0, deadline=0.0, objective=0.0
+        )
+        pending.future.set_result(
+            lanes.Refused(ticket=ticket, retry=message.retry_ms / 1000)
+        )
+
+    def on_done(self, peer: str, message: wire.Done) -> None:
+        """Takes a slot back."""
+        took = message.took_ms / 1000 if message.took_ms >= 0 else None
+        self.homes.done(
+            message.lane,
+            peer,
+            message.id,
+            message.server,
+            seconds=took,
+            failed=message.failed,
+        )
+
+    def on_cancel(self, peer: str, message: wire.Cancel) -> None:
+        """Forgets an ask, and frees its slot if it has one by now."""
+        self.homes.cancel(message.lane, peer, message.id)
--- /dev/null
+++ b/oleanderhoist/node/records.py
@@ -0,0 +1,204 @@
+"""The leader's rows in the store: its leadership, and who owns which keys.
+
+Every write is conditional on the leadership record, so a leader that was
+replaced can change nothing any more. A write whose answer was lost is read
+back, and repeated under the same conditions, before anything relies on it.
+"""
+
+import asyncio
+from collections.abc import Callable
+import json
+
+import msgspec
+
+from oleanderhoist import clock
+from oleanderhoist import events
+from oleanderhoist import log
+from oleanderhoist import ports
+from oleanderhoist.policy import keys
+from oleanderhoist.policy import tenure
+
+LEADER_KEY = "leader"
+MAP_PREFIX = "map/"
+RETRY_SECONDS = 0.15
+
+
+class Leadership(msgspec.Struct, frozen=True, kw_only=True):
+    """The leadership record.
+
+    Attributes:
+        epoch: Rises with every change of the leader.
+        address: Who leads; empty after a resignation.
+        beat: Differs in every write.
+    """
+
+    epoch: int
+    address: str
+    beat: int = 0
+
+
+class DeposedError(Exception):
+    """Another process has taken over the leadership."""
+
+
+def leadership_of(rows: dict[str, ports.Row]) -> Leadership:
+    """Returns the leadership record; epoch 0 when there is none."""
+    row = rows.get(LEADER_KEY)
+    if row is None:
+        return Leadership(epoch=0, address="")
+    try:
+        return msgspec.json.decode(row.value, type=Leadership)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        log.write(events.ROW_UNREADABLE, key=LEADER_KEY, reason=str(error))
+        return Leadership(epoch=0, address="")
+
+
+def encode_leadership(record: Leadership) -> bytes:
+    """Encodes the leadership record."""
+    return msgspec.json.encode(record)
+
+
+def maps_of(rows: dict[str, ports.Row]) -> dict[str, keys.KeyMap]:
+    """Returns the owners of keys by pool."""
+    maps = {}
+    for key, row in rows.items():
+        if key.startswith(MAP_PREFIX):
+            ranges = [
+                keys.Range(start=start, end=end, owner=owner)
+                for start, end, owner in json.loads(row.value)["ranges"]
+            ]
+            maps[key.removeprefix(MAP_PREFIX)] = keys.KeyMap(ranges=ranges)
+    return maps
+
+
+class Records:
+    """Writes a leader's rows.
+
+    Attributes:
+        rows: The rows as last read or written.
+        tenure: The leader's tenure; confirmed by every answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: ports.Platform,
+        clock: clock.Clock,
+        rows: dict[str, ports.Row],
+        tenure: tenure.Tenure,
+        address: str,
+    ):
+        self.platform = platform
+        self.clock = clock
+        self.rows = rows
+        self.tenure = tenure
+        self.address = address
+        self.lock = asyncio.Lock()
+        self.beats = 0
+
+    async def renew(self, *, resign: bool = False) -> None:
+        """Writes the leadership record again.
+
+        Raises:
+            DeposedError: Another process leads.
+            ports.StoreError: The store did not take the write.
+        """
+        self.beats += 1
+        record = Leadership(
+            epoch=self.tenure.epoch,
+            address="" if resign else self.address,
+            beat=self.beats,
+        )
+        value = encode_leadership(record)
+        await self.write(LEADER_KEY, lambda: value)
+
+    async def write_map(
+        self, pool: str, newest: Callable[[], keys.KeyMap]
+    ) -> None:
+        """Writes the owners of a pool's keys; returns once they stand.
+
+        Args:
+            pool: Name of the pool.
+            newest: Returns the owners at the time of each try, so that a
+                repeated write never brings back an older state.
+
+        Raises:
+            DeposedError: Another process leads.
+        """
+        while True:
+            try:
+                await self.write(
+                    MAP_PREFIX + pool, lambda: self.encode(newest())
+                )
+                return
+            except ports.StoreError:
+                await asyncio.sleep(RETRY_SECONDS)
+
+    def encode(self, key_map: keys.KeyMap) -> bytes:
+        """Encodes the owners of a pool's keys; no two results are equal."""
+        self.beats += 1
+        ranges = [[r.start, r.end, r.owner] for r in key_map.ranges]
+        nonce = [self.tenure.epoch, self.beats]
+        return json.dumps({"ranges": ranges, "nonce": nonce}).encode()
+
+    async def write(self, key: str, make: Callable[[], bytes]) -> None:
+        """Writes one row under the leadership's condition.
+
+        Args:
+            key: Key of the row.
+            make: Returns the value of each try.
+
+        Raises:
+            DeposedError: Another process leads.
+            ports.StoreError: The store surely did not take the write.
+        """
+        async with self.lock:
+            while not await self.try_write(key, value := make()):
+                await self.read_back()
+                found = self.rows.get(key)
+                if found is not None and found.value == value:
+                    log.write(events.WRITE_READ_BACK, key=key)
+                    return
+
+    async def try_write(self, key: str, value: bytes) -> bool:
+        """Writes once; False when it is not known how that ended.
+
+        Raises:
+            ports.StoreError: The store surely did not take the write.
+        """
+        sent = self.clock.boottime()
+        expected = {LEADER_KEY: self.rows[LEADER_KEY].revision}
+        known = self.rows.get(key)
+        expected[key] = known.revision if known else 0
+        try:
+            result = await self.platform.write_rows({key: value}, expected)
+        except ports.StoreError as error:
+            if not error.done:
+                raise
+            return False
+        if isinstance(result, ports.Conflict):
+            return False
+        self.rows[key] = ports.Row(
+            key=key, value=value, revision=result.revision
+        )
+        self.tenure.confirmed = sent
+        return True
+
+    async def read_back(self) -> None:
+        """Reads the rows until the store answers.
+
+        Raises:
+            DeposedError: Another process leads.
+        """
+        while True:
+            sent = self.clock.boottime()
+            try:
+                rows = await self.platform.read_rows()
+                break
+            except ports.StoreError:
+                await asyncio.sleep(RETRY_SECONDS)
+        record = leadership_of(rows)
+        if record.epoch != self.tenure.epoch:
+            raise DeposedError(f"epoch {record.epoch} of {record.address}")
+        self.rows = rows
+        self.tenure.confirmed = sent
--- /dev/null
+++ b/oleanderhoist/node/router.py
@@ -0,0 +1,418 @@
+"""Takes one request to a server, and tells how it ended."""
+
+import dataclasses
+import itertools
+import random
+import time
+
+import prometheus_client
+
+from oleanderhoist import clock
+from oleanderhoist import codes
+from oleanderhoist import events
+from oleanderhoist import log
+from oleanderhoist import outcomes
+from oleanderhoist import ports
+from oleanderhoist.http import client
+from oleanderhoist.http import messages
+from oleanderhoist.node import homes
+from oleanderhoist.node import permits
+from oleanderhoist.node import state
+from oleanderhoist.policy import fleet
+from oleanderhoist.policy import keys
+from oleanderhoist.policy import lanes
+from oleanderhoist.policy import retry
+from oleanderhoist.policy import terms
+
+CONNECT_SECONDS = 0.25
+UNREPEATABLE_IDLE_SECONDS = 1.0
+MAX_MISSES = 3
+MOVED_WAIT_SECONDS = 0.1
+OWNER_WAIT_SECONDS = 0.4
+NO_OWNER_RETRY_SECONDS = 0.5
+ANSWER_SLACK_SECONDS = 0.08
+PATIENCE_FACTOR = 4.0
+
+SENT = prometheus_client.Counter(
+    "oleander_sends", "Requests sent to servers by result", ["result"]
+)
+SERVER_SECONDS = prometheus_client.Histogram(
+    "oleander_server_seconds", "Time from sending to a server's answer"
+)
+
+
+@dataclasses.dataclass(kw_only=True)
+class Job:
+    """A request on its way.
+
+    Attributes:
+        request: The caller's request head.
+        call: What the head says.
+        body: The whole body.
+        work: Kind of work.
+        pool: Pool that was drawn for it.
+        arrived: When it arrived, on the monotonic clock.
+        deadline: When it must have its final answer.
+        objective: Until when an answer is worth most.
+        sends: Times that it was sent to a server.
+        misses: Tries that ended before it was sent.
+        failed: Servers that have failed it.
+        maybe_run: Whether a server may have run it.
+    """
+
+    request: messages.Request
+    call: ports.Call
+    body: bytes
+    work: terms.Work
+    pool: str
+    arrived: float
+    deadline: float
+    objective: float
+    sends: int = 0
+    misses: int = 0
+    failed: set[str] = dataclasses.field(default_factory=set)
+    maybe_run: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Failed:
+    """A try that may be followed by another.
+
+    Attributes:
+        failure: How it ended.
+        code: Result code if it was the last.
+        detail: What happened.
+        response: The server's own answer, to be passed on if it was the last.
+        wait: Whether a newer picture should be awaited first.
+    """
+
+    failure: retry.Failure
+    code: codes.Code
+    detail: str = ""
+    response: messages.Response | None = None
+    wait: bool = False
+
+
+class Router:
+    """Finds a server, sends, and tries again where that is right.
+
+    Args:
+        platform: Translates to and from servers.
+        permits: Gives slots.
+        state: What is known.
+        clock: Time source.
+        budgets: Retry budgets by pool.
+        data_center: Where this process runs.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: ports.Platform,
+        permits: permits.Permits,
+        state: state.State,
+        clock: clock.Clock,
+        budget: "Budgets",
+        data_center: str,
+    ):
+        self.platform = platform
+        self.permits = permits
+        self.state = state
+        self.clock = clock
+        self.budget = budget
+        self.data_center = data_center
+        self.clients = client.Clients(connect_seconds=CONNECT_SECONDS)
+        self.ids = itertools.count(1)
+        self.seen_keys: dict[str, list[int]] = {}
+
+    async def serve(self, job: Job) -> outcomes.Outcome:
+        """Returns how a request ended."""
+        self.budget.earn(job.pool)
+        while True:
+            result = await self.attempt(job)
+            if not isinstance(result, Failed):
+                return result
+            if not self.again(job, result):
+                return self.give_up(job, result)
+            if result.wait:
+                await self.state.wait_changed(MOVED_WAIT_SECONDS)
+            log.limited(
+                events.REQUEST_RETRIED,
+                request=job.call.id,
+                pool=job.pool,
+                failure=result.failure.value,
+                detail=result.detail,
+                sends=job.sends,
+            )
+
+    def again(self, job: Job, result: Failed) -> bool:
+        """Tells whether another try is right."""
+        if job.sends >= job.work.attempts:
+            return False
+        left = job.deadline - self.clock.monotonic()
+        allowed = retry.allowed(
+            failure=result.failure,
+            repeatable=job.work.repeatable,
+            tries=job.sends,
+            left=left,
+        )
+        if not allowed:
+            return False
+        if result.failure is retry.Failure.NOT_SENT:
+            job.misses += 1
+            return job.misses <= MAX_MISSES
+        return self.budget.spend(job.pool)
+
+    def give_up(self, job: Job, result: Failed) -> outcomes.Outcome:
+        """Returns the final outcome after a failed last try."""
+        if result.response is not None:
+            return outcomes.Complete(response=result.response, server="")
+        if job.maybe_run and not job.work.repeatable:
+            unknown = result.code
+            if unknown.outcome is not codes.Outcome.UNKNOWN:
+                unknown = codes.LOST
+            return outcomes.Unknown(code=unknown, detail=result.detail)
+        if job.maybe_run:
+            return outcomes.Unknown(code=codes.LOST, detail=result.detail)
+        return outcomes.NotRun(
+            code=result.code,
+            detail=result.detail,
+            retry_after=lanes.MIN_RETRY_SECONDS,
+        )
+
+    async def attempt(self, job: Job) -> outcomes.Outcome | Failed:
+        """Gets a slot and sends once."""
+        target = await self.find(job)
+        if target is None:
+            return self.no_server(job)
+        lane, owner = target
+        ticket = lanes.Ticket(
+            id=next(self.ids),
+            asker=self.permits.peers.address,
+            rank=job.work.rank,
+            deadline=job.deadline,
+            objective=job.objective,
+            data_center=self.data_center,
+            excluded=frozenset(job.failed),
+        )
+        verdict = await self.permits.ask(lane, ticket)
+        if isinstance(verdict, lanes.Refused):
+            return self.refused(job, verdict)
+        server = self.state.picture.servers.get(verdict.server)
+        if server is None or server.leaving:
+            self.permits.done(verdict, seconds=None, failed=False)
+            return Failed(
+                failure=retry.Failure.NOT_SENT,
+                code=codes.NO_SERVER,
+                detail=f"server {verdict.server} left meanwhile",
+            )
+        return await self.send(job, server, verdict)
+
+    async def find(self, job: Job) -> tuple[str, fleet.Server | None] | None:
+        """Returns the lane and, with keys, the owner; None without any."""
+        pool = (
+            self.state.terms.pools.get(job.pool) if self.state.terms else None
+        )
+        if pool is None or not pool.keyed:
+            if not self.state.picture.usable.get(job.pool):
+                return None
+            return homes.lane_of(job.pool, None), None
+        key = job.call.key
+        if key is None or not 0 <= key < keys.KEYS:
+            key = hash(job.call.id) % keys.KEYS
+        self.seen_keys.setdefault(job.pool, []).append(key)
+        until = self.clock.monotonic() + OWNER_WAIT_SECONDS
+        while True:
+            owner = self.state.picture.owner(job.pool, key)
+            if owner is not None and not owner.leaving:
+                return homes.lane_of(job.pool, owner), owner
+            left = min(until, job.deadline) - self.clock.monotonic()
+            if left <= 0 or not await self.state.wait_changed(left):
+                return None
+
+    def no_server(self, job: Job) -> outcomes.NotRun | Failed:
+        """Returns the outcome when nobody can be sent the request."""
+        if job.maybe_run:
+            return Failed(failure=retry.Failure.LOST, code=codes.LOST)
+        return outcomes.NotRun(
+            code=codes.NO_OWNER,
+            detail=f"pool {job.pool}",
+            retry_after=NO_OWNER_RETRY_SECONDS,
+        )
+
+    def refused(
+        self, job: Job, verdict: lanes.Refused
+    ) -> outcomes.NotRun | outcomes.Unknown:
+        """Returns the outcome of a refused ask."""
+        if job.maybe_run:
+            return outcomes.Unknown(code=codes.LOST, detail="no slot to repeat")
+        return outcomes.NotRun(code=codes.OVERLOADED, retry_after=verdict.retry)
+
+    async def send(
+        self, job: Job, server: fleet.Server, permit: permits.Permit
+    ) -> outcomes.Outcome | Failed:
+        """Sends a request to a server and gives its slot back."""
+        began = time.monotonic()
+        result: outcomes.Outcome | Failed | None = None
+        try:
+            result = await self.exchange(job, server)
+            return result
+        finally:
+            took = time.monotonic() - began
+            answered = isinstance(result, outcomes.Complete)
+            failed = isinstance(result, Failed)
+            self.permits.done(
+                permit, seconds=took if answered else None, failed=failed
+            )
+            name = "gone"
+            if answered:
+                name = "answered"
+                SERVER_SECONDS.observe(took)
+            elif isinstance(result, Failed):
+                name = result.failure.value
+            SENT.labels(name).inc()
+            log.limited(
+                events.REQUEST_SENT,
+                request=job.call.id,
+                work=job.work.name,
+                server=server.id,
+                lane=permit.lane,
+                home=permit.home,
+                picture=self.state.picture.version,
+                took_ms=round(took * 1000, 1),
+                result=name,
+                detail=result.detail if isinstance(result, Failed) else "",
+            )
+
+    async def exchange(
+        self, job: Job, server: fleet.Server
+    ) -> outcomes.Outcome | Failed:
+        """Performs one exchange and judges the answer."""
+        left = job.deadline - self.clock.monotonic()
+        if left <= 0:
+            return Failed(failure=retry.Failure.NOT_SENT, code=codes.TOO_LATE)
+        idle = 60.0 if job.work.repeatable else UNREPEATABLE_IDLE_SECONDS
+        try:
+            response = await self.clients.get(server.address).request(
+                job.request.method,
+                job.request.target,
+                timeout=self.patience(job, left),
+                headers=self.platform.forward(job.request, server, left),
+                body=job.body,
+                idle_seconds=idle,
+                host=(job.request.header(b"host") or "-").encode("latin-1"),
+                accept=lambda found: self.platform.belongs(job.call.id, found),
+            )
+        except client.ExchangeError as error:
+            return self.broken(job, server, error)
+        job.sends += 1
+        return self.judge(job, server, response)
+
+    def patience(self, job: Job, left: float) -> float:
+        """Returns how long to wait for an answer, in seconds.
+
+        A repeatable request whose answer seems lost is given up early enough
+        to be sent once more.
+        """
+        whole = left + ANSWER_SLACK_SECONDS
+        last = job.sends + 1 >= job.work.attempts
+        if not job.work.repeatable or last:
+            return whole
+        early = max(job.work.objective, left / 2)
+        return early if early < left else whole
+
+    def broken(
+        self, job: Job, server: fleet.Server, error: client.ExchangeError
+    ) -> Failed:
+        """Judges an exchange without a whole answer."""
+        detail = f"server {server.id}: {error}"
+        job.failed.add(server.id)
+        if not error.sent:
+            return Failed(
+                failure=retry.Failure.NOT_SENT,
+                code=codes.NO_SERVER,
+                detail=detail,
+                wait=job.call.key is not None,
+            )
+        job.sends += 1
+        job.maybe_run = True
+        code = codes.LOST
+        if error.late:
+            code = codes.TIMED_OUT
+        elif error.answered:
+            code = codes.BAD_ANSWER
+        return Failed(failure=retry.Failure.LOST, code=code, detail=detail)
+
+    def judge(
+        self, job: Job, server: fleet.Server, response: messages.Response
+    ) -> outcomes.Outcome | Failed:
+        """Judges a whole answer."""
+        said = self.platform.said(response)
+        if said is ports.Said.ANSWERED:
+            return outcomes.Complete(response=response, server=server.id)
+        job.failed.add(server.id)
+        detail = f"server {server.id}: {said.value} {response.status}"
+        if said in (ports.Said.REFUSED, ports.Said.NOT_MINE):
+            return Failed(
+                failure=retry.Failure.REFUSED,
+                code=codes.SERVER_REFUSED,
+                detail=detail,
+                wait=said is ports.Said.NOT_MINE,
+            )
+        job.maybe_run = True
+        if said is ports.Said.UNSIGNED:
+            return Failed(
+                failure=retry.Failure.LOST,
+                code=codes.BAD_ANSWER,
+                detail=detail,
+            )
+        return Failed(
+            failure=retry.Failure.LOST,
+            code=codes.LOST,
+            detail=detail,
+            response=response,
+        )
+
+
+class Budgets:
+    """Retry budgets of this process, one for each pool.
+
+    All processes together must stay within a ratio of the requests and a
+    fixed extra in each window; each may use an even part of the extra.
+
+    Args:
+        ratio: Retries for each request.
+        extra: Further retries of all processes in a window.
+        state: Tells how many processes there are.
+    """
+
+    SAFETY = 0.8
+
+    def __init__(self, *, ratio: float, extra: float, state: state.State):
+        self.ratio = ratio
+        self.extra = extra
+        self.state = state
+        self.by_pool: dict[str, retry.Budget] = {}
+
+    def get(self, pool: str) -> retry.Budget:
+        """Returns the budget of a pool."""
+        if pool not in self.by_pool:
+            members = max(1, len(self.state.picture.members))
+            part = max(1.0, self.SAFETY * self.extra / members)
+            self.by_pool[pool] = retry.Budget(
+                credit=part, fraction=self.SAFETY * self.ratio, ceiling=part
+            )
+        return self.by_pool[pool]
+
+    def earn(self, pool: str) -> None:
+        """Counts a first try."""
+        self.get(pool).earn()
+
+    def spend(self, pool: str) -> bool:
+        """Takes one retry when the budget allows it."""
+        return self.get(pool).spend()
+
+
+def draw(work: terms.Work) -> str:
+    """Draws the pool that serves a request."""
+    return work.pick(random.random())
--- /dev/null
+++ b/oleanderhoist/node/state.py
@@ -0,0 +1,82 @@
+"""What a router knows: the picture and the contracts in force."""
+
+import asyncio
+
+from oleanderhoist import events
+from oleanderhoist import log
+from oleanderhoist import ports
+from oleanderhoist.policy import fleet
+from oleanderhoist.policy import terms
+
+
+class State:
+    """The newest picture and contracts of one process.
+
+    Neither ever goes back while the process lives.
+
+    Attributes:
+        picture: State of the system.
+        terms: Contracts in force; None before the first.
+        terms_revision: Revision up to which contracts were read.
+    """
+
+    def __init__(self):
+        self.picture = fleet.Picture()
+        self.terms: terms.Terms | None = None
+        self.terms_revision = 0
+        self.listeners: list = []
+        self.changed = asyncio.Event()
+
+    def adopt(self, picture: fleet.Picture, source: str) -> None:
+        """Takes a newer picture.
+
+        Args:
+            picture: The picture.
+            source: Where it comes from, for the log.
+        """
+        before = self.picture
+        if picture.epoch < before.epoch:
+            return
+        self.picture = picture
+        self.changed.set()
+        self.changed = asyncio.Event()
+        log.write(
+            events.PICTURE_ADOPTED,
+            epoch=picture.epoch,
+            version=picture.version,
+            servers=len(picture.servers),
+            members=len(picture.members),
+            source=source,
+        )
+        for listener in self.listeners:
+            listener(picture)
+
+    def adopt_terms(self, document: ports.Document) -> None:
+        """Puts newer contracts in force."""
+        self.terms_revision = max(self.terms_revision, document.revision)
+        if self.terms and document.terms.version <= self.terms.version:
+            return
+        self.terms = document.terms
+        log.write(
+            events.TERMS_IN_FORCE,
+            version=document.terms.version,
+            revision=document.revision,
+            works=sum(len(w) for w in document.terms.works.values()),
+        )
+
+    def refuse_terms(self, error: ports.TermsError) -> None:
+        """Notes contracts that cannot be put in force."""
+        self.terms_revision = max(self.terms_revision, error.revision)
+        log.write(
+            events.TERMS_REFUSED, revision=error.revision, reason=str(error)
+        )
+
+    async def wait_changed(self, seconds: float) -> bool:
+        """Waits for the next picture; tells whether one came."""
+        changed = self.changed
+        try:
+            async with asyncio.timeout(seconds):
+                await changed.wait()
+        except TimeoutError:
+            return False
+        return True
--- a/oleanderhoist/placer/activation.py
+++ b/oleanderhoist/placer/activation.py
@@ -8,8 +8,8 @@
 from oleanderhoist import contract
 from oleanderhoist import events
 from oleanderhoist import log
-from oleanderhoist.platform import sources
-from oleanderhoist.platform import table
+from oleanderhoist.native import sources
+from oleanderhoist.native import table
 from oleanderhoist.policy import capacity
 from oleanderhoist.policy import topology
 
--- a/oleanderhoist/placer/api.py
+++ b/oleanderhoist/placer/api.py
@@ -10,11 +10,11 @@
 from oleanderhoist import contract
 from oleanderhoist.http import messages
 from oleanderhoist.http import server
+from oleanderhoist.native import sources
+from oleanderhoist.native import table
 from oleanderhoist.placer import activation
 from oleanderhoist.placer import election
 from oleanderhoist.placer import leader
-from oleanderhoist.platform import sources
-from oleanderhoist.platform import table
 from oleanderhoist.policy import topology
 
 Route = Callable[..., Awaitable[messages.Response]]
--- a/oleanderhoist/placer/core.py
+++ b/oleanderhoist/placer/core.py
@@ -8,14 +8,14 @@
 from oleanderhoist import program
 from oleanderhoist import settings
 from oleanderhoist.http import server
+from oleanderhoist.native import inventory
+from oleanderhoist.native import members
+from oleanderhoist.native import table
 from oleanderhoist.peers import link
 from oleanderhoist.peers import wire
 from oleanderhoist.placer import api
 from oleanderhoist.placer import election
 from oleanderhoist.placer import leader
-from oleanderhoist.platform import inventory
-from oleanderhoist.platform import members
-from oleanderhoist.platform import table
 from oleanderhoist.policy import leadership
 from oleanderhoist.policy import placement
 
--- a/oleanderhoist/placer/election.py
+++ b/oleanderhoist/placer/election.py
@@ -9,10 +9,10 @@
 from oleanderhoist import clock
 from oleanderhoist import events
 from oleanderhoist import log
+from oleanderhoist.native import members
+from oleanderhoist.native import table
 from oleanderhoist.peers import link
 from oleanderhoist.peers import wire
-from oleanderhoist.platform import members
-from oleanderhoist.platform import table
 from oleanderhoist.policy import leadership
 
 LEADER_KEY = "leader"
--- a/oleanderhoist/placer/leader.py
+++ b/oleanderhoist/placer/leader.py
@@ -5,6 +5,9 @@
 
 from oleanderhoist import clock
 from oleanderhoist import program
+from oleanderhoist.native import inventory
+from oleanderhoist.native import members
+from oleanderhoist.native import table
 from oleanderhoist.peers import link
 from oleanderhoist.peers import wire
 from oleanderhoist.placer import activation
@@ -13,9 +16,6 @@
 from oleanderhoist.placer import maps
 from oleanderhoist.placer import placement
 from oleanderhoist.placer import shares
-from oleanderhoist.platform import inventory
-from oleanderhoist.platform import members
-from oleanderhoist.platform import table
 from oleanderhoist.policy import placement as placement_policy
 from oleanderhoist.policy import topology
 
--- a/oleanderhoist/platform/__init__.py
+++ b/oleanderhoist/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the platform's services."""
+"""Adapter to the users' platform: names, formats and calls, no decisions."""
--- /dev/null
+++ b/oleanderhoist/platform/directory.py
@@ -0,0 +1,51 @@
+"""Decodes the entries that servers write into the store."""
+
+from typing import Annotated
+from typing import Literal
+
+import pydantic
+
+from oleanderhoist import ports
+from oleanderhoist.http import client
+from oleanderhoist.policy import fleet
+
+TABLE = "servers"
+
+
+class Entry(pydantic.BaseModel):
+    """What a server says of itself; unknown fields are ignored."""
+
+    model_config = pydantic.ConfigDict(strict=True)
+
+    service: Annotated[str, pydantic.Field(min_length=1)]
+    address: str
+    zone: str
+    slots: Annotated[int, pydantic.Field(ge=1, le=100_000)]
+    state: Literal["ready", "draining"]
+    # `sequence` counts the writes of one life; it says nothing else.
+    sequence: int
+    # Start of the process, in Unix milliseconds.
+    born: int = 0
+
+
+def decode(rows: list[ports.Row]) -> ports.Listing:
+    """Decodes all entries; broken ones are passed over and named."""
+    servers = {}
+    rejected = {}
+    for row in rows:
+        try:
+            entry = Entry.model_validate_json(row.value)
+            client.Address.parse(entry.address)
+        except ValueError as error:
+            rejected[row.key] = str(error).splitlines()[0]
+            continue
+        servers[row.key] = fleet.Server(
+            id=row.key,
+            pool=entry.service,
+            address=entry.address,
+            data_center=entry.zone,
+            slots=entry.slots,
+            life=entry.born,
+            leaving=entry.state == "draining",
+        )
+    return ports.Listing(servers=servers, rejected=rejected)
--- /dev/null
+++ b/oleanderhoist/platform/settings.py
@@ -0,0 +1,137 @@
+"""Reads the platform's settings file into the product's settings."""
+
+import os
+from typing import Annotated
+
+import pydantic
+
+from oleanderhoist import settings
+from oleanderhoist.http import client
+
+PATH_VARIABLE = "OLEANDERHOIST_SETTINGS"
+DEFAULT_PATH = "/etc/oleanderhoist/node.json"
+
+Port = Annotated[int, pydantic.Field(ge=1, le=65_535)]
+
+
+class Listen(pydantic.BaseModel):
+    """Addresses to bind."""
+
+    front: str
+    ready: str
+
+
+class MachineLimits(pydantic.BaseModel):
+    """Size of the VM."""
+
+    cpu_share: Annotated[float, pydantic.Field(gt=0)] = 1.0
+    cpu_cores: Annotated[int, pydantic.Field(ge=1)] = 1
+    memory_mb: Annotated[int, pydantic.Field(ge=16)] = 256
+
+
+class Provider(pydantic.BaseModel):
+    """The store; `provider` names the platform itself."""
+
+    address: str
+    row_bytes: Annotated[int, pydantic.Field(ge=1024)] = 65_536
+
+
+class File(pydantic.BaseModel):
+    """The settings file; unknown fields are ignored."""
+
+    node: Annotated[str, pydantic.Field(min_length=1)]
+    ip: str
+    zone: str
+    listen: Listen
+    internal_ports: tuple[Port, Port]
+    limits: MachineLimits = MachineLimits()
+    # A list of texts `name=value`, not a table.
+    bounds: list[str] = []
+    provider: Provider
+
+
+def path() -> str:
+    """Returns where the settings file lies."""
+    return os.environ.get(PATH_VARIABLE, DEFAULT_PATH)
+
+
+def read(source: str) -> settings.RouterSettings:
+    """Reads and checks the settings file.
+
+    Raises:
+        settings.SettingsError: A field is missing or wrong.
+    """
+    try:
+        with open(source, "rb") as stream:
+            decoded = File.model_validate_json(stream.read())
+    except OSError as error:
+        raise settings.SettingsError(
+            [f"{source}: {error.strerror}; set {PATH_VARIABLE} to the file"]
+        ) from error
+    except pydantic.ValidationError as error:
+        raise settings.SettingsError(
+            [
+                f"{'.'.join(map(str, item['loc'])) or source}: {item['msg']}"
+                for item in error.errors()
+            ]
+        ) from error
+    return convert(decoded)
+
+
+def convert(file: File) -> settings.RouterSettings:
+    """Translates the decoded file.
+
+    Raises:
+        settings.SettingsError: An address or a bound is malformed.
+    """
+    bounds = parse_bounds(file.bounds)
+    return settings.RouterSettings(
+        id=file.node,
+        ip=file.ip,
+        data_center=file.zone,
+        front=parse_address("listen.front", file.listen.front),
+        ready=parse_address("listen.ready", file.listen.ready),
+        peer_port=file.internal_ports[0],
+        metrics_port=file.internal_ports[0] + 1,
+        store=parse_address("provider.address", file.provider.address),
+        cores=file.limits.cpu_share * file.limits.cpu_cores,
+        memory_bytes=file.limits.memory_mb * 1_000_000,
+        longest_hold=bounds.get("hold_max_ms", 10_000.0) / 1000,
+        retry_ratio=bounds.get("retry_budget_ratio", 0.2),
+        retry_window=bounds.get("budget_window_s", 10.0),
+        retry_extra=bounds.get("budget_extra_retries", 100.0),
+        stop_seconds=bounds.get("grace_s", 6.0),
+    )
+
+
+def parse_address(field: str, text: str) -> client.Address:
+    """Parses an address field.
+
+    Raises:
+        settings.SettingsError: It is not ``IP:PORT``.
+    """
+    try:
+        return client.Address.parse(text)
+    except ValueError as error:
+        raise settings.SettingsError(
+            [f"{field}: {error}; write IP:PORT"]
+        ) from error
+
+
+def parse_bounds(texts: list[str]) -> dict[str, float]:
+    """Parses `name=value` texts; true and false count as 1 and 0.
+
+    Raises:
+        settings.SettingsError: A text has no name or no number.
+    """
+    words = {"true": 1.0, "false": 0.0}
+    bounds = {}
+    for text in texts:
+        name, _, value = text.partition("=")
+        try:
+            bounds[name] = words[value] if value in words else float(value)
+        except ValueError as error:
+            raise settings.SettingsError(
+                [f"bounds: {text!r} is not name=number"]
+            ) from error
+    return bounds
--- a/oleanderhoist/policy/hashing.py
+++ b/oleanderhoist/policy/hashing.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 import hashlib
+import math
 
 
 def digest(text: str) -> int:
@@ -18,3 +19,17 @@
 def first(subject: str, names: Iterable[str]) -> str:
     """Returns the name with the highest weight for a subject."""
     return max(names, key=lambda name: digest(f"{subject}|{name}"))
+
+
+def heaviest(subject: str, weights: dict[str, float]) -> str:
+    """Returns the rendezvous winner among names of unequal weight.
+
+    A name wins in proportion to its weight, and only subjects that it won
+    change when it goes away.
+    """
+
+    def score(name: str) -> float:
+        part = (digest(f"{subject}|{name}") + 1) / 2.0**64
+        return weights[name] / -math.log(min(part, 1.0 - 2.0**-53))
+
+    return max(weights, key=score)
--- /dev/null
+++ b/oleanderhoist/policy/lanes.py
@@ -0,0 +1,314 @@
+"""How requests wait for the slots of servers, and which are refused.
+
+A lane holds the slots of one server of a keyed pool, or of all servers of a
+pool without keys. One process decides for a lane, so it sees every request
+that the lane's servers get.
+
+Load pattern: for seconds more requests arrive than the servers can run. First
+come, first served would make every answer late. Here a request is taken only
+if it is expected to end within its objective, so those taken are served well
+and the others learn at once that they are refused. Requests that are late
+already use what the punctual ones leave over.
+"""
+
+import collections
+import dataclasses
+
+DEFAULT_SERVICE_SECONDS = 0.1
+SERVICE_SMOOTHING = 0.08
+FAILURE_SMOOTHING = 0.15
+BLOCKED_FAILURES = 0.6
+BLOCK_SECONDS = 0.7
+EXPLORE_SECONDS = 0.6
+FAR_PENALTY = 1.05
+RATE_WINDOW_SECONDS = 0.5
+MIN_RETRY_SECONDS = 0.05
+MAX_RETRY_SECONDS = 2.0
+LATE_UTILISATION = 0.95
+ABANDONED_SECONDS = 0.5
+
+
+@dataclasses.dataclass(kw_only=True)
+class Ticket:
+    """A request that wants a slot.
+
+    Attributes:
+        id: Unique among the tickets of `asker`.
+        asker: Process that has the request.
+        rank: Urgency; 0 is the most urgent.
+        deadline: When its caller gives up, in seconds on the lane's clock.
+        objective: Until when an answer is worth most, on the same clock.
+        data_center: Where the asker runs.
+        excluded: Servers that have failed it.
+    """
+
+    id: int
+    asker: str
+    rank: int
+    deadline: float
+    objective: float
+    data_center: str = ""
+    excluded: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Granted:
+    """A ticket may use a slot of a server."""
+
+    ticket: Ticket
+    server: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Refused:
+    """A ticket gets no slot.
+
+    Attributes:
+        ticket: The ticket.
+        retry: Time after which a new try makes sense, in seconds.
+    """
+
+    ticket: Ticket
+    retry: float
+
+
+Verdict = Granted | Refused
+
+
+@dataclasses.dataclass(kw_only=True)
+class Server:
+    """What a lane knows of one server.
+
+    Attributes:
+        id: Id of the server.
+        data_center: Where it runs.
+        slots: Requests it works on at once.
+        service: Smoothed time from sending to answer, in seconds.
+        failures: Smoothed part of requests that failed.
+        running: When each running ticket is given up, by asker and id.
+        blocked: Until when it gets no work.
+        used: When it was last given work.
+    """
+
+    id: str
+    data_center: str
+    slots: int
+    service: float
+    failures: float = 0.0
+    running: dict[tuple[str, int], float] = dataclasses.field(
+        default_factory=dict
+    )
+    blocked: float = 0.0
+    used: float = 0.0
+
+    def open(self, now: float) -> bool:
+        """Tells whether it may be given another request."""
+        return len(self.running) < self.slots and now >= self.blocked
+
+    def rate(self) -> float:
+        """Returns the requests per second that it can run."""
+        return self.slots * (1.0 - self.failures) / self.service
+
+    def note(self, seconds: float | None, failed: bool) -> None:
+        """Takes in how a request ended.
+
+        Args:
+            seconds: Time it took, when it tells about the server's speed.
+            failed: Whether the server failed it.
+        """
+        if seconds is not None:
+            self.service += (seconds - self.service) * SERVICE_SMOOTHING
+        self.failures += (float(failed) - self.failures) * FAILURE_SMOOTHING
+
+
+class Lane:
+    """Queue in front of the slots of some servers.
+
+    Args:
+        service: Expected time of one request, in seconds.
+    """
+
+    def __init__(self, *, service: float = DEFAULT_SERVICE_SECONDS):
+        self.servers: dict[str, Server] = {}
+        self.service = service
+        self.queues: dict[int, collections.deque[Ticket]] = {}
+        self.late: collections.deque[Ticket] = collections.deque()
+        self.arrivals = 0.0
+        self.arrived_at = 0.0
+
+    def update(self, present: list[Server]) -> None:
+        """Takes in which servers may be used, keeping what is known."""
+        known = self.servers
+        self.servers = {}
+        for server in present:
+            before = known.get(server.id)
+            if before is not None:
+                before.slots = server.slots
+                server = before
+            self.servers[server.id] = server
+
+    def rate(self, now: float) -> float:
+        """Returns the requests per second that all usable servers can run."""
+        return sum(s.rate() for s in self.servers.values() if now >= s.blocked)
+
+    def demand(self, now: float) -> float:
+        """Returns the smoothed rate of punctual arrivals, per second."""
+        faded = max(0.0, 1.0 - (now - self.arrived_at) / RATE_WINDOW_SECONDS)
+        return self.arrivals * faded / RATE_WINDOW_SECONDS
+
+    def count(self, now: float) -> None:
+        """Counts a punctual arrival."""
+        faded = max(0.0, 1.0 - (now - self.arrived_at) / RATE_WINDOW_SECONDS)
+        self.arrivals = self.arrivals * faded + 1.0
+        self.arrived_at = now
+
+    def ahead(self, rank: int) -> int:
+        """Returns how many tickets wait that go before a new one."""
+        return sum(len(q) for r, q in self.queues.items() if r <= rank)
+
+    def wait(self, rank: int, now: float) -> float:
+        """Returns the expected time until a new ticket gets a slot."""
+        rate = self.rate(now)
+        if rate <= 0:
+            return float("inf")
+        return (self.ahead(rank) + 1) / rate
+
+    def ask(self, ticket: Ticket, now: float) -> Verdict | None:
+        """Takes a ticket.
+
+        Returns:
+            The verdict, or None while the ticket waits.
+        """
+        punctual = now + self.service <= ticket.objective
+        if punctual:
+            self.count(now)
+        if not self.ahead(ticket.rank):
+            server = self.choose(ticket, now)
+            if server is not None:
+                return self.grant(ticket, server, now)
+        wait = self.wait(ticket.rank, now)
+        end = now + wait + self.service
+        if end <= ticket.objective:
+            queue = self.queues.setdefault(ticket.rank, collections.deque())
+            queue.append(ticket)
+            return None
+        if self.leftover(now) and end <= ticket.deadline:
+            return self.ask_late(ticket, now)
+        return self.refuse(ticket, wait, now)
+
+    def leftover(self, now: float) -> float:
+        """Returns the rate that punctual requests leave over."""
+        return max(0.0, LATE_UTILISATION * self.rate(now) - self.demand(now))
+
+    def ask_late(self, ticket: Ticket, now: float) -> Verdict | None:
+        """Takes a ticket that cannot meet its objective."""
+        rate = self.leftover(now)
+        wait = (len(self.late) + self.ahead(ticket.rank) + 1) / rate
+        if now + wait + self.service > ticket.deadline:
+            return self.refuse(ticket, wait, now)
+        self.late.append(ticket)
+        return None
+
+    def refuse(self, ticket: Ticket, wait: float, now: float) -> Refused:
+        """Returns a refusal that says when to come back."""
+        slack = max(0.0, ticket.objective - now - self.service)
+        retry = max(MIN_RETRY_SECONDS, wait - slack)
+        return Refused(ticket=ticket, retry=min(retry, MAX_RETRY_SECONDS))
+
+    def choose(self, ticket: Ticket, now: float) -> Server | None:
+        """Returns the best server with a free slot, or None."""
+        free = [s for s in self.servers.values() if s.open(now)]
+        fresh = [s for s in free if s.id not in ticket.excluded]
+        if not fresh:
+            only = len(self.servers) == 1 and free
+            return free[0] if only else None
+        idle = min(fresh, key=lambda s: s.used)
+        if now - idle.used > EXPLORE_SECONDS and not idle.running:
+            return idle
+        return min(fresh, key=lambda s: expected(s, ticket.data_center))
+
+    def grant(self, ticket: Ticket, server: Server, now: float) -> Granted:
+        """Gives a ticket a slot."""
+        until = ticket.deadline + ABANDONED_SECONDS
+        server.running[(ticket.asker, ticket.id)] = until
+        server.used = now
+        return Granted(ticket=ticket, server=server.id)
+
+    def done(
+        self,
+        asker: str,
+        id: int,
+        server: str,
+        *,
+        seconds: float | None,
+        failed: bool,
+        now: float,
+    ) -> None:
+        """Frees a slot."""
+        known = self.servers.get(server)
+        if known is None or known.running.pop((asker, id), None) is None:
+            return
+        known.note(seconds, failed)
+        if failed and known.failures > BLOCKED_FAILURES:
+            self.block(known, now)
+        if seconds is not None:
+            step = (seconds - self.service) * SERVICE_SMOOTHING
+            self.service += step
+
+    def block(self, server: Server, now: float) -> None:
+        """Gives a failing server no work for a while.
+
+        Most of a lane's servers stay in use, since failures of all of them
+        have a cause that waiting elsewhere does not avoid.
+        """
+        blocked = sum(now < s.blocked for s in self.servers.values())
+        if (blocked + 1) * 2 <= len(self.servers):
+            server.blocked = now + BLOCK_SECONDS
+
+    def cancel(self, asker: str, id: int) -> None:
+        """Forgets a waiting ticket, and frees the slot of a running one."""
+        for server in self.servers.values():
+            server.running.pop((asker, id), None)
+        for queue in [*self.queues.values(), self.late]:
+            for ticket in queue:
+                if ticket.id == id and ticket.asker == asker:
+                    queue.remove(ticket)
+                    return
+
+    def next(self, now: float) -> list[Verdict]:
+        """Gives free slots to waiting tickets, the most urgent first."""
+        verdicts: list[Verdict] = self.expire(now)
+        queues = [self.queues[rank] for rank in sorted(self.queues)]
+        for queue in [*queues, self.late]:
+            while queue:
+                server = self.choose(queue[0], now)
+                if server is None:
+                    break
+                verdicts.append(self.grant(queue.popleft(), server, now))
+        return verdicts
+
+    def expire(self, now: float) -> list[Verdict]:
+        """Refuses tickets that no longer end in time; frees lost slots."""
+        refused: list[Verdict] = []
+        for queue in [*self.queues.values(), self.late]:
+            while queue and now + self.service / 2 > queue[0].deadline:
+                refused.append(self.refuse(queue.popleft(), 0.0, now))
+        for server in self.servers.values():
+            for key, until in list(server.running.items()):
+                if now > until:
+                    del server.running[key]
+        return refused
+
+    def drain(self) -> list[Ticket]:
+        """Removes and returns all waiting tickets."""
+        waiting = [t for q in self.queues.values() for t in q]
+        waiting.extend(self.late)
+        self.queues.clear()
+        self.late.clear()
+        return waiting
+
+
+def expected(server: Server, data_center: str) -> float:
+    """Returns the expected time of a request at a server, failures priced."""
+    far = 1.0 if server.data_center == data_center else FAR_PENALTY
+    return server.service * far / max(0.1, 1.0 - server.failures)
--- a/oleanderhoist/policy/retry.py
+++ b/oleanderhoist/policy/retry.py
@@ -22,13 +22,17 @@
 
     Attributes:
         credit: Retries that may be made now.
+        fraction: Retries earned by one first try.
+        ceiling: Most retries that can be saved up.
     """
 
     credit: float = BUDGET_CREDIT
+    fraction: float = BUDGET_FRACTION
+    ceiling: float = BUDGET_CREDIT
 
     def earn(self) -> None:
         """Counts a first try."""
-        self.credit = min(BUDGET_CREDIT, self.credit + BUDGET_FRACTION)
+        self.credit = min(self.ceiling, self.credit + self.fraction)
 
     def spend(self) -> bool:
         """Takes one retry when the budget allows it."""
--- /dev/null
+++ b/oleanderhoist/policy/succession.py
@@ -0,0 +1,61 @@
+"""When a process should try to replace the leader.
+
+Load pattern: the leader dies, freezes, or is cut off from its peers or from
+the store. Its record in the store is rewritten twice a second while it can
+reach the store, so a record that stays the same shows that it cannot, whatever
+this process hears or does not hear. Only a few processes try, one after the
+other, so that a loss does not send all of them to the store at once.
+"""
+
+import dataclasses
+
+from oleanderhoist.policy import hashing
+
+SILENCE_SECONDS = 0.75
+STALE_AGE_SECONDS = 1.3
+UNCHANGED_SECONDS = 0.65
+TURN_SECONDS = 0.2
+CANDIDATES = 3
+OUTSIDER_SECONDS = 2.5
+FIRST_SPREAD_SECONDS = 0.5
+UNFIT_SECONDS = 8.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class Watch:
+    """What a process has seen of the leadership record.
+
+    Attributes:
+        revision: Revision that was read last; None before the first.
+        since: When that revision was read for the first time.
+    """
+
+    revision: int | None = None
+    since: float = 0.0
+
+    def note(self, revision: int, now: float) -> None:
+        """Takes in a revision that was read."""
+        if revision != self.revision:
+            self.revision = revision
+            self.since = now
+
+    def unchanged(self, now: float) -> float:
+        """Returns for how long the record has been the same, in seconds."""
+        return now - self.since if self.revision is not None else 0.0
+
+
+def turn(me: str, members: list[str], epoch: int) -> int:
+    """Returns this process's place in the order of candidates."""
+    order = sorted(members, key=lambda name: hashing.digest(f"{epoch}|{name}"))
+    return order.index(me) if me in order else len(order)
+
+
+def delay(me: str, members: list[str], epoch: int) -> float:
+    """Returns how long this process lets others go first, in seconds."""
+    if not members:
+        part = hashing.digest(f"{epoch}|{me}") / 2.0**64
+        return part * FIRST_SPREAD_SECONDS
+    place = turn(me, members, epoch)
+    if place < CANDIDATES:
+        return place * TURN_SECONDS
+    return OUTSIDER_SECONDS + (place % 8) * TURN_SECONDS
--- /dev/null
+++ b/oleanderhoist/policy/tenure.py
@@ -0,0 +1,66 @@
+"""When a leader may give orders, and when an earlier order has lapsed.
+
+A lease at a server runs from the arrival of the grant, on the server's clock,
+which may be slow. A leader confirms in the store that nobody has replaced it;
+for `TENURE_SECONDS` after a confirmation it may renew leases, so that a store
+that is away takes no keys from their owners. A successor that cannot reach an
+owner waits until no leader before it can have a grant in force there.
+"""
+
+import dataclasses
+
+HOLD_SECONDS = 2.5
+RENEW_SECONDS = 0.6
+DOUBT_SECONDS = 0.9
+TENURE_SECONDS = 14.0
+CLOCK_DRIFT = 1.03
+MARGIN_SECONDS = 0.5
+
+
+@dataclasses.dataclass(kw_only=True)
+class Tenure:
+    """A leader's right to give orders.
+
+    Attributes:
+        epoch: Number of this leadership.
+        confirmed: When the store last confirmed it, on the suspend-aware
+            clock, in seconds.
+        began: When it began, on the same clock.
+        longest_hold: Longest lease that servers accept, in seconds.
+    """
+
+    epoch: int
+    confirmed: float
+    began: float
+    longest_hold: float
+
+    def may_order(self, now: float) -> bool:
+        """Tells whether grants may be sent."""
+        return now - self.confirmed < TENURE_SECONDS
+
+    def may_move(self, now: float) -> bool:
+        """Tells whether the store answers, so that keys may move."""
+        return now - self.confirmed < DOUBT_SECONDS
+
+    def hold(self, now: float) -> float:
+        """Returns the length of a lease that is granted now, in seconds.
+
+        Leases are short while the store answers, so that a crashed owner is
+        replaced soon, and as long as servers allow while it does not.
+        """
+        return HOLD_SECONDS if self.may_move(now) else self.longest_hold
+
+    def inherited_until(self) -> float:
+        """Returns when grants of all earlier leaders have lapsed."""
+        last = self.began + TENURE_SECONDS
+        return lapse(last, self.longest_hold)
+
+
+def lapse(arrived: float, hold: float) -> float:
+    """Returns when a lease has surely ended.
+
+    Args:
+        arrived: Latest time at which the grant can have arrived.
+        hold: Its length in seconds.
+    """
+    return arrived + hold * CLOCK_DRIFT + MARGIN_SECONDS
--- a/oleanderhoist/program.py
+++ b/oleanderhoist/program.py
@@ -61,10 +61,18 @@
     Args:
         address: Where to listen.
         ready: Returns why the program is not ready, or an empty text.
+        ready_path: Path of the readiness probe.
     """
 
-    def __init__(self, *, address: client.Address, ready: Callable[[], str]):
+    def __init__(
+        self,
+        *,
+        address: client.Address,
+        ready: Callable[[], str],
+        ready_path: str = "/readyz",
+    ):
         self.ready = ready
+        self.ready_path = ready_path
         self.server = server.Server(
             handler=self.handle, host=address.host, port=address.port
         )
@@ -73,7 +81,7 @@
         """Answers one probe."""
         if request.path == "/livez":
             return messages.json_response({"live": True})
-        if request.path == "/readyz":
+        if request.path == self.ready_path:
             reason = self.ready()
             status = 503 if reason else 200
             return messages.json_response({"reason": reason}, status)
--- a/oleanderhoist/settings.py
+++ b/oleanderhoist/settings.py
@@ -70,6 +70,57 @@
     advertise: str
 
 
+class SettingsError(Exception):
+    """Settings are missing or wrong.
+
+    Attributes:
+        problems: One line for each field, naming the field and the fix.
+    """
+
+    def __init__(self, problems: list[str]):
+        super().__init__("; ".join(problems))
+        self.problems = problems
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RouterSettings:
+    """Settings of ``oleander-router``.
+
+    Attributes:
+        id: Name of this process's VM.
+        ip: IP number of the VM.
+        data_center: Where it runs.
+        front: Address for callers.
+        ready: Address of the readiness probe.
+        peer_port: UDP port for the system's own processes.
+        metrics_port: TCP port of /metrics.
+        store: Address of the row store.
+        cores: Share of a processor.
+        memory_bytes: Memory of the VM.
+        longest_hold: Longest lease that servers accept, in seconds.
+        retry_ratio: Retries allowed for each request to a pool.
+        retry_window: Time over which retries are counted, in seconds.
+        retry_extra: Retries allowed in a window beyond the ratio.
+        stop_seconds: Time from the stop signal to the kill, in seconds.
+    """
+
+    id: str
+    ip: str
+    data_center: str
+    front: client.Address
+    ready: client.Address
+    peer_port: int
+    metrics_port: int
+    store: client.Address
+    cores: float
+    memory_bytes: int
+    longest_hold: float
+    retry_ratio: float
+    retry_window: float
+    retry_extra: float
+    stop_seconds: float
+
+
 class AddressType(click.ParamType):
     """A ``host:port`` with an IP number."""
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -5,7 +5,7 @@
 
 from oleanderhoist import clock
 from oleanderhoist.entry import claims
-from oleanderhoist.platform import table
+from oleanderhoist.native import table
 
 
 class DownTable:
--- a/tests/test_tree.py
+++ b/tests/test_tree.py
@@ -11,7 +11,7 @@
 LAYERS = [
     {"policy"},
     {"http"},
-    {"peers", "platform"},
+    {"peers", "native"},
     {"entry", "placer"},
     {"commands", "queries"},
     {"cli"},
