Greet the leader that the store names

Cause: a router without a leader read the record but never spoke to its holder, so the leader had no members and all read the store by themselves.

--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -151,8 +151,9 @@
         except ports.StoreError as error:
             reader.note(error)
             return
-        epoch = records.leadership_of(rows).epoch
-        if self.state.picture is not before or epoch < before.epoch:
+        record = records.leadership_of(rows)
+        self.meet(record)
+        if self.state.picture is not before or record.epoch < before.epoch:
             return
         picture = fleet.Picture(
             epoch=before.epoch,
@@ -190,6 +191,7 @@
         record = records.leadership_of(rows)
         row = rows.get(records.LEADER_KEY)
         self.watch.note(row.revision if row else 0, now)
+        self.meet(record)
         vacant = not record.address or record.address == self.me.address
         if not vacant and self.watch.unchanged(now) < (
             succession.UNCHANGED_SECONDS
@@ -277,6 +279,18 @@
         elif self.leader_address:
             self.peers.send(self.leader_address, self.hello(leaving=True))
 
+    def meet(self, record: records.Leadership) -> None:
+        """Greets the leader that the store names, unless it is known."""
+        known = (self.epoch, self.leader_address)
+        if record.epoch < self.epoch or not record.address:
+            return
+        if record.address == self.me.address:
+            return
+        if (record.epoch, record.address) != known:
+            self.epoch = record.epoch
+            self.leader_address = record.address
+            self.peers.send(record.address, self.hello())
+
     def hello(self, *, leaving: bool = False) -> wire.Hello:
         """Returns what this process tells the leader now."""
         seen = self.router.seen_keys
