Send changed owners instead of whole pictures; keep large bodies near

Cause: each move of keys published 2.4 KB to every router twice, and uploads of 60 KB tried out idle servers of other data centres. Change: deltas of owners; a body over 4 KB explores near.

--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -85,6 +85,7 @@
         self.reaching: asyncio.Task | None = None
         peers.handlers[wire.Beat] = self.on_beat
         peers.handlers[wire.Part] = self.on_part
+        peers.handlers[wire.Delta] = self.on_delta
         peers.handlers[wire.Hello] = self.on_hello
 
     def silent(self, now: float) -> float:
@@ -350,6 +351,16 @@
                 self.terms_watch.reach(revision)
             )
 
+    def on_delta(self, peer: str, message: wire.Delta) -> None:
+        """Applies a change of owners to the picture that it is for."""
+        present = self.state.picture
+        if self.leading is not None or message.epoch != present.epoch:
+            return
+        if message.base == present.version:
+            self.state.adopt(wire.apply(present, message), peer)
+        elif message.version > present.version:
+            self.peers.send(peer, self.hello())
+
     def on_part(self, peer: str, message: wire.Part) -> None:
         """Takes a part of a picture, and adopts it once it is whole."""
         name = (message.epoch, message.version)
--- a/oleanderhoist/node/leader.py
+++ b/oleanderhoist/node/leader.py
@@ -259,11 +259,19 @@
                 servers=dict(self.directory.servers),
                 maps={pool: o.published() for pool, o in self.owners.items()},
             )
-            self.parts = [wire.encode(part) for part in wire.pack(picture)]
-            for address in self.members:
-                self.send_picture(address)
+            self.spread(picture)
             self.state.adopt(picture, "own")
 
+    def spread(self, picture: fleet.Picture) -> None:
+        """Sends a new picture, or just the owners that changed, to all."""
+        delta = wire.difference(self.state.picture, picture)
+        self.parts = [wire.encode(part) for part in wire.pack(picture)]
+        for address in self.members:
+            if delta is None:
+                self.send_picture(address)
+            elif address != self.me.address:
+                self.peers.send(address, delta)
+
     def send_picture(self, address: str) -> None:
         """Sends the picture to a member."""
         if address == self.me.address:
--- a/oleanderhoist/node/permits.py
+++ b/oleanderhoist/node/permits.py
@@ -118,6 +118,7 @@
                 left_ms=round((ticket.deadline - now) * 1000),
                 objective_ms=round((ticket.objective - now) * 1000),
                 data_center=ticket.data_center,
+                body_bytes=ticket.body_bytes,
                 excluded=list(ticket.excluded),
             ),
         )
@@ -229,6 +230,7 @@
             deadline=now + message.left_ms / 1000,
             objective=now + message.objective_ms / 1000,
             data_center=message.data_center,
+            body_bytes=message.body_bytes,
             excluded=frozenset(message.excluded),
         )
         wait = self.homes.ask(
--- a/oleanderhoist/node/router.py
+++ b/oleanderhoist/node/router.py
@@ -193,6 +193,7 @@
             deadline=job.deadline,
             objective=job.objective,
             data_center=self.data_center,
+            body_bytes=len(job.body),
             excluded=frozenset(job.failed),
         )
         verdict = await self.permits.ask(lane, ticket)
--- a/oleanderhoist/node/wire.py
+++ b/oleanderhoist/node/wire.py
@@ -1,5 +1,6 @@
 """Datagrams between routers and their codec (MessagePack)."""
 
+import dataclasses
 import zlib
 
 import msgspec
@@ -67,6 +68,22 @@
     data: bytes
 
 
+class Delta(Message):
+    """The ranges whose owners differ from those of an earlier picture.
+
+    Attributes:
+        epoch: Epoch of both pictures.
+        base: Version of the earlier picture.
+        version: Version of the new picture.
+        ranges: First key, last key and owner of each range, by pool.
+    """
+
+    epoch: int
+    base: int
+    version: int
+    ranges: dict[str, list[tuple[int, int, str]]]
+
+
 class Ask(Message):
     """A router asks a lane's home for a slot."""
 
@@ -76,6 +93,7 @@
     left_ms: int
     objective_ms: int
     data_center: str
+    body_bytes: int
     excluded: list[str]
 
 
@@ -118,7 +136,7 @@
 
 
 AnyMessage = (
-    Hello | Beat | Part | Ask | Waiting | Slot | Refusal | Done | Cancel
+    Hello | Beat | Part | Delta | Ask | Waiting | Slot | Refusal | Done | Cancel
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -224,6 +242,39 @@
     ]
 
 
+def difference(before: fleet.Picture, after: fleet.Picture) -> Delta | None:
+    """Returns what changed, or None when more than owners did."""
+    if before.epoch != after.epoch or before.maps.keys() != after.maps.keys():
+        return None
+    if before.servers != after.servers or before.members != after.members:
+        return None
+    ranges = {}
+    for pool, key_map in after.maps.items():
+        known = set(before.maps[pool].ranges)
+        ranges[pool] = [
+            (one.start, one.end, one.owner)
+            for one in key_map.ranges
+            if one not in known
+        ]
+    return Delta(
+        epoch=after.epoch,
+        base=before.version,
+        version=after.version,
+        ranges=ranges,
+    )
+
+
+def apply(picture: fleet.Picture, delta: Delta) -> fleet.Picture:
+    """Returns the picture after a change of owners."""
+    maps = dict(picture.maps)
+    for pool, ranges in delta.ranges.items():
+        changed = maps.get(pool, keys.unowned())
+        for start, end, owner in ranges:
+            changed = changed.assign(start, end, owner)
+        maps[pool] = changed
+    return dataclasses.replace(picture, version=delta.version, maps=maps)
+
+
 def pack_map(pool: str, key_map: keys.KeyMap) -> MapItem:
     """Encodes the owners of a pool's keys."""
     servers = sorted({one.owner for one in key_map.ranges})
--- a/oleanderhoist/policy/lanes.py
+++ b/oleanderhoist/policy/lanes.py
@@ -19,8 +19,10 @@
 FAILURE_SMOOTHING = 0.15
 BLOCKED_FAILURES = 0.6
 BLOCK_SECONDS = 0.7
-EXPLORE_SECONDS = 0.6
-FAR_PENALTY = 1.05
+EXPLORE_SECONDS = 1.5
+EXPLORE_BYTES = 4_000
+FAR_PENALTY = 0.05
+FAR_BYTES = 20_000  # A far server counts as twice as slow for such a body.
 RATE_WINDOW_SECONDS = 0.5
 MIN_RETRY_SECONDS = 0.05
 MAX_RETRY_SECONDS = 2.0
@@ -39,6 +41,7 @@
         deadline: When its caller gives up, in seconds on the lane's clock.
         objective: Until when an answer is worth most, on the same clock.
         data_center: Where the asker runs.
+        body_bytes: Size of the request's body.
         excluded: Servers that have failed it.
     """
 
@@ -48,6 +51,7 @@
     deadline: float
     objective: float
     data_center: str = ""
+    body_bytes: int = 0
     excluded: frozenset[str] = frozenset()
 
 
@@ -223,9 +227,9 @@
             only = len(self.servers) == 1 and free
             return free[0] if only else None
         idle = min(fresh, key=lambda s: s.used)
-        if now - idle.used > EXPLORE_SECONDS and not idle.running:
+        if now - idle.used > EXPLORE_SECONDS and explores(ticket, idle):
             return idle
-        return min(fresh, key=lambda s: expected(s, ticket.data_center))
+        return min(fresh, key=lambda s: expected(s, ticket))
 
     def grant(self, ticket: Ticket, server: Server, now: float) -> Granted:
         """Gives a ticket a slot."""
@@ -308,7 +312,15 @@
         return waiting
 
 
-def expected(server: Server, data_center: str) -> float:
-    """Returns the expected time of a request at a server, failures priced."""
-    far = 1.0 if server.data_center == data_center else FAR_PENALTY
+def explores(ticket: Ticket, idle: Server) -> bool:
+    """Tells whether a ticket may try out a server that was long idle."""
+    near = idle.data_center == ticket.data_center
+    return near or ticket.body_bytes < EXPLORE_BYTES
+
+
+def expected(server: Server, ticket: Ticket) -> float:
+    """Returns the expected time at a server, failures and distance priced."""
+    far = 1.0
+    if server.data_center != ticket.data_center:
+        far += FAR_PENALTY + ticket.body_bytes / FAR_BYTES
     return server.service * far / max(0.1, 1.0 - server.failures)
