Divide a contract's burst evenly until shares are known

In the first windows after a contract an entry has a fifth of an even rate share, and its burst was cut by the same factor, to 1.3 requests. Change: the burst is divided evenly while no share is known; the rate is not.

--- a/oleanderhoist/entry/admission.py
+++ b/oleanderhoist/entry/admission.py
@@ -48,13 +48,24 @@
         self.asked[name] += 1
         now = self.clock.monotonic()
         rate = self.share(name, work.rate_per_second)
-        burst = work.burst * rate / work.rate_per_second
+        burst = work.burst * self.burst_part(name, rate, work.rate_per_second)
         bucket = self.buckets.get(name)
         if bucket is None:
             bucket = limits.Bucket(tokens=burst, updated_at=now)
             self.buckets[name] = bucket
         return bucket.take(rate, burst, now)
 
+    def burst_part(self, name: str, rate: float, limit: float) -> float:
+        """Returns this entry's part of a contract's burst.
+
+        Without a share of the present window the burst is divided evenly:
+        unlike the rate, it is spent once, so the parts still add up.
+        """
+        window = limits.window_of(self.clock.wall())
+        if name in self.shares.get(window, {}):
+            return rate / limit
+        return 1.0 / max(1, len(self.views.picture.entries))
+
     def count(self) -> dict[str, float]:
         """Returns the demand of the last full interval, per second."""
         now = self.clock.monotonic()
