Send a second try beside the first instead of in its place

Change: the first try goes on; after SIGTERM there is no second one. Ruled out: grace too short (it ended 2.4 s in).

--- a/oleanderhoist/events.py
+++ b/oleanderhoist/events.py
@@ -201,6 +201,12 @@
     "The home of a lane did not reply; it is passed over.",
     "oleanderhoist.node.permits",
 )
+REQUEST_HEDGED = define(
+    414,
+    "request.hedged",
+    "A repeatable request without an answer is sent once more beside it.",
+    "oleanderhoist.node.router",
+)
 SERVER_BLOCKED = define(
     413,
     "server.blocked",
--- a/oleanderhoist/node/core.py
+++ b/oleanderhoist/node/core.py
@@ -170,6 +170,7 @@
         end = loop.time() + self.settings.stop_seconds - END_MARGIN_SECONDS
         self.stopping = True
         self.front.server.closing_answers = True
+        self.router.stopping = True
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(1.0):
                 await self.follower.stop()
--- a/oleanderhoist/node/router.py
+++ b/oleanderhoist/node/router.py
@@ -1,5 +1,6 @@
 """Takes one request to a server, and tells how it ended."""
 
+import asyncio
 import dataclasses
 import itertools
 import random
@@ -31,7 +32,7 @@
 OWNER_WAIT_SECONDS = 0.4
 NO_OWNER_RETRY_SECONDS = 0.5
 ANSWER_SLACK_SECONDS = 0.08
-PATIENCE_FACTOR = 4.0
+KEYED_PATIENCE = 2.0
 
 SENT = prometheus_client.Counter(
     "oleander_sends", "Requests sent to servers by result", ["result"]
@@ -56,7 +57,7 @@
         objective: Until when an answer is worth most.
         sends: Times that it was sent to a server.
         misses: Tries that ended before it was sent.
-        failed: Servers that have failed it.
+        tried: Servers that it was sent to.
         maybe_run: Whether a server may have run it.
     """
 
@@ -70,7 +71,7 @@
     objective: float
     sends: int = 0
     misses: int = 0
-    failed: set[str] = dataclasses.field(default_factory=set)
+    tried: set[str] = dataclasses.field(default_factory=set)
     maybe_run: bool = False
 
 
@@ -123,13 +124,17 @@
         self.data_center = data_center
         self.clients = client.Clients(connect_seconds=CONNECT_SECONDS)
         self.ids = itertools.count(1)
+        self.stopping = False
         self.seen_keys: dict[str, list[int]] = {}
 
     async def serve(self, job: Job) -> outcomes.Outcome:
         """Returns how a request ended."""
         self.budget.earn(job.pool)
         while True:
-            result = await self.attempt(job)
+            if job.work.repeatable and job.sends + 1 < job.work.attempts:
+                result = await self.hedged(job)
+            else:
+                result = await self.attempt(job)
             if not isinstance(result, Failed):
                 return result
             if not self.again(job, result):
@@ -145,6 +150,42 @@
                 sends=job.sends,
             )
 
+    async def hedged(self, job: Job) -> outcomes.Outcome | Failed:
+        """Tries once, and once more beside it when no answer comes.
+
+        The first try goes on, so an answer that is merely slow is delivered.
+        """
+        tries = {asyncio.create_task(self.attempt(job))}
+        first = next(iter(tries))
+        try:
+            await asyncio.wait(tries, timeout=self.patience(job))
+            if first.done() or not self.may_hedge(job):
+                return await first
+            log.limited(
+                events.REQUEST_HEDGED, request=job.call.id, pool=job.pool
+            )
+            tries.add(asyncio.create_task(self.attempt(job)))
+            return await best(first, tries)
+        finally:
+            for task in tries:
+                task.cancel()
+
+    def patience(self, job: Job) -> float:
+        """Returns how long an answer may take before a second try, in seconds.
+
+        Where only one server can run a request, a second try adds to what
+        makes that server slow, so it comes later.
+        """
+        left = job.deadline - self.clock.monotonic()
+        factor = KEYED_PATIENCE if job.call.key is not None else 1.0
+        return max(factor * job.work.objective, left / 2)
+
+    def may_hedge(self, job: Job) -> bool:
+        """Tells whether a second try beside the first is right."""
+        if self.stopping or not 0 < job.sends < job.work.attempts:
+            return False
+        return self.budget.spend(job.pool)
+
     def again(self, job: Job, result: Failed) -> bool:
         """Tells whether another try is right."""
         if job.sends >= job.work.attempts:
@@ -194,7 +235,7 @@
             objective=job.objective,
             data_center=self.data_center,
             body_bytes=len(job.body),
-            excluded=frozenset(job.failed),
+            excluded=frozenset(job.tried),
         )
         verdict = await self.permits.ask(lane, ticket)
         if isinstance(verdict, lanes.Refused):
@@ -292,12 +333,14 @@
         left = job.deadline - self.clock.monotonic()
         if left <= 0:
             return Failed(failure=retry.Failure.NOT_SENT, code=codes.TOO_LATE)
+        job.sends += 1
+        job.tried.add(server.id)
         idle = 60.0 if job.work.repeatable else UNREPEATABLE_IDLE_SECONDS
         try:
             response = await self.clients.get(server.address).request(
                 job.request.method,
                 job.request.target,
-                timeout=self.patience(job, left),
+                timeout=left + ANSWER_SLACK_SECONDS,
                 headers=self.platform.forward(job.request, server, left),
                 body=job.body,
                 idle_seconds=idle,
@@ -306,36 +349,21 @@
             )
         except client.ExchangeError as error:
             return self.broken(job, server, error)
-        job.sends += 1
         return self.judge(job, server, response)
 
-    def patience(self, job: Job, left: float) -> float:
-        """Returns how long to wait for an answer, in seconds.
-
-        A repeatable request whose answer seems lost is given up early enough
-        to be sent once more.
-        """
-        whole = left + ANSWER_SLACK_SECONDS
-        last = job.sends + 1 >= job.work.attempts
-        if not job.work.repeatable or last:
-            return whole
-        early = max(job.work.objective, left / 2)
-        return early if early < left else whole
-
     def broken(
         self, job: Job, server: fleet.Server, error: client.ExchangeError
     ) -> Failed:
         """Judges an exchange without a whole answer."""
         detail = f"server {server.id}: {error}"
-        job.failed.add(server.id)
         if not error.sent:
+            job.sends -= 1
             return Failed(
                 failure=retry.Failure.NOT_SENT,
                 code=codes.NO_SERVER,
                 detail=detail,
                 wait=job.call.key is not None,
             )
-        job.sends += 1
         job.maybe_run = True
         code = codes.LOST
         if error.late:
@@ -351,7 +379,6 @@
         said = self.platform.said(response)
         if said is ports.Said.ANSWERED:
             return outcomes.Complete(response=response, server=server.id)
-        job.failed.add(server.id)
         detail = f"server {server.id}: {said.value} {response.status}"
         if said in (ports.Said.REFUSED, ports.Said.NOT_MINE):
             return Failed(
@@ -414,6 +441,21 @@
         return self.get(pool).spend()
 
 
+async def best(
+    first: asyncio.Task, tries: set[asyncio.Task]
+) -> outcomes.Outcome | Failed:
+    """Returns the first answer among tries, or how the first try ended."""
+    waiting = set(tries)
+    while waiting:
+        done, waiting = await asyncio.wait(
+            waiting, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            if isinstance(task.result(), outcomes.Complete):
+                return task.result()
+    return first.result()
+
+
 def draw(work: terms.Work) -> str:
     """Draws the pool that serves a request."""
     return work.pick(random.random())
