Write the end of an unreachable owner's lease into the store

Six servers had left during an outage of the store, leaders were stopped in turn, and each successor waited 25 s anew for leases that an earlier leader might have granted. Ruled out: overload (refusals were code 3003, no owner, none 3001). Change: a lost owner is struck from the map with the time at which its lease has lapsed, in the store's clock; a resigning leader leaves the same for all its grants; a leader orders for 5 s without confirmation instead of 14 s, so that outages up to 15 s are still bridged.

--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -233,6 +233,10 @@
             began=self.clock.boottime(),
             longest_hold=self.longest_hold,
         )
+        if before.lapse_ms:
+            now = self.clock.boottime()
+            wait = self.platform.store_clock.wait(before.lapse_ms, now)
+            right.lapsed = now + wait
         await self.lead(rows, right)
 
     async def lead(
--- a/oleanderhoist/node/holder.py
+++ b/oleanderhoist/node/holder.py
@@ -168,20 +168,20 @@
             reason=reason,
         )
 
-    async def take_back(self, one: keys.Range) -> str:
+    async def take_back(self, one: keys.Range, tries: int) -> str | None:
         """Ends the server's hold on a range.
 
         Returns:
-            The handover token; empty when the lease ran out instead.
+            The handover token, or None when the server did not answer.
         """
-        while self.clock.boottime() < self.until:
+        for _ in range(tries):
             if self.tenure.may_order(self.clock.boottime()):
                 try:
                     return await self.release(one)
                 except ports.OrderError as error:
                     self.note_failure(str(error))
             await asyncio.sleep(RETRY_SECONDS)
-        return ""
+        return None
 
     async def release(self, one: keys.Range) -> str:
         """Raises the fence of a range, then takes the range back.
--- a/oleanderhoist/node/leader.py
+++ b/oleanderhoist/node/leader.py
@@ -319,10 +319,22 @@
                 if id in one.servers:
                     one.speeds[id] = speed
 
+    def lapse_ms(self) -> int:
+        """Returns when all grants have lapsed, in the store's time."""
+        until = self.tenure.own_until(self.clock.boottime())
+        for one in self.owners.values():
+            owners = one.recorded_owners()
+            for id in owners & one.holders.keys():
+                until = max(until, one.holders[id].until)
+            if owners & one.inherited - one.holders.keys():
+                until = max(until, self.tenure.inherited_until())
+        return self.platform.store_clock.latest(until)
+
     async def resign(self) -> None:
         """Gives up the leadership, so that another takes over at once."""
+        self.tenure.resigned = True
         try:
-            await self.records.renew(resign=True)
+            await self.records.renew(lapse_ms=self.lapse_ms())
         except (ports.StoreError, records.DeposedError) as error:
             log.write(events.LEADERSHIP_FAILED, reason=f"resigning: {error}")
         now = self.clock.monotonic()
--- a/oleanderhoist/node/owner.py
+++ b/oleanderhoist/node/owner.py
@@ -25,6 +25,7 @@
 PLAN_SECONDS = 0.2
 RATE_SECONDS = 0.4
 SETTLE_SECONDS = 0.8
+RELEASE_TRIES = 2
 DEFAULT_SERVICE_MS = 100.0
 
 Spawn = Callable[[Coroutine], object]
@@ -104,6 +105,10 @@
         """Returns the owners that are, or are about to be, recorded."""
         return self.key_map or keys.unowned()
 
+    def recorded_owners(self) -> set[str]:
+        """Returns the ids of all recorded owners."""
+        return {one.owner for one in self.recorded().ranges if one.owner}
+
     def published(self) -> keys.KeyMap:
         """Returns the owners that requests may be sent to."""
         shown = self.recorded()
@@ -244,6 +249,8 @@
         """Carries out a move."""
         began = self.clock.boottime()
         token = await self.take_back(move)
+        if token is None:
+            token = await self.wait_lapse(move)
         target = self.replacement(move)
         self.key_map = self.recorded().assign(move.start, move.end, target)
         await self.records.write_map(self.pool, self.recorded)
@@ -264,18 +271,43 @@
         )
         self.publish()
 
-    async def take_back(self, move: balance.Move) -> str:
-        """Ends the source's hold; returns the handover token."""
-        if not move.source:
-            return ""
-        source = self.keeper(move.source)
-        if source is not None:
-            return await source.take_back(
-                keys.Range(start=move.start, end=move.end)
+    async def take_back(self, move: balance.Move) -> str | None:
+        """Ends the source's hold; None when it could not be reached."""
+        source = self.keeper(move.source) if move.source else None
+        if source is None:
+            return None
+        taken = keys.Range(start=move.start, end=move.end)
+        return await source.take_back(taken, RELEASE_TRIES)
+
+    async def wait_lapse(self, move: balance.Move) -> str:
+        """Waits until no lease on the keys of a lost owner is in force.
+
+        The time is written down in the store's clock first, together with
+        the promise that nobody grants to the lost owner any more; a later
+        leader then waits no longer than this one.
+
+        Returns:
+            The handover token, if the owner answers meanwhile, else nothing.
+        """
+        clock = self.platform.store_clock
+        source = self.keeper(move.source) if move.source else None
+        present = self.recorded().find(move.start)
+        free_at = present.free_at
+        if present.owner:
+            until = source.until if source else self.tenure.inherited_until()
+            free_at = clock.latest(until)
+            self.key_map = self.recorded().assign(
+                move.start, move.end, "", free_at=free_at
             )
-        if move.source in self.inherited:
-            left = self.tenure.inherited_until() - self.clock.boottime()
-            await asyncio.sleep(max(0.0, left))
+            await self.records.write_map(self.pool, self.recorded)
+        while left := clock.wait(free_at, self.clock.boottime()):
+            if source is None:
+                await asyncio.sleep(left)
+                continue
+            taken = keys.Range(start=move.start, end=move.end)
+            token = await source.take_back(taken, 1)
+            if token is not None:
+                return token
         return ""
 
     def replacement(self, move: balance.Move) -> str:
--- a/oleanderhoist/node/records.py
+++ b/oleanderhoist/node/records.py
@@ -30,11 +30,14 @@
         epoch: Rises with every change of the leader.
         address: Who leads; empty after a resignation.
         beat: Differs in every write.
+        lapse_ms: After a resignation, when all grants of this and earlier
+            leaders have lapsed, in the store's milliseconds.
     """
 
     epoch: int
     address: str
     beat: int = 0
+    lapse_ms: int = 0
 
 
 class DeposedError(Exception):
@@ -64,8 +67,10 @@
     for key, row in rows.items():
         if key.startswith(MAP_PREFIX):
             ranges = [
-                keys.Range(start=start, end=end, owner=owner)
-                for start, end, owner in json.loads(row.value)["ranges"]
+                keys.Range(start=start, end=end, owner=owner, free_at=free_at)
+                for start, end, owner, free_at in json.loads(row.value)[
+                    "ranges"
+                ]
             ]
             maps[key.removeprefix(MAP_PREFIX)] = keys.KeyMap(ranges=ranges)
     return maps
@@ -96,9 +101,12 @@
         self.lock = asyncio.Lock()
         self.beats = 0
 
-    async def renew(self, *, resign: bool = False) -> None:
+    async def renew(self, *, lapse_ms: int | None = None) -> None:
         """Writes the leadership record again.
 
+        Args:
+            lapse_ms: Resigns: when all grants have lapsed.
+
         Raises:
             DeposedError: Another process leads.
             ports.StoreError: The store did not take the write.
@@ -106,8 +114,9 @@
         self.beats += 1
         record = Leadership(
             epoch=self.tenure.epoch,
-            address="" if resign else self.address,
+            address=self.address if lapse_ms is None else "",
             beat=self.beats,
+            lapse_ms=lapse_ms or 0,
         )
         value = encode_leadership(record)
         await self.write(LEADER_KEY, lambda: value)
@@ -137,7 +146,7 @@
     def encode(self, key_map: keys.KeyMap) -> bytes:
         """Encodes the owners of a pool's keys; no two results are equal."""
         self.beats += 1
-        ranges = [[r.start, r.end, r.owner] for r in key_map.ranges]
+        ranges = [[r.start, r.end, r.owner, r.free_at] for r in key_map.ranges]
         nonce = [self.tenure.epoch, self.beats]
         return json.dumps({"ranges": ranges, "nonce": nonce}).encode()
 
--- a/oleanderhoist/platform/adapter.py
+++ b/oleanderhoist/platform/adapter.py
@@ -1,5 +1,6 @@
 """The platform as one object that fills the product's ports."""
 
+from oleanderhoist import clock
 from oleanderhoist import outcomes
 from oleanderhoist import ports
 from oleanderhoist import settings
@@ -10,6 +11,7 @@
 from oleanderhoist.platform import orders
 from oleanderhoist.platform import store
 from oleanderhoist.policy import fleet
+from oleanderhoist.policy import storeclock
 
 READY_PATH = "/readiness"
 
@@ -25,7 +27,12 @@
     ready_path = READY_PATH
 
     def __init__(self, *, settings: settings.RouterSettings):
-        self.store = store.Store(address=settings.store)
+        self.store_clock = storeclock.StoreClock()
+        self.store = store.Store(
+            address=settings.store,
+            clock=clock.Clock(),
+            store_clock=self.store_clock,
+        )
 
     async def read_rows(self) -> dict[str, ports.Row]:
         """Returns the system's own rows by key."""
--- a/oleanderhoist/platform/store.py
+++ b/oleanderhoist/platform/store.py
@@ -5,9 +5,11 @@
 import json
 import urllib.parse
 
+from oleanderhoist import clock
 from oleanderhoist import ports
 from oleanderhoist.http import client
 from oleanderhoist.http import messages
+from oleanderhoist.policy import storeclock
 
 OWN_TABLE = "oleander"
 CALL_SECONDS = 1.2
@@ -33,10 +35,20 @@
 
     Args:
         address: The store.
+        clock: Time source.
+        store_clock: Takes in the store's time.
     """
 
-    def __init__(self, *, address: client.Address):
+    def __init__(
+        self,
+        *,
+        address: client.Address,
+        clock: clock.Clock,
+        store_clock: storeclock.StoreClock,
+    ):
         self.client = client.Client(address=address, connect_seconds=0.5)
+        self.clock = clock
+        self.store_clock = store_clock
 
     async def call(
         self,
@@ -52,6 +64,7 @@
             ports.StoreError: No answer came, or a refusal.
         """
         headers = [(b"content-type", b"application/json")] if body else []
+        sent = self.clock.boottime()
         try:
             response = await self.client.request(
                 method, path, timeout=timeout, headers=headers, body=body
@@ -64,8 +77,17 @@
             # 429 and 503 say that nothing was done.
             unclear = response.status not in (429, 503)
             raise ports.StoreError(f"status {response.status}", done=unclear)
+        self.note_time(response, sent)
         return response
 
+    def note_time(self, response: messages.Response, sent: float) -> None:
+        """Takes in the store's time, where an answer tells it."""
+        if response.status != 200:
+            return
+        millis = decode(response).get("now_ms")
+        if isinstance(millis, int):
+            self.store_clock.note(millis, sent, self.clock.boottime())
+
     async def rows(self, table: str) -> Snapshot:
         """Returns all rows of a table, without a part.
 
--- a/oleanderhoist/policy/keys.py
+++ b/oleanderhoist/policy/keys.py
@@ -14,11 +14,14 @@
         start: First key.
         end: Last key.
         owner: Id of the owning server; empty while nobody owns the range.
+        free_at: When the last owner's lease has surely lapsed, in the
+            store's milliseconds; only for ranges without an owner.
     """
 
     start: int
     end: int
     owner: str = ""
+    free_at: int = 0
 
     @property
     def size(self) -> int:
@@ -45,7 +48,9 @@
         """Returns the ranges of one server."""
         return [one for one in self.ranges if one.owner == owner]
 
-    def assign(self, start: int, end: int, owner: str) -> "KeyMap":
+    def assign(
+        self, start: int, end: int, owner: str, *, free_at: int = 0
+    ) -> "KeyMap":
         """Returns a map in which keys have another owner.
 
         Ranges are cut where needed, and neighbours with one owner joined.
@@ -58,7 +63,9 @@
             if one.start < start:
                 changed.append(dataclasses.replace(one, end=start - 1))
             if one.start <= start <= one.end:
-                changed.append(Range(start=start, end=end, owner=owner))
+                changed.append(
+                    Range(start=start, end=end, owner=owner, free_at=free_at)
+                )
             if one.end > end:
                 changed.append(dataclasses.replace(one, start=end + 1))
         return KeyMap(ranges=join(changed))
@@ -69,7 +76,8 @@
     joined: list[Range] = []
     for one in ranges:
         last = joined[-1] if joined else None
-        if last and last.owner == one.owner:
+        same = last and last.owner == one.owner and last.free_at == one.free_at
+        if last and same:
             joined[-1] = dataclasses.replace(last, end=one.end)
         else:
             joined.append(one)
--- a/oleanderhoist/policy/tenure.py
+++ b/oleanderhoist/policy/tenure.py
@@ -12,9 +12,10 @@
 HOLD_SECONDS = 2.5
 RENEW_SECONDS = 0.6
 DOUBT_SECONDS = 0.9
-TENURE_SECONDS = 14.0
+TENURE_SECONDS = 5.0
 CLOCK_DRIFT = 1.03
-MARGIN_SECONDS = 0.5
+MARGIN_SECONDS = 0.25
+ORDER_SECONDS = 0.5  # Longest time that a grant is on its way.
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -27,20 +28,25 @@
             clock, in seconds.
         began: When it began, on the same clock.
         longest_hold: Longest lease that servers accept, in seconds.
+        resigned: Whether no more orders may be given.
+        lapsed: When grants of earlier leaders have lapsed, where a
+            predecessor has told that; on the suspend-aware clock.
     """
 
     epoch: int
     confirmed: float
     began: float
     longest_hold: float
+    resigned: bool = False
+    lapsed: float | None = None
 
     def may_order(self, now: float) -> bool:
         """Tells whether grants may be sent."""
-        return now - self.confirmed < TENURE_SECONDS
+        return not self.resigned and now - self.confirmed < TENURE_SECONDS
 
     def may_move(self, now: float) -> bool:
         """Tells whether the store answers, so that keys may move."""
-        return now - self.confirmed < DOUBT_SECONDS
+        return not self.resigned and now - self.confirmed < DOUBT_SECONDS
 
     def hold(self, now: float) -> float:
         """Returns the length of a lease that is granted now, in seconds.
@@ -48,13 +54,20 @@
         Leases are short while the store answers, so that a crashed owner is
         replaced soon, and as long as servers allow while it does not.
         """
-        return HOLD_SECONDS if self.may_move(now) else self.longest_hold
+        calm = now - self.confirmed < DOUBT_SECONDS
+        return HOLD_SECONDS if calm else self.longest_hold
 
     def inherited_until(self) -> float:
         """Returns when grants of all earlier leaders have lapsed."""
+        if self.lapsed is not None:
+            return self.lapsed
         last = self.began + TENURE_SECONDS
         return lapse(last, self.longest_hold)
 
+    def own_until(self, now: float) -> float:
+        """Returns when orders that are on their way now have lapsed."""
+        return lapse(now + ORDER_SECONDS, self.hold(now))
+
 
 def lapse(arrived: float, hold: float) -> float:
     """Returns when a lease has surely ended.
--- a/oleanderhoist/ports.py
+++ b/oleanderhoist/ports.py
@@ -12,6 +12,7 @@
 from oleanderhoist.http import messages
 from oleanderhoist.policy import fleet
 from oleanderhoist.policy import registry
+from oleanderhoist.policy import storeclock
 from oleanderhoist.policy import terms
 
 
@@ -210,9 +211,11 @@
 
     Attributes:
         ready_path: Path at which the balancer asks for readiness.
+        store_clock: Bounds of the store's time.
     """
 
     ready_path: str
+    store_clock: storeclock.StoreClock
 
     async def read_rows(self) -> dict[str, Row]:
         """Returns the system's own rows by key.
