Bound retries across restarts; trust a calm store after a takeover

A process that knows no members yet took the whole extra of 139 retries, and each restart began with a full credit. Ruled out: hedges (same budget). Ruled out: a lost picture (routers had version 28). Mend: it waits only if this process saw the store fail. Tests in tests/test_node.py fail before (3 of 9) and pass after.

--- a/oleanderhoist/node/directory.py
+++ b/oleanderhoist/node/directory.py
@@ -6,10 +6,19 @@
 from oleanderhoist import ports
 from oleanderhoist.policy import fleet
 
+NEVER = float("-inf")
+
 
 class Directory:
     """The servers that count, as last read.
 
+    Args:
+        platform: Store of the directory.
+        clock: Time source.
+        servers: Servers that counted so far.
+        settled: When this process last saw the store fail, on the monotonic
+            clock.
+
     Attributes:
         servers: Servers by id.
         read_at: When the directory was last read, on the monotonic clock.
@@ -22,12 +31,13 @@
         platform: ports.Platform,
         clock: clock.Clock,
         servers: dict[str, fleet.Server],
+        settled: float = NEVER,
     ):
         self.platform = platform
         self.clock = clock
         self.servers = servers
         self.read_at = clock.monotonic()
-        self.settled = self.read_at if servers else -fleet.GONE_AFTER_SECONDS
+        self.settled = settled
         self.lost = False
         self.rejected: set[str] = set()
 
--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -78,6 +78,7 @@
         self.record_read = 0.0
         self.own_read = 0.0
         self.pause = 1.0
+        self.store_failed = directory.NEVER
         self.unfit_until = 0.0
         self.leading: leader.Leader | None = None
         self.stopping = False
@@ -133,6 +134,7 @@
 
     def back_off(self) -> None:
         """Reads less often while the store does not answer."""
+        self.store_failed = self.clock.monotonic()
         self.pause = min(MAX_PAUSE, self.pause * PAUSE_GROWTH)
 
     async def refresh(self) -> None:
@@ -260,6 +262,7 @@
             rows=rows,
             tenure=right,
             terms_watch=self.terms_watch,
+            store_failed=self.store_failed,
         )
         reason = ""
         try:
--- a/oleanderhoist/node/leader.py
+++ b/oleanderhoist/node/leader.py
@@ -49,6 +49,8 @@
         rows: Own rows, read after the leadership was taken.
         tenure: The leadership's tenure.
         terms_watch: Follows the contracts.
+        store_failed: When this process last saw the store fail, on the
+            monotonic clock.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         rows: dict[str, ports.Row],
         tenure: tenure.Tenure,
         terms_watch: termswatch.TermsWatch,
+        store_failed: float,
     ):
         self.platform = platform
         self.peers = peers
@@ -85,7 +88,10 @@
         now = clock.monotonic()
         self.heard = {address: now for address in self.members}
         self.directory = directory.Directory(
-            platform=platform, clock=clock, servers=state.picture.servers
+            platform=platform,
+            clock=clock,
+            servers=state.picture.servers,
+            settled=store_failed,
         )
         self.owners: dict[str, owner.Owner] = {}
         self.version = 0
--- a/oleanderhoist/node/router.py
+++ b/oleanderhoist/node/router.py
@@ -423,14 +423,25 @@
         self.by_pool: dict[str, retry.Budget] = {}
 
     def get(self, pool: str) -> retry.Budget:
-        """Returns the budget of a pool."""
-        if pool not in self.by_pool:
-            members = max(1, len(self.state.picture.members))
-            part = max(1.0, self.SAFETY * self.extra / members)
-            self.by_pool[pool] = retry.Budget(
-                credit=part, fraction=self.SAFETY * self.ratio, ceiling=part
-            )
-        return self.by_pool[pool]
+        """Returns the budget of a pool.
+
+        It begins almost empty: a process that was started again must not
+        spend anew what it has spent before.
+        """
+        budget = self.by_pool.get(pool)
+        if budget is None:
+            budget = retry.Budget(credit=1.0)
+            self.by_pool[pool] = budget
+        budget.fraction = self.SAFETY * self.ratio
+        budget.ceiling = self.part()
+        return budget
+
+    def part(self) -> float:
+        """Returns this process's part of the extra retries."""
+        members = len(self.state.picture.members)
+        if members < 2:
+            return 1.0
+        return max(1.0, self.SAFETY * self.extra / members)
 
     def earn(self, pool: str) -> None:
         """Counts a first try."""
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,161 @@
+"""Parts of a router without sockets."""
+
+import asyncio
+import unittest
+
+from oleanderhoist import ports
+from oleanderhoist.node import directory
+from oleanderhoist.node import router
+from oleanderhoist.node import state
+from oleanderhoist.node import wire
+from oleanderhoist.policy import fleet
+from oleanderhoist.policy import keys
+from tests import virtual
+
+
+def member(number: int) -> fleet.Member:
+    """Returns a member."""
+    return fleet.Member(
+        address=f"10.0.0.{number}:1", data_center="a", cores=1.0
+    )
+
+
+def picture(count: int, version: int = 1) -> fleet.Picture:
+    """Returns a picture with members."""
+    return fleet.Picture(
+        epoch=1,
+        version=version,
+        members={member(n).address: member(n) for n in range(count)},
+        maps={"pool": keys.spread([("a", 1.0), ("b", 1.0)])},
+    )
+
+
+class BudgetTest(unittest.TestCase):
+    """Retries of all processes together stay within the contract."""
+
+    def spend_all(self, budget: router.Budgets, requests: int) -> int:
+        """Returns how many retries a number of requests allows."""
+        spent = 0
+        for _ in range(requests):
+            budget.earn("pool")
+            spent += budget.spend("pool")
+        while budget.spend("pool"):
+            spent += 1
+        return spent
+
+    def test_a_process_that_knows_nobody_spends_no_extra(self):
+        known = state.State()
+        budget = router.Budgets(ratio=0.2, extra=139, state=known)
+        self.assertLessEqual(self.spend_all(budget, 0), 1)
+
+    def test_restarted_processes_together_stay_within_the_budget(self):
+        spent = 0
+        for _ in range(26):
+            known = state.State()
+            budget = router.Budgets(ratio=0.2, extra=139, state=known)
+            spent += self.spend_all(budget, 50)
+            known.picture = picture(26)
+            spent += self.spend_all(budget, 50)
+        self.assertLessEqual(spent, 0.2 * 26 * 100 + 139)
+
+
+class Listing:
+    """A platform that lists servers, or fails."""
+
+    def __init__(self):
+        self.ids = ["a", "b"]
+        self.fails = False
+
+    async def read_servers(self) -> ports.Listing:
+        """Returns the listed servers."""
+        if self.fails:
+            raise ports.StoreError("away", done=False)
+        servers = {
+            id: fleet.Server(
+                id=id, pool="p", address="x:1", data_center="a", slots=1
+            )
+            for id in self.ids
+        }
+        return ports.Listing(servers=servers, rejected={})
+
+
+class DirectoryTest(unittest.TestCase):
+    """Which servers count as gone."""
+
+    def setUp(self):
+        self.loop = virtual.Loop()
+        self.clock = virtual.Clock(loop=self.loop)
+        self.listing = Listing()
+
+    def read(self, followed: directory.Directory) -> set[str]:
+        """Reads once; returns the ids that count."""
+        asyncio.run(followed.read())
+        return set(followed.servers)
+
+    def make(self, **changes: object) -> directory.Directory:
+        """Returns a directory that was read once."""
+        made = directory.Directory(
+            platform=self.listing, clock=self.clock, servers={}, **changes
+        )
+        self.assertEqual({"a", "b"}, self.read(made))
+        return made
+
+    def test_a_server_missing_in_calm_is_gone_at_once(self):
+        followed = self.make()
+        self.listing.ids = ["a"]
+        self.assertEqual({"a"}, self.read(followed))
+
+    def test_a_new_leader_takes_a_missing_server_as_gone_at_once(self):
+        before = self.make().servers
+        self.listing.ids = ["a"]
+        followed = directory.Directory(
+            platform=self.listing, clock=self.clock, servers=before
+        )
+        self.assertEqual({"a"}, self.read(followed))
+
+    def test_entries_lapsed_in_an_outage_have_time_to_come_back(self):
+        followed = self.make()
+        self.listing.fails = True
+        self.read(followed)
+        self.listing.fails = False
+        self.listing.ids = ["a"]
+        self.loop.now += 1.9
+        self.assertEqual({"a", "b"}, self.read(followed))
+        self.loop.now += 1.0
+        self.assertEqual({"a"}, self.read(followed))
+
+
+class WireTest(unittest.TestCase):
+    """Pictures and their changes survive their encoding."""
+
+    def test_a_picture_survives_its_parts(self):
+        sent = picture(40)
+        parts = wire.pack(sent)
+        data = b"".join(part.data for part in parts)
+        got = wire.unpack(data, epoch=1, version=1, leader="")
+        self.assertEqual(sent.members, got.members)
+        self.assertEqual(sent.maps["pool"].ranges, got.maps["pool"].ranges)
+
+    def test_a_change_of_owners_makes_the_same_picture(self):
+        before = picture(3)
+        moved = (
+            before.maps["pool"].assign(5, 900, "b").assign(60_000, 60_000, "")
+        )
+        after = fleet.Picture(
+            epoch=1, version=2, members=before.members, maps={"pool": moved}
+        )
+        delta = wire.difference(before, after)
+        got = wire.apply(before, wire.decode(wire.encode(delta)))
+        self.assertEqual(moved.ranges, got.maps["pool"].ranges)
+
+    def test_new_members_need_a_whole_picture(self):
+        self.assertIsNone(wire.difference(picture(3), picture(4, 2)))
+
+    def test_a_malformed_datagram_is_an_error_of_its_own(self):
+        for data in (b"", b"\xc1", b"\x91\xa5Hello", b"\x00" * 40):
+            with self.assertRaises(wire.DecodeError):
+                wire.decode(data)
+
+
+if __name__ == "__main__":
+    unittest.main()
