Look for a leader at once; take an address with another server as an end

Cause 2: a process that starts waited 0.75 s for a leader it could not know. Mend: it looks at the record at once; the record is read every 0.65 s. Cause 3: one process was killed at the end of the grace time. Mend: it leaves 1.1 s to close. Also: own reads begin between 1.3 and 1.65 s of silence, after most successions. Ruled out: overload (code 3003 throughout), the directory (entries were gone).

--- a/oleanderhoist/node/core.py
+++ b/oleanderhoist/node/core.py
@@ -24,7 +24,7 @@
 
 RESTART_SECONDS = 0.2
 LINGER_SECONDS = 2.6
-END_MARGIN_SECONDS = 0.6
+END_MARGIN_SECONDS = 1.1  # To close, write the last lines and exit.
 
 ReadSettings = Callable[[], settings.RouterSettings]
 
--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -17,14 +17,16 @@
 from oleanderhoist.node import termswatch
 from oleanderhoist.node import wire
 from oleanderhoist.policy import fleet
+from oleanderhoist.policy import hashing
 from oleanderhoist.policy import succession
 from oleanderhoist.policy import tenure
 
 TICK_SECONDS = 0.1
 HELLO_SECONDS = 0.5
 OWN_READ_SECONDS = 0.9
-OWN_READ_AFTER_SECONDS = 1.1
-RECORD_READ_SECONDS = 0.35
+OWN_READ_AFTER_SECONDS = 1.3
+OWN_READ_SPREAD_SECONDS = 0.35
+RECORD_READ_SECONDS = 0.65
 PAUSE_GROWTH = 1.5
 MAX_PAUSE = 4.0
 
@@ -69,7 +71,8 @@
         self.terms_watch = termswatch.TermsWatch(platform=platform, state=state)
         self.leader_address = ""
         self.epoch = 0
-        self.heard = clock.monotonic()
+        # A new process has heard nobody, and need not wait to look around.
+        self.heard = clock.monotonic() - succession.SILENCE_SECONDS
         self.age = 0.0
         self.fresh = False
         self.resigned = False
@@ -77,6 +80,11 @@
         self.watch = succession.Watch()
         self.record_read = 0.0
         self.own_read = 0.0
+        # Most successions are over before the last routers read by themselves.
+        part = hashing.digest(me.address) / 2.0**64
+        self.own_read_after = (
+            OWN_READ_AFTER_SECONDS + part * OWN_READ_SPREAD_SECONDS
+        )
         self.pause = 1.0
         self.store_failed = directory.NEVER
         self.unfit_until = 0.0
@@ -120,7 +128,7 @@
                 silent_s=round(silence, 2),
                 age_s=round(self.age, 2),
             )
-        if silence > OWN_READ_AFTER_SECONDS or self.state.terms is None:
+        if silence > self.own_read_after or self.state.terms is None:
             self.read_own(now)
         await self.consider(now)
 
--- a/oleanderhoist/node/holder.py
+++ b/oleanderhoist/node/holder.py
@@ -15,6 +15,7 @@
 RETRY_SECONDS = 0.15
 RAISE_HOLD_SECONDS = 0.5
 LOST_SECONDS = 0.5
+STRANGER_ANSWERS = 2
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -69,6 +70,7 @@
         self.generation = -1
         self.tokens: dict[int, str] = {}
         self.failing_since: float | None = None
+        self.strangers = 0
         self.closed = False
         self.wake = asyncio.Event()
         self.turn = asyncio.Lock()
@@ -109,7 +111,9 @@
                     await self.grant(one)
             except ports.OrderError as error:
                 self.note_failure(str(error))
+                self.strangers += error.replaced
                 return False
+            self.strangers = 0 if ranges else self.strangers
             self.settle(granted=bool(ranges))
             return True
 
@@ -178,7 +182,8 @@
         """Ends the server's hold on a range.
 
         Returns:
-            The handover token, or None when the server did not answer.
+            The handover token, empty when another server has the address by
+            now; None when the server did not answer.
         """
         for _ in range(tries):
             if self.tenure.may_order(self.clock.boottime()):
@@ -186,6 +191,9 @@
                     return await self.release(one)
                 except ports.OrderError as error:
                     self.note_failure(str(error))
+                    self.strangers += error.replaced
+            if self.strangers >= STRANGER_ANSWERS:
+                return ""
             await asyncio.sleep(RETRY_SECONDS)
         return None
 
--- a/oleanderhoist/platform/orders.py
+++ b/oleanderhoist/platform/orders.py
@@ -11,6 +11,8 @@
 
 GRANT_PATH = "/grant"
 RELEASE_PATH = "/release"
+# A server that isn't the expected one, or takes no such orders.
+STRANGER_STATUSES = (400, 404, 421)
 GRANT_SECONDS = 0.4
 RELEASE_SECONDS = 2.5
 
@@ -91,7 +93,7 @@
         async with self.turn:
             response = await self.call(GRANT_PATH, body, GRANT_SECONDS)
         if response.status not in (200, 409):
-            raise ports.OrderError(f"grant answered {response.status}")
+            raise refusal("grant", response)
         return response.status == 200
 
     async def release(self, start: int, end: int, fence: int) -> str:
@@ -103,10 +105,18 @@
         body = {"from": start, "to": end, "fence": fence}
         response = await self.call(RELEASE_PATH, body, RELEASE_SECONDS)
         if response.status != 200:
-            raise ports.OrderError(f"release answered {response.status}")
+            raise refusal("release", response)
         return messages.find(response.headers, headers.HANDOVER) or ""
 
     def close(self) -> None:
         """Closes the connections."""
         self.grants.drop_idle()
         self.releases.drop_idle()
+
+
+def refusal(call: str, response: messages.Response) -> ports.OrderError:
+    """Returns the error for an answer that is neither yes nor no."""
+    return ports.OrderError(
+        f"{call} answered {response.status}",
+        replaced=response.status in STRANGER_STATUSES,
+    )
--- a/oleanderhoist/policy/tenure.py
+++ b/oleanderhoist/policy/tenure.py
@@ -13,7 +13,8 @@
 RENEW_SECONDS = 0.6
 DOUBT_SECONDS = 0.9
 FRESH_SECONDS = 0.6  # Shorter than a successor waits for the record.
-TENURE_SECONDS = 5.0
+BRIDGE_SECONDS = 7.0
+TENURE_SECONDS = 4.0
 CLOCK_DRIFT = 1.03
 MARGIN_SECONDS = 0.25
 ORDER_SECONDS = 0.5  # Longest time that a grant is on its way.
@@ -61,17 +62,21 @@
         """Returns the length of a lease that is granted now, in seconds.
 
         Leases are short while the store answers, so that a crashed owner is
-        replaced soon, and as long as servers allow while it does not.
+        replaced soon, and long while it does not.
         """
         calm = now - self.confirmed < DOUBT_SECONDS
-        return HOLD_SECONDS if calm else self.longest_hold
+        return HOLD_SECONDS if calm else self.bridge()
+
+    def bridge(self) -> float:
+        """Returns the length of leases while the store does not answer."""
+        return min(BRIDGE_SECONDS, self.longest_hold)
 
     def inherited_until(self) -> float:
         """Returns when grants of all earlier leaders have lapsed."""
         if self.lapsed is not None:
             return self.lapsed
         last = self.began + TENURE_SECONDS
-        return lapse(last, self.longest_hold)
+        return lapse(last, self.bridge())
 
     def own_until(self, now: float) -> float:
         """Returns when orders that are on their way now have lapsed."""
--- a/oleanderhoist/ports.py
+++ b/oleanderhoist/ports.py
@@ -168,7 +168,16 @@
 
 
 class OrderError(Exception):
-    """An order got no valid answer; it may be carried out yet."""
+    """An order got no valid answer; it may be carried out yet.
+
+    Attributes:
+        replaced: Whether another server answered at the address, so that the
+            one that was meant has ended.
+    """
+
+    def __init__(self, text: str, *, replaced: bool = False):
+        super().__init__(text)
+        self.replaced = replaced
 
 
 class Orders(typing.Protocol):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -5,11 +5,13 @@
 
 from oleanderhoist import ports
 from oleanderhoist.node import directory
+from oleanderhoist.node import holder
 from oleanderhoist.node import router
 from oleanderhoist.node import state
 from oleanderhoist.node import wire
 from oleanderhoist.policy import fleet
 from oleanderhoist.policy import keys
+from oleanderhoist.policy import tenure
 from tests import virtual
 
 
@@ -125,6 +127,48 @@
         self.assertEqual({"a"}, self.read(followed))
 
 
+class Stranger:
+    """A channel to an address that another server has by now."""
+
+    async def connect(self, *, fresh: bool) -> int:
+        """Connects."""
+        return 1
+
+    async def grant(self, order: ports.Grant) -> bool:
+        """Fails as a server that takes no such orders does."""
+        raise ports.OrderError("grant answered 400", replaced=True)
+
+    def orders(self, server: fleet.Server) -> "Stranger":
+        """Returns itself."""
+        return self
+
+
+class HolderTest(unittest.TestCase):
+    """The lease of a server whose address has another owner."""
+
+    def test_an_address_with_another_server_ends_the_wait(self):
+        loop = virtual.Loop()
+        clock = virtual.Clock(loop=loop)
+        right = tenure.Tenure(
+            epoch=1, confirmed=loop.now, began=loop.now, longest_hold=10.0
+        )
+        server = fleet.Server(
+            id="a", pool="p", address="x:1", data_center="a", slots=1
+        )
+        kept = holder.Holder(
+            server=server,
+            platform=Stranger(),
+            fences=holder.Fences(epoch=1),
+            tenure=right,
+            clock=clock,
+            ranges=list,
+            until=loop.now + 12,
+        )
+        taken = keys.Range(start=0, end=9)
+        token = virtual.run(kept.take_back(taken, 3), loop)
+        self.assertEqual("", token)
+
+
 class WireTest(unittest.TestCase):
     """Pictures and their changes survive their encoding."""
 
