Send only what changed, and let strong VMs lead

Change: a change of members or servers is a delta too, also across leaders; a router that has another base asks for the whole picture; candidates and lanes are weighed by the smaller of processor and link.

--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -27,6 +27,7 @@
 OWN_READ_AFTER_SECONDS = 1.3
 OWN_READ_SPREAD_SECONDS = 0.35
 RECORD_READ_SECONDS = 0.65
+ASK_WHOLE_SECONDS = 0.2
 PAUSE_GROWTH = 1.5
 MAX_PAUSE = 4.0
 
@@ -80,6 +81,7 @@
         self.watch = succession.Watch()
         self.record_read = 0.0
         self.own_read = 0.0
+        self.asked_whole = 0.0
         # Most successions are over before the last routers read by themselves.
         part = hashing.digest(me.address) / 2.0**64
         self.own_read_after = (
@@ -183,10 +185,11 @@
             return
         if now - self.record_read < RECORD_READ_SECONDS * self.pause:
             return
-        members = [
-            m for m in self.state.picture.members if m != self.leader_address
-        ]
-        delay = succession.delay(self.me.address, members, self.epoch)
+        members = dict(self.state.picture.weights)
+        members.pop(self.leader_address, None)
+        delay = succession.delay(
+            self.me.address, self.me.cores, members, self.epoch
+        )
         silence = self.silent(now)
         if not self.resigned and silence < succession.SILENCE_SECONDS + delay:
             return
@@ -367,13 +370,23 @@
             )
 
     def on_delta(self, peer: str, message: wire.Delta) -> None:
-        """Applies a change of owners to the picture that it is for."""
+        """Applies a change to the picture that it is for."""
         present = self.state.picture
-        if self.leading is not None or message.epoch != present.epoch:
+        if self.leading is not None or message.epoch < self.epoch:
+            return
+        base = (message.base_epoch, message.base_version)
+        if base == (present.epoch, present.version):
+            self.state.adopt(wire.apply(present, message, leader=peer), peer)
             return
-        if message.base == present.version:
-            self.state.adopt(wire.apply(present, message), peer)
-        elif message.version > present.version:
+        newer = (message.epoch, message.version)
+        if newer > (present.epoch, present.version):
+            self.ask_whole(peer)
+
+    def ask_whole(self, peer: str) -> None:
+        """Asks the leader for the whole picture, but not too often."""
+        now = self.clock.monotonic()
+        if now - self.asked_whole >= ASK_WHOLE_SECONDS:
+            self.asked_whole = now
             self.peers.send(peer, self.hello())
 
     def on_part(self, peer: str, message: wire.Part) -> None:
--- a/oleanderhoist/node/leader.py
+++ b/oleanderhoist/node/leader.py
@@ -95,6 +95,9 @@
         )
         self.owners: dict[str, owner.Owner] = {}
         self.version = 0
+        self.announced = 0
+        self.announced_before = 0
+        self.newest = state.picture
         self.parts: list[bytes] = []
         self.dirty = asyncio.Event()
         self.deposed = asyncio.Event()
@@ -186,6 +189,8 @@
             self.drop_silent(now)
             self.check_reach()
             message = wire.encode(self.make_beat(now))
+            self.announced_before = self.announced
+            self.announced = self.version
             for address in self.members:
                 if address != self.me.address:
                     self.peers.send_raw(address, message)
@@ -269,19 +274,23 @@
             self.state.adopt(picture, "own")
 
     def spread(self, picture: fleet.Picture) -> None:
-        """Sends a new picture, or just the owners that changed, to all."""
-        delta = wire.difference(self.state.picture, picture)
-        self.parts = [wire.encode(part) for part in wire.pack(picture)]
+        """Sends what changed to all members.
+
+        A member that has another picture asks for the whole one, so that a
+        change costs little on small links.
+        """
+        delta = wire.encode(wire.difference(self.state.picture, picture))
+        self.newest = picture
+        self.parts = []
         for address in self.members:
-            if delta is None:
-                self.send_picture(address)
-            elif address != self.me.address:
-                self.peers.send(address, delta)
+            if address != self.me.address:
+                self.peers.send_raw(address, delta)
 
     def send_picture(self, address: str) -> None:
-        """Sends the picture to a member."""
-        if address == self.me.address:
-            return
+        """Sends the whole picture to a member."""
+        if not self.parts:
+            parts = wire.pack(self.newest)
+            self.parts = [wire.encode(part) for part in parts]
         for part in self.parts:
             self.peers.send_raw(address, part)
 
@@ -300,12 +309,15 @@
             self.dirty.set()
             log.write(events.MEMBER_JOINED, member=peer)
         self.note_load(message.keys, message.speeds)
-        if (message.epoch, message.version) != (
-            self.tenure.epoch,
-            self.version,
-        ):
+        if self.lacks(message):
             self.send_picture(peer)
 
+    def lacks(self, message: wire.Hello) -> bool:
+        """Tells whether a member missed a change, and not just the last."""
+        if message.epoch != self.tenure.epoch:
+            return True
+        return message.version < self.announced_before
+
     def forget(self, peer: str) -> None:
         """Takes a leaving member out."""
         if self.members.pop(peer, None) is not None:
--- a/oleanderhoist/node/wire.py
+++ b/oleanderhoist/node/wire.py
@@ -1,6 +1,5 @@
 """Datagrams between routers and their codec (MessagePack)."""
 
-import dataclasses
 import zlib
 
 import msgspec
@@ -68,19 +67,49 @@
     data: bytes
 
 
+class MemberItem(msgspec.Struct, array_like=True, frozen=True):
+    """A member in a picture."""
+
+    address: str
+    data_center: str
+    cores: float
+
+
+class ServerItem(msgspec.Struct, array_like=True, frozen=True):
+    """A server in a picture."""
+
+    id: str
+    pool: str
+    address: str
+    data_center: str
+    slots: int
+    life: int
+    leaving: bool
+
+
 class Delta(Message):
-    """The ranges whose owners differ from those of an earlier picture.
+    """What differs between two pictures.
 
     Attributes:
-        epoch: Epoch of both pictures.
-        base: Version of the earlier picture.
+        base_epoch: Epoch of the earlier picture.
+        base_version: Version of the earlier picture.
+        epoch: Epoch of the new picture.
         version: Version of the new picture.
-        ranges: First key, last key and owner of each range, by pool.
+        members: Members that are new or changed.
+        lost_members: Addresses of members that are gone.
+        servers: Servers that are new or changed.
+        lost_servers: Ids of servers that are gone.
+        ranges: First key, last key and owner of each changed range, by pool.
     """
 
+    base_epoch: int
+    base_version: int
     epoch: int
-    base: int
     version: int
+    members: list[MemberItem]
+    lost_members: list[str]
+    servers: list[ServerItem]
+    lost_servers: list[str]
     ranges: dict[str, list[tuple[int, int, str]]]
 
 
@@ -143,26 +172,6 @@
 _DECODER = msgspec.msgpack.Decoder(AnyMessage)
 
 
-class MemberItem(msgspec.Struct, array_like=True, frozen=True):
-    """A member in a picture."""
-
-    address: str
-    data_center: str
-    cores: float
-
-
-class ServerItem(msgspec.Struct, array_like=True, frozen=True):
-    """A server in a picture."""
-
-    id: str
-    pool: str
-    address: str
-    data_center: str
-    slots: int
-    life: int
-    leaving: bool
-
-
 class MapItem(msgspec.Struct, array_like=True, frozen=True):
     """The owners of a pool's keys; `owners` refers to `servers`."""
 
@@ -204,25 +213,49 @@
         raise DecodeError(str(error)) from error
 
 
+def member_item(member: fleet.Member) -> MemberItem:
+    """Encodes a member."""
+    return MemberItem(member.address, member.data_center, member.cores)
+
+
+def server_item(server: fleet.Server) -> ServerItem:
+    """Encodes a server."""
+    return ServerItem(
+        server.id,
+        server.pool,
+        server.address,
+        server.data_center,
+        server.slots,
+        server.life,
+        server.leaving,
+    )
+
+
+def to_member(item: MemberItem) -> fleet.Member:
+    """Decodes a member."""
+    return fleet.Member(
+        address=item.address, data_center=item.data_center, cores=item.cores
+    )
+
+
+def to_server(item: ServerItem) -> fleet.Server:
+    """Decodes a server."""
+    return fleet.Server(
+        id=item.id,
+        pool=item.pool,
+        address=item.address,
+        data_center=item.data_center,
+        slots=item.slots,
+        life=item.life,
+        leaving=item.leaving,
+    )
+
+
 def pack(picture: fleet.Picture) -> list[Part]:
     """Encodes a picture as parts that each fit into a datagram."""
     item = PictureItem(
-        members=[
-            MemberItem(m.address, m.data_center, m.cores)
-            for m in picture.members.values()
-        ],
-        servers=[
-            ServerItem(
-                s.id,
-                s.pool,
-                s.address,
-                s.data_center,
-                s.slots,
-                s.life,
-                s.leaving,
-            )
-            for s in picture.servers.values()
-        ],
+        members=[member_item(m) for m in picture.members.values()],
+        servers=[server_item(s) for s in picture.servers.values()],
         maps=[pack_map(pool, found) for pool, found in picture.maps.items()],
     )
     data = zlib.compress(_ENCODER.encode(item), 1)
@@ -242,37 +275,65 @@
     ]
 
 
-def difference(before: fleet.Picture, after: fleet.Picture) -> Delta | None:
-    """Returns what changed, or None when more than owners did."""
-    if before.epoch != after.epoch or before.maps.keys() != after.maps.keys():
-        return None
-    if before.servers != after.servers or before.members != after.members:
-        return None
+def difference(before: fleet.Picture, after: fleet.Picture) -> Delta:
+    """Returns what changed between two pictures."""
     ranges = {}
     for pool, key_map in after.maps.items():
-        known = set(before.maps[pool].ranges)
-        ranges[pool] = [
+        known = set(before.maps.get(pool, keys.unowned()).ranges)
+        changed = [
             (one.start, one.end, one.owner)
             for one in key_map.ranges
             if one not in known
         ]
+        if changed or pool not in before.maps:
+            ranges[pool] = changed
     return Delta(
+        base_epoch=before.epoch,
+        base_version=before.version,
         epoch=after.epoch,
-        base=before.version,
         version=after.version,
+        members=[
+            member_item(member)
+            for address, member in after.members.items()
+            if before.members.get(address) != member
+        ],
+        lost_members=[m for m in before.members if m not in after.members],
+        servers=[
+            server_item(server)
+            for id, server in after.servers.items()
+            if before.servers.get(id) != server
+        ],
+        lost_servers=[s for s in before.servers if s not in after.servers],
         ranges=ranges,
     )
 
 
-def apply(picture: fleet.Picture, delta: Delta) -> fleet.Picture:
-    """Returns the picture after a change of owners."""
+def apply(
+    picture: fleet.Picture, delta: Delta, *, leader: str
+) -> fleet.Picture:
+    """Returns the picture after a change."""
+    members = dict(picture.members)
+    members.update((item.address, to_member(item)) for item in delta.members)
+    for address in delta.lost_members:
+        members.pop(address, None)
+    servers = dict(picture.servers)
+    servers.update((item.id, to_server(item)) for item in delta.servers)
+    for id in delta.lost_servers:
+        servers.pop(id, None)
     maps = dict(picture.maps)
     for pool, ranges in delta.ranges.items():
         changed = maps.get(pool, keys.unowned())
         for start, end, owner in ranges:
             changed = changed.assign(start, end, owner)
         maps[pool] = changed
-    return dataclasses.replace(picture, version=delta.version, maps=maps)
+    return fleet.Picture(
+        epoch=delta.epoch,
+        version=delta.version,
+        leader=leader,
+        members=members,
+        servers=servers,
+        maps=maps,
+    )
 
 
 def pack_map(pool: str, key_map: keys.KeyMap) -> MapItem:
@@ -304,24 +365,8 @@
         epoch=epoch,
         version=version,
         leader=leader,
-        members={
-            m.address: fleet.Member(
-                address=m.address, data_center=m.data_center, cores=m.cores
-            )
-            for m in item.members
-        },
-        servers={
-            s.id: fleet.Server(
-                id=s.id,
-                pool=s.pool,
-                address=s.address,
-                data_center=s.data_center,
-                slots=s.slots,
-                life=s.life,
-                leaving=s.leaving,
-            )
-            for s in item.servers
-        },
+        members={m.address: to_member(m) for m in item.members},
+        servers={s.id: to_server(s) for s in item.servers},
         maps=maps,
     )
 
--- a/oleanderhoist/platform/settings.py
+++ b/oleanderhoist/platform/settings.py
@@ -9,6 +9,7 @@
 from oleanderhoist.http import client
 
 PATH_VARIABLE = "OLEANDERHOIST_SETTINGS"
+LINK_MBPS_PER_CORE = 50.0  # A smaller link counts as a smaller processor.
 METRICS_PORT = 9464  # deploy/system.toml names it too.
 DEFAULT_PATH = "/etc/oleanderhoist/node.json"
 
@@ -27,6 +28,7 @@
 
     cpu_share: Annotated[float, pydantic.Field(gt=0)] = 1.0
     cpu_cores: Annotated[int, pydantic.Field(ge=1)] = 1
+    link_mbps: Annotated[float, pydantic.Field(gt=0)] = 1000.0
     memory_mb: Annotated[int, pydantic.Field(ge=16)] = 256
 
 
@@ -95,7 +97,10 @@
         peer_port=file.internal_ports[0],
         metrics_port=METRICS_PORT,
         store=parse_address("provider.address", file.provider.address),
-        cores=file.limits.cpu_share * file.limits.cpu_cores,
+        cores=min(
+            file.limits.cpu_share * file.limits.cpu_cores,
+            file.limits.link_mbps / LINK_MBPS_PER_CORE,
+        ),
         memory_bytes=file.limits.memory_mb * 1_000_000,
         longest_hold=bounds.get("hold_max_ms", 10_000.0) / 1000,
         retry_ratio=bounds.get("retry_budget_ratio", 0.2),
--- a/oleanderhoist/policy/hashing.py
+++ b/oleanderhoist/policy/hashing.py
@@ -27,9 +27,12 @@
     A name wins in proportion to its weight, and only subjects that it won
     change when it goes away.
     """
+    return max(
+        weights, key=lambda name: score(f"{subject}|{name}", weights[name])
+    )
 
-    def score(name: str) -> float:
-        part = (digest(f"{subject}|{name}") + 1) / 2.0**64
-        return weights[name] / -math.log(min(part, 1.0 - 2.0**-53))
 
-    return max(weights, key=score)
+def score(text: str, weight: float) -> float:
+    """Returns a stable draw for a text that grows with its weight."""
+    part = (digest(text) + 1) / 2.0**64
+    return weight / -math.log(min(part, 1.0 - 2.0**-53))
--- a/oleanderhoist/policy/succession.py
+++ b/oleanderhoist/policy/succession.py
@@ -18,6 +18,7 @@
 CANDIDATES = 3
 OUTSIDER_SECONDS = 2.5
 FIRST_SPREAD_SECONDS = 0.3
+WEAK = 0.5  # Strength under which a process lets others go first.
 UNFIT_SECONDS = 8.0
 
 
@@ -44,17 +45,33 @@
         return now - self.since if self.revision is not None else 0.0
 
 
-def turn(me: str, members: list[str], epoch: int) -> int:
-    """Returns this process's place in the order of candidates."""
-    order = sorted(members, key=lambda name: hashing.digest(f"{epoch}|{name}"))
+def turn(me: str, members: dict[str, float], epoch: int) -> int:
+    """Returns this process's place in the order of candidates.
+
+    A leader talks to all others, so strong processes come first.
+    """
+    order = sorted(
+        members,
+        key=lambda name: -hashing.score(f"{epoch}|{name}", members[name]),
+    )
     return order.index(me) if me in order else len(order)
 
 
-def delay(me: str, members: list[str], epoch: int) -> float:
-    """Returns how long this process lets others go first, in seconds."""
+def delay(
+    me: str, weight: float, members: dict[str, float], epoch: int
+) -> float:
+    """Returns how long this process lets others go first, in seconds.
+
+    Args:
+        me: This process.
+        weight: Its strength.
+        members: Strength of each known process but the leader.
+        epoch: Epoch of the leader that is to be replaced.
+    """
     if not members:
         part = hashing.digest(f"{epoch}|{me}") / 2.0**64
-        return part * FIRST_SPREAD_SECONDS
+        weakness = max(0.0, WEAK - weight)
+        return part * FIRST_SPREAD_SECONDS + weakness
     place = turn(me, members, epoch)
     if place < CANDIDATES:
         return place * TURN_SECONDS
