Add oleander story: a request's way from log lines

Cause: on-call engineers have an id and logs only. Named story, since explain already tells who owns a key.

--- a/oleanderhoist/cli/operator.py
+++ b/oleanderhoist/cli/operator.py
@@ -14,6 +14,7 @@
 from oleanderhoist.http import client
 from oleanderhoist.queries import catalogue
 from oleanderhoist.queries import contracts
+from oleanderhoist.queries import story
 from oleanderhoist.queries import system
 
 
@@ -161,6 +162,19 @@
     catalogue.write(context.env, catalogue.EVENT_COLUMNS, rows)
 
 
+@cli.command(name="story")
+@click.option("--request", required=True, help="Id of the request.")
+@click.argument("logs", nargs=-1, type=FILE)
+@click.pass_obj
+def tell_story(
+    context: Context, request: str, logs: tuple[typing.TextIO, ...]
+) -> None:
+    """Tells what happened to a request, from log files or standard input."""
+    sources = logs or (click.get_text_stream("stdin"),)
+    lines = (line for source in sources for line in source)
+    story.write(context.env, lines, request)
+
+
 def run(arguments: list[str], env: environment.Environment) -> int:
     """Runs the program; returns its exit code.
 
