Let no fence be raised that outlasts a recorded lapse

Cause: while a leader waits for the lease of a lost owner to lapse, it tries to take the keys back. That raises the fence with a hold of 0.5 s. When the answer is lost the hold begins all the same, and could end after the time that had been recorded as free; the next owner got the keys within it.

Ruled out: a late grant of an earlier leader (both fences are of epoch 4), a grant over an old connection (the fence of the raise was made on the new one).

Change: taking back is tried only while a raise would lapse before the recorded time (1.6 s: 0.4 to connect, 0.4 to answer, 0.77 to lapse).

--- a/oleanderhoist/node/holder.py
+++ b/oleanderhoist/node/holder.py
@@ -14,6 +14,8 @@
 
 RETRY_SECONDS = 0.15
 RAISE_HOLD_SECONDS = 0.5
+# To connect, to raise a fence, and for that hold to lapse.
+RAISE_ROOM_SECONDS = 1.6
 LOST_SECONDS = 0.5
 STRANGER_ANSWERS = 2
 
--- a/oleanderhoist/node/owner.py
+++ b/oleanderhoist/node/owner.py
@@ -284,7 +284,8 @@
 
         The time is written down in the store's clock first, together with
         the promise that nobody grants to the lost owner any more; a later
-        leader then waits no longer than this one.
+        leader then waits no longer than this one. Taking back again would
+        begin a short hold, so it ends early enough for that to lapse, too.
 
         Returns:
             The handover token, if the owner answers meanwhile, else nothing.
@@ -301,7 +302,7 @@
             )
             await self.records.write_map(self.pool, self.recorded)
         while left := clock.wait(free_at, self.clock.boottime()):
-            if source is None:
+            if source is None or left < holder.RAISE_ROOM_SECONDS:
                 await asyncio.sleep(left)
                 continue
             taken = keys.Range(start=move.start, end=move.end)
