Add a fault soak of the real routers against the stand-ins

Drawn faults overlap: kills, stops, freezes and reloads by signals, drains and rebirths of servers, changes of contracts, a store that refuses, loses answers, drops history or freezes, links that are delayed, reset, cut one way or silent. Callers keep connections until the process is gone. Checked while it runs: one owner, at most once, not run, own whole answers, drains, graceful stops, contracts in force, recovery.

The time of day is not altered: no decision of a router reads it.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed
 
-.PHONY: demo test lint format bench overload failover placement capacity red lanes clean
+.PHONY: demo test lint format bench overload failover placement capacity red lanes soak clean
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -42,6 +42,13 @@
 capacity: $(STAMP)
 	$(BIN)/python -m bench.capacity
 
+SEED ?= 1
+RUNS ?= 1
+SECONDS ?= 30
+
+soak: $(STAMP)
+	$(BIN)/python -m soak --seed $(SEED) --runs $(RUNS) --seconds $(SECONDS)
+
 clean:
 	rm -rf $(VENV) build *.egg-info
 
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: real routers, faults from outside, promises checked."""
