Keep a resignation: no renewal and no beat takes it back

Cause: a leader that stops wrote its record vacant and told its members once. Its tasks went on until the process ended: half a second later the renewal wrote its address again, and the next beat said that it leads. Where the one notice was lost, nobody took over for the 2.6 s of the stop and the silence after it.

Ruled out: the successor's part; it takes over 0.1 s after the notice.

Change: after a resignation renewals write nothing and beats repeat it.

Before: tests.test_resign fails twice (no leader after 0.6 s). After: a leader. tests.test_log proves lines against a pipe that nobody reads; it passed at once.

--- a/oleanderhoist/node/leader.py
+++ b/oleanderhoist/node/leader.py
@@ -208,7 +208,7 @@
             if address != self.me.address:
                 self.peers.send_raw(address, message)
 
-    def make_beat(self, now: float, *, resigned: bool = False) -> wire.Beat:
+    def make_beat(self, now: float) -> wire.Beat:
         """Returns what the leader tells now."""
         age = min(60.0, now - self.directory.read_at)
         return wire.Beat(
@@ -217,7 +217,7 @@
             terms=self.state.terms_revision,
             age_ms=round(age * 1000),
             record=self.records.rows[records.LEADER_KEY].revision,
-            resigned=resigned,
+            resigned=self.tenure.resigned,
         )
 
     def drop_silent(self, now: float) -> None:
@@ -398,4 +398,4 @@
         except (ports.StoreError, records.DeposedError) as error:
             log.write(events.LEADERSHIP_FAILED, reason=f"resigning: {error}")
         now = self.clock.monotonic()
-        self.send_all(wire.encode(self.make_beat(now, resigned=True)))
+        self.send_all(wire.encode(self.make_beat(now)))
--- a/oleanderhoist/node/records.py
+++ b/oleanderhoist/node/records.py
@@ -104,7 +104,7 @@
         self.beats = 0
 
     async def renew(self, *, lapse_ms: int | None = None) -> None:
-        """Writes the leadership record again.
+        """Writes the leadership record again, unless it was given up.
 
         Args:
             lapse_ms: Resigns: when all grants have lapsed.
@@ -113,6 +113,8 @@
             DeposedError: Another process leads.
             ports.StoreError: The store did not take the write.
         """
+        if self.tenure.resigned and lapse_ms is None:
+            return
         self.beats += 1
         record = Leadership(
             epoch=self.tenure.epoch,
--- /dev/null
+++ b/tests/test_log.py
@@ -0,0 +1,64 @@
+"""Logs that nobody reads."""
+
+import os
+import subprocess
+import sys
+import time
+import unittest
+
+from oleanderhoist import log
+
+LINES = 60_000
+PUT_SECONDS = 10.0  # For all lines, on a slow and busy machine.
+EXIT_SECONDS = 20.0
+
+FLOOD = """
+from oleanderhoist import events, log
+from oleanderhoist.cli import options
+import asyncio
+
+async def work():
+    for number in range(60_000):
+        log.write(events.CALL_ENDED, request=str(number), detail="x" * 100)
+        if number % 5_000 == 0:
+            await asyncio.sleep(0.01)
+
+options.run(work(), "-")
+"""
+
+
+class PipeTest(unittest.TestCase):
+    """A pipe that is full and that nobody reads."""
+
+    def test_lines_are_bounded_and_never_wait(self):
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        stream = os.fdopen(writer, "w")
+        made = log.Writer(stream=stream)
+        made.thread.start()
+        began = time.monotonic()
+        for number in range(LINES):
+            made.put({"number": number, "text": "x" * 100})
+        self.assertLess(time.monotonic() - began, PUT_SECONDS)
+        self.assertLessEqual(len(made.lines), log.QUEUE_LINES)
+
+    def test_a_program_ends_though_its_lines_are_not_read(self):
+        process = subprocess.Popen(
+            [sys.executable, "-c", FLOOD], stdout=subprocess.PIPE
+        )
+        try:
+            self.assertEqual(0, process.wait(EXIT_SECONDS))
+        finally:
+            process.kill()
+            process.wait()
+            process.stdout.close()
+
+    def test_a_flood_of_one_event_is_thinned_and_says_so(self):
+        limiter = log.Limiter()
+        taken = sum(limiter.take() for _ in range(LINES))
+        self.assertLess(taken, 1_000)
+        self.assertEqual(LINES - taken, limiter.left_out)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_resign.py
@@ -0,0 +1,53 @@
+"""A leader that stops gives way for good."""
+
+import asyncio
+import unittest
+
+from tests import ownership_world
+from tests import virtual
+
+ROUTERS = 4
+SUCCESSION_SECONDS = 0.6
+
+
+class ResignTest(unittest.TestCase):
+    """Succession after a graceful stop, while the old leader still runs."""
+
+    def setUp(self):
+        self.world = ownership_world.World(seed=3, nodes=ROUTERS)
+
+    def leaders(self) -> list[str]:
+        """Returns who leads and has not resigned."""
+        return [
+            name
+            for name, one in self.world.followers.items()
+            if one.leading is not None and not one.leading.tenure.resigned
+        ]
+
+    async def stop_leader(self, lost_seconds: float) -> list[str]:
+        """Stops the leader while datagrams are lost for a moment."""
+        for name in self.world.names:
+            self.world.start(name)
+        await asyncio.sleep(5)
+        (leader,) = self.leaders()
+        self.world.odds = {"datagram_lost": 1.0}
+        await self.world.followers[leader].stop()
+        await asyncio.sleep(lost_seconds)
+        self.world.odds = {}
+        await asyncio.sleep(SUCCESSION_SECONDS)
+        return self.leaders()
+
+    def test_a_lost_notice_is_given_again(self):
+        found = virtual.run(self.stop_leader(0.05), self.world.loop)
+        self.assertEqual(1, len(found))
+
+    def test_the_record_stays_vacant(self):
+        async def stop() -> int:
+            await self.stop_leader(0.0)
+            return len(self.leaders())
+
+        self.assertEqual(1, virtual.run(stop(), self.world.loop))
+
+
+if __name__ == "__main__":
+    unittest.main()
