Answer connections that a stop finds without a task

Cause: a stop closed the listener and looked once at the connections it knew. One that had been accepted a moment before had no task yet: the stop returned, the process ended, and a request that a server had run was cut.

Change: a stop waits 50 ms for what was accepted last, then looks until no connection is left or its time is over.

--- a/oleanderhoist/http/server.py
+++ b/oleanderhoist/http/server.py
@@ -19,6 +19,7 @@
 BODY_STALL_SECONDS = 10.0
 IDLE_SECONDS = 60.0
 WRITE_SECONDS = 10.0
+ARRIVAL_SECONDS = 0.05  # For what was accepted last to be read and counted.
 
 Handler = Callable[[messages.Request], Awaitable[messages.Response]]
 
@@ -89,17 +90,27 @@
     async def stop(self, grace: float) -> None:
         """Stops accepting, lets running exchanges end, then closes.
 
+        A connection that was accepted a moment before may have no task yet,
+        so the connections are looked at until none is left.
+
         Args:
             grace: Longest time to wait for running exchanges, in seconds.
         """
         if self.listener is not None:
             self.listener.close()
-        for connection in list(self.connections):
-            connection.finish()
-        waiting = [c.closed.wait() for c in self.connections]
-        if waiting:
-            with contextlib.suppress(asyncio.TimeoutError):
-                await asyncio.wait_for(asyncio.gather(*waiting), grace)
+        loop = asyncio.get_running_loop()
+        end = loop.time() + grace
+        await asyncio.sleep(min(grace, ARRIVAL_SECONDS))
+        while self.connections and (left := end - loop.time()) > 0:
+            for connection in self.connections:
+                connection.finish()
+            tasks = [
+                asyncio.ensure_future(connection.closed.wait())
+                for connection in self.connections
+            ]
+            await asyncio.wait(tasks, timeout=left)
+            for task in tasks:
+                task.cancel()
         for connection in list(self.connections):
             connection.writer.close()
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,6 +6,7 @@
 import click
 
 from oleanderhoist import exits
+from soak import faults
 from soak import play
 
 
@@ -16,6 +17,12 @@
 @click.option("--routers", default=3, help="Number of routers.")
 @click.option("--servers", default=6, help="Number of servers.")
 @click.option("--pause", default=1.5, help="Mean time between faults.")
+@click.option(
+    "--faults",
+    "names",
+    default="",
+    help="Comma-separated faults to draw from; all of them when empty.",
+)
 @click.option("--verbose", is_flag=True, help="Print each fault.")
 def main(
     seed: int,
@@ -24,9 +31,15 @@
     routers: int,
     servers: int,
     pause: float,
+    names: str,
     verbose: bool,
 ) -> None:
     """Runs the soak; fails when a promise was broken."""
+    drawn = names.split(",") if names else faults.FAULTS.names()
+    unknown = [name for name in drawn if name not in faults.FAULTS.names()]
+    if unknown:
+        known = ", ".join(faults.FAULTS.names())
+        raise click.BadParameter(f"--faults: no {unknown[0]!r}; known: {known}")
     failed = []
     for number in range(seed, seed + runs):
         found = asyncio.run(
@@ -36,6 +49,7 @@
                 routers=routers,
                 servers=servers,
                 pause=pause,
+                names=drawn,
             )
         )
         click.echo(found.summary())
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -65,9 +65,12 @@
             path = platform_system.probe_prefix(probe)
         sent = time.monotonic()
         opened = self.kept.opened
-        response = await self.exchange(id, repeatable, path)
-        status = response.status if response else 0
-        body = response.body if response else b""
+        status, body, failure = 0, b"", ""
+        try:
+            response = await self.exchange(id, repeatable, path)
+            status, body = response.status, response.body
+        except client.ExchangeError as error:
+            failure = str(error)
         self.found.take(
             promises.Answer(
                 id=id,
@@ -79,28 +82,30 @@
                 repeatable=repeatable,
                 probe=probe,
                 reused=opened == self.kept.opened,
+                error=failure,
             )
         )
 
     async def exchange(
         self, id: str, repeatable: bool, path: str
-    ) -> messages.Response | None:
-        """Performs one exchange; None when no whole answer came."""
+    ) -> messages.Response:
+        """Performs one exchange.
+
+        Raises:
+            client.ExchangeError: No whole answer came.
+        """
         key = self.rng.randrange(65_536)
         headers = [
             (b"request-id", id.encode()),
             (b"deadline-ms", b"%d" % (DEADLINE_SECONDS * 1000)),
             (b"shard-key", b"%d" % key),
         ]
-        try:
-            return await self.kept.request(
-                "GET" if repeatable else "POST",
-                f"{path}{key}",
-                timeout=DEADLINE_SECONDS + SLACK_SECONDS,
-                headers=headers,
-                body=b"" if repeatable else b"order",
-                idle_seconds=IDLE_SECONDS,
-                host=b"a.example",
-            )
-        except client.ExchangeError:
-            return None
+        return await self.kept.request(
+            "GET" if repeatable else "POST",
+            f"{path}{key}",
+            timeout=DEADLINE_SECONDS + SLACK_SECONDS,
+            headers=headers,
+            body=b"" if repeatable else b"order",
+            idle_seconds=IDLE_SECONDS,
+            host=b"a.example",
+        )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -106,12 +106,12 @@
         await self.system.processes[name].wait()
         self.found.end_server(name, time.monotonic())
 
-    async def run(self, seconds: float, pause: float) -> None:
+    async def run(self, seconds: float, pause: float, names: list[str]) -> None:
         """Injects faults until the time is over, then waits for them."""
         end = time.monotonic() + seconds
         running: set[asyncio.Task] = set()
         while time.monotonic() < end:
-            fault = FAULTS.get(self.rng.choice(FAULTS.names()))
+            fault = FAULTS.get(self.rng.choice(names))
             running.add(asyncio.create_task(fault(self)))
             await asyncio.sleep(self.rng.expovariate(1 / pause))
         for task in running:
--- a/soak/play.py
+++ b/soak/play.py
@@ -50,7 +50,13 @@
 
 
 async def run(
-    *, seed: int, seconds: float, routers: int, servers: int, pause: float
+    *,
+    seed: int,
+    seconds: float,
+    routers: int,
+    servers: int,
+    pause: float,
+    names: list[str],
 ) -> Result:
     """Plays one run.
 
@@ -60,6 +66,7 @@
         routers: Number of routers.
         servers: Number of servers, half of them keyed.
         pause: Mean time between two faults, in seconds.
+        names: Faults to draw from.
     """
     found = promises.Promises()
     subnet = f"127.{10 + os.getpid() % SUBNETS}.{seed % SUBNETS}"
@@ -78,7 +85,7 @@
             for caller in make_callers(system, found, seed)
         ]
         await asyncio.sleep(CALM_SECONDS)
-        await injector.run(seconds, pause)
+        await injector.run(seconds, pause, names)
         recovered = await recover(found)
         for task in sending:
             task.cancel()
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -26,6 +26,7 @@
         repeatable: Whether the contract lets it run twice.
         probe: Version of the contracts that made its route; 0 for others.
         reused: Whether it went over a connection that was open before.
+        error: Why no whole answer came.
     """
 
     id: str
@@ -37,6 +38,7 @@
     repeatable: bool
     probe: int = 0
     reused: bool = False
+    error: str = ""
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -159,7 +161,11 @@
                 continue
             inside = at - ANSWER_SECONDS < answer.sent < at + TOUCH_SECONDS
             if inside and self.calm(answer.sent, answer.ended):
-                self.broken.append(f"lost: {answer.id} in a stop of {router}")
+                self.broken.append(
+                    f"lost: {answer.id}, sent {answer.sent - at:+.2f} s and "
+                    f"ended {answer.ended - at:+.2f} s after a stop of "
+                    f"{router}, reused {answer.reused}: {answer.error}"
+                )
 
     def served(self, since: float) -> float:
         """Returns the part of the requests since a time that were served."""
--- a/tests/red.py
+++ b/tests/red.py
@@ -41,6 +41,7 @@
     scenario: str
     mechanism: str
     edits: tuple[Edit, ...]
+    arguments: tuple[str, ...] = ()
 
 
 def read() -> list[Mutation]:
@@ -51,6 +52,7 @@
             scenario=row["scenario"],
             mechanism=row["mechanism"],
             edits=tuple(Edit(**edit) for edit in row["edits"]),
+            arguments=tuple(row.get("arguments", ())),
         )
         for row in rows
     ]
@@ -76,7 +78,7 @@
 def command_of(mutation: Mutation) -> list[str]:
     """Returns the command that must fail."""
     if mutation.scenario.startswith(SOAK_PREFIX):
-        return [sys.executable, *SOAK]
+        return [sys.executable, *SOAK, *mutation.arguments]
     test = mutation.scenario.replace("-", "_")
     name = f"tests.test_scenarios.ScenarioTest.test_{test}"
     return [sys.executable, "-m", "unittest", name]
