Let large bodies go far once their pool is busy; survive early reloads

Three findings, each with its test:

Near waiting leaves far slots idle when the pool is short. Now it ends when punctual demand is above 0.6 of the pool's rate. It had exit code -1: SIGHUP ended it within its imports. The program now ignores that signal before it imports, and looks at the settings file every 2 s, which also takes in changes without a signal. 3.

--- a/bench/patterns.py
+++ b/bench/patterns.py
@@ -72,6 +72,17 @@
         centers=4,
         body_bytes=60_000,
     ),
+    Pattern(
+        name="large-bodies-burst",
+        speeds=(0.7, 0.7, 1.6) * 3,
+        service=0.15,
+        objective=1.0,
+        deadline=4.0,
+        rate=100.0,
+        burst=2.2,
+        centers=4,
+        body_bytes=60_000,
+    ),
 ]
 
 
--- a/oleanderhoist/cli/router.py
+++ b/oleanderhoist/cli/router.py
@@ -1,59 +1,17 @@
-"""Command line of ``oleander-router``."""
+"""Starts ``oleander-router``."""
 
-import sys
+import importlib
+import signal
 
-import click
 
-from oleanderhoist import clock
-from oleanderhoist import exits
-from oleanderhoist import ports
-from oleanderhoist import settings
-from oleanderhoist.cli import options
-from oleanderhoist.node import core
-from oleanderhoist.platform import adapter  # noqa: F401
-from oleanderhoist.platform import settings as platform_settings
+def main() -> None:
+    """Ignores reloads until the router can take them, then runs it.
 
-
-@click.command()
-@click.option(
-    "--platform",
-    "platform_name",
-    default="row-store",
-    type=click.Choice(ports.PLATFORMS.names()),
-    envvar="OLEANDER_PLATFORM",
-    help="What the router runs on.",
-)
-@click.option(
-    "--settings",
-    "settings_path",
-    default=platform_settings.path,
-    help="The platform's settings file.",
-)
-@click.option(
-    "--log-file",
-    default="-",
-    envvar="OLEANDER_LOG_FILE",
-    help="File for log lines; '-' is standard output.",
-)
-def main(platform_name: str, settings_path: str, log_file: str) -> None:
-    """Serves callers, places keys, and leads when it is its turn."""
-
-    def read() -> settings.RouterSettings:
-        return platform_settings.read(settings_path)
-
-    try:
-        checked = read()
-    except settings.SettingsError as error:
-        for problem in error.problems:
-            click.echo(f"oleander-router: {problem}", err=True)
-        sys.exit(exits.ExitStatus.USAGE)
-    node = core.Node(
-        settings=checked,
-        read_settings=read,
-        platform=ports.PLATFORMS.get(platform_name)(settings=checked),
-        clock=clock.Clock(),
-    )
-    options.run(node.run(), log_file)
+    Imports take longer than the platform may wait before it sends the signal,
+    whose default is to end the process.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    importlib.import_module("oleanderhoist.cli.routercommand").main()
 
 
 if __name__ == "__main__":
--- a/oleanderhoist/node/core.py
+++ b/oleanderhoist/node/core.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 import contextlib
+import dataclasses
 import signal
 
 from oleanderhoist import clock
@@ -26,7 +27,22 @@
 LINGER_SECONDS = 2.6
 END_MARGIN_SECONDS = 1.1  # To close, write the last lines and exit.
 
-ReadSettings = Callable[[], settings.RouterSettings]
+SETTINGS_SECONDS = 2.0  # Between looks at the settings, for silent changes.
+
+
+@dataclasses.dataclass(kw_only=True)
+class Source:
+    """Where the settings come from.
+
+    Attributes:
+        read: Reads and checks them.
+        stamp: Returns something that differs once they have changed.
+        seen: The stamp of what is in force.
+    """
+
+    read: Callable[[], settings.RouterSettings]
+    stamp: Callable[[], object]
+    seen: object
 
 
 class Node:
@@ -34,7 +50,7 @@
 
     Args:
         settings: Checked settings.
-        read_settings: Reads the settings again.
+        source: Where the settings come from.
         platform: What the router runs on.
         clock: Time source.
     """
@@ -43,12 +59,12 @@
         self,
         *,
         settings: settings.RouterSettings,
-        read_settings: ReadSettings,
+        source: Source,
         platform: ports.Platform,
         clock: clock.Clock,
     ):
         self.settings = settings
-        self.read_settings = read_settings
+        self.source = source
         self.platform = platform
         self.clock = clock
         self.lag = program.Lag(clock=clock)
@@ -119,6 +135,9 @@
 
     async def run(self) -> None:
         """Serves until told to stop."""
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGHUP, self.reload
+        )
         await self.peers.start()
         await self.health.server.start()
         await self.metrics.server.start()
@@ -127,10 +146,8 @@
             asyncio.create_task(self.keep("lag", self.lag.run)),
             asyncio.create_task(self.keep("homes", self.homes.run)),
             asyncio.create_task(self.keep("follower", self.follower.run)),
+            asyncio.create_task(self.keep("settings", self.watch_settings)),
         ]
-        asyncio.get_running_loop().add_signal_handler(
-            signal.SIGHUP, self.reload
-        )
         log.write(
             events.PROGRAM_STARTED,
             program="router",
@@ -152,10 +169,18 @@
                 log.write(events.TASK_FAILED, task=name, reason=describe(error))
             await asyncio.sleep(RESTART_SECONDS)
 
+    async def watch_settings(self) -> None:
+        """Takes in settings that change without a signal."""
+        while True:
+            await asyncio.sleep(SETTINGS_SECONDS)
+            if self.source.stamp() != self.source.seen:
+                self.reload()
+
     def reload(self) -> None:
         """Reads the settings again; bad ones leave the present in force."""
+        self.source.seen = self.source.stamp()
         try:
-            fresh = self.read_settings()
+            fresh = self.source.read()
         except settings.SettingsError as error:
             log.write(events.SETTINGS_RELOADED, taken=False, reason=str(error))
             return
--- a/oleanderhoist/policy/lanes.py
+++ b/oleanderhoist/policy/lanes.py
@@ -27,6 +27,7 @@
 FAR_BYTES = 20_000  # A far server counts as twice as slow for such a body.
 LARGE_BODY_BYTES = 20_000
 NEAR_RESERVE = 2.2  # Services that must still fit when waiting near ends.
+NEAR_UTILISATION = 0.6  # Above it no slot may idle while somebody waits.
 MAX_PASSED = 8  # Bounds the work of one look at a queue.
 RATE_WINDOW_SECONDS = 0.5
 MIN_RETRY_SECONDS = 0.05
@@ -281,11 +282,14 @@
 
         Load pattern: the near servers of a pool are busy for a moment, and a
         large body would cross data centers though a near slot is free soon.
+        When the whole pool is busy, an idle slot would cost more than that.
         """
         if ticket.body_bytes < LARGE_BODY_BYTES:
             return False
         if now + NEAR_RESERVE * self.service > ticket.objective:
             return False
+        if self.demand(now) > NEAR_UTILISATION * self.rate(now):
+            return False
         return any(
             server.data_center == ticket.data_center
             and now >= server.blocked
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,7 +9,9 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
+import pathlib
 import random
+import re
 import signal
 import time
 
@@ -21,6 +23,7 @@
 SHORTEST_SECONDS = 0.2
 LONGEST_SECONDS = 5.0
 RESTART_SECONDS = 0.3
+LOOK_SECONDS = 0.02
 STOP_SECONDS = 7.0  # A graceful stop that lasts longer is broken.
 SERVER_STOP_SECONDS = 2.5  # A server works on after it says that it leaves.
 
@@ -92,6 +95,7 @@
         """Starts a router that has ended."""
         await asyncio.sleep(RESTART_SECONDS)
         await self.system.start_router(int(name[1:]))
+        await until_reloadable(self.system.processes[name])
 
     async def restart_server(self, name: str) -> None:
         """Starts a server that has ended; it has forgotten everything."""
@@ -118,6 +122,22 @@
             await task
 
 
+async def until_reloadable(process: asyncio.subprocess.Process) -> None:
+    """Waits until a started process survives a reload signal.
+
+    An interpreter that has not yet run a line of the program is ended by it,
+    and the users' platform would start it again.
+    """
+    while process.returncode is None:
+        status = await asyncio.to_thread(
+            pathlib.Path(f"/proc/{process.pid}/status").read_text
+        )
+        masks = re.findall(r"^Sig(?:Ign|Cgt):\s+([0-9a-f]+)", status, re.M)
+        if any(int(mask, 16) >> (signal.SIGHUP - 1) & 1 for mask in masks):
+            return
+        await asyncio.sleep(LOOK_SECONDS)
+
+
 @FAULTS.register("kill-router")
 async def kill_router(injector: Injector) -> None:
     """Kills a router and starts it again."""
@@ -166,6 +186,7 @@
     """Tells a router to read its settings again; planned work."""
     name = injector.draw("r")
     if name is not None:
+        injector.log.append(f"{time.monotonic():.2f} reload {name}")
         injector.system.signal(name, signal.SIGHUP)
 
 
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -20,6 +20,7 @@
 
 AWAKE_SECONDS = 0.05
 FROZEN_SECONDS = 0.2
+THAW_SECONDS = 0.3  # To handle what came while the process was frozen.
 MARKS = range(0, 65_536, 2048)  # Keys at which the journal tells holds.
 
 
@@ -35,6 +36,8 @@
         self.work_seconds = work_ms / 1000
         self.holds: list[dict] = []
         self.awake_at = time.monotonic()
+        self.frozen_at = 0.0
+        self.thawing_until = 0.0
         self.ran: list[str] = []
         self.faults = {"shed": 0, "unsigned": 0, "truncate": 0}
 
@@ -86,13 +89,18 @@
         While the process was frozen, orders lay in its sockets' buffers.
         """
         now = time.monotonic()
-        frozen = now - self.awake_at > FROZEN_SECONDS
-        return self.awake_at if frozen else now
+        if now - self.awake_at > FROZEN_SECONDS:
+            return self.awake_at
+        return self.frozen_at if now < self.thawing_until else now
 
     async def stay_awake(self) -> None:
         """Notes regularly that the process runs."""
         while True:
-            self.awake_at = time.monotonic()
+            now = time.monotonic()
+            if now - self.awake_at > FROZEN_SECONDS:
+                self.frozen_at = self.awake_at
+                self.thawing_until = now + THAW_SECONDS
+            self.awake_at = now
             await asyncio.sleep(AWAKE_SECONDS)
 
     def release(self, order: dict) -> messages.Response:
--- a/tests/test_lanes.py
+++ b/tests/test_lanes.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import unittest
+from unittest import mock
 
 from bench import lanes as replay
 from bench import patterns
@@ -55,6 +56,13 @@
     def test_slow_servers_cost_no_more_than_first_come(self):
         self.compare("slow-third", -0.01)
 
+    def test_a_burst_of_large_bodies_leaves_no_slot_idle(self):
+        pattern = patterns.named("large-bodies-burst")
+        ours = replay.play(pattern, "lane")
+        with mock.patch.object(lanes, "LARGE_BODY_BYTES", float("inf")):
+            anywhere = replay.play(pattern, "lane")
+        self.assertGreater(ours, anywhere - 0.02)
+
     def test_a_flood_of_the_least_urgent_harms_neither_rank(self):
         flood = patterns.named("flood-least-urgent")
         self.assertGreater(replay.play(flood, "lane"), 0.98)
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,69 @@
+"""Reloads of the settings, with a signal and without."""
+
+import asyncio
+import importlib
+import signal
+import subprocess
+import sys
+import types
+import unittest
+from unittest import mock
+
+from oleanderhoist.cli import router
+from oleanderhoist.node import core
+
+LIGHT = "import sys, oleanderhoist.cli.router; print('pydantic' in sys.modules)"
+
+
+class StartTest(unittest.TestCase):
+    """A reload that comes while the router starts."""
+
+    def test_reloads_are_ignored_before_the_imports(self):
+        before = signal.getsignal(signal.SIGHUP)
+        self.addCleanup(signal.signal, signal.SIGHUP, before)
+        seen = []
+
+        def main() -> None:
+            seen.append(signal.getsignal(signal.SIGHUP))
+
+        stub = types.SimpleNamespace(main=main)
+        with mock.patch.object(importlib, "import_module", lambda name: stub):
+            router.main()
+        self.assertEqual([signal.SIG_IGN], seen)
+
+    def test_nothing_large_is_imported_before(self):
+        found = subprocess.run(
+            [sys.executable, "-c", LIGHT],
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        self.assertEqual("False", found.stdout.strip())
+
+
+class WatchTest(unittest.IsolatedAsyncioTestCase):
+    """Settings that change without a signal."""
+
+    async def test_changed_settings_are_read_once(self):
+        stamps = iter([1, 1, 2, 2, 2, 2, 2, 2, 2, 2, 2, 2])
+        reads = []
+        node = core.Node.__new__(core.Node)
+        node.source = core.Source(
+            read=lambda: None, stamp=lambda: next(stamps), seen=1
+        )
+
+        def reload() -> None:
+            reads.append(1)
+            node.source.seen = node.source.stamp()
+
+        node.reload = reload
+        with mock.patch.object(core, "SETTINGS_SECONDS", 0.001):
+            task = asyncio.create_task(node.watch_settings())
+            while next(stamps) != 2 or not reads:
+                await asyncio.sleep(0.001)
+            task.cancel()
+        self.assertEqual([1], reads)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,9 @@
 
 PLANNED = ["drain-server", "stop-router", "reload-router", "change-contracts"]
 
-# 2: a server frozen with grants in its buffer counted as a second owner.
+# 2, 210: a server frozen with grants in its buffer counted as a second owner.
+# 13 (planned): a router was ended by a reload before it had started.
+# 2, 3, 4 (planned): a stop cut a request on a connection accepted just before.
 SEED = 2
 
 
