--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed
 
-.PHONY: demo test lint format bench overload failover placement capacity red lanes soak clean
+.PHONY: demo test lint format bench overload failover placement capacity red lanes router soak clean
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -36,6 +36,10 @@
 lanes: $(STAMP)
 	$(BIN)/python -m bench.lanes
 
+router: $(STAMP)
+	$(BIN)/python -m bench.router
+	$(BIN)/python -m bench.router --profile
+
 placement: $(STAMP)
 	$(BIN)/python -m bench.placement
 
--- a/standins/platform_system.py
+++ b/standins/platform_system.py
@@ -93,6 +93,7 @@
         servers: Number of servers, half of them owners of keys.
         proxied: Whether links to the store and to servers lead over proxies.
         journal: Called with each line that a server writes.
+        interpreter: Options that routers' interpreters are started with.
     """
 
     def __init__(
@@ -103,12 +104,14 @@
         servers: int = 4,
         proxied: bool = False,
         journal: Callable[[str, str], None] | None = None,
+        interpreter: tuple[str, ...] = (),
     ):
         self.subnet = subnet
         self.routers = routers
         self.server_count = servers
         self.proxied = proxied
         self.journal = journal
+        self.interpreter = interpreter
         self.proxies = proxy.Proxies()
         self.readers: set[asyncio.Task] = set()
         self.processes: dict[str, asyncio.subprocess.Process] = {}
@@ -207,6 +210,7 @@
         await asyncio.to_thread(path.write_text, json.dumps(file))
         process = await asyncio.create_subprocess_exec(
             sys.executable,
+            *self.interpreter,
             "-m",
             "oleanderhoist.cli.router",
             "--settings",
