--- a/bench/lanes.py
+++ b/bench/lanes.py
@@ -22,7 +22,7 @@
 RETURN_FRACTION = 1 / 3
 URGENT = 0
 LEAST_URGENT = 2
-CRASH_SECONDS = 0.01  # Until a refused connection shows.
+CRASH_SECONDS = 0.01  # Until a refused connection or a rejection shows.
 LEAST_URGENT_TIMES = 4.0  # Objective and deadline against the urgent rank's.
 
 
@@ -195,12 +195,14 @@
         self.at(now + wait, lambda time: self.ask(id, time))
 
     def work(self, server: str, now: float) -> float | None:
-        """Draws the time of a request at a server; None if it has crashed."""
+        """Draws the time of a request at a server; None if it fails."""
         number = int(server[1:])
         seconds = self.rng.lognormvariate(-0.1, 0.4) * self.pattern.service
         count = len(self.pattern.speeds)
         if self.busy(now) and number < self.pattern.crashed * count:
             return None
+        if self.busy(now) and self.rng.random() < self.pattern.sheds:
+            return None
         if self.busy(now) and number < self.pattern.slow * count:
             seconds *= 5
         return seconds / self.pattern.speeds[number]
--- a/bench/patterns.py
+++ b/bench/patterns.py
@@ -21,6 +21,7 @@
         length: Length of the replay, in seconds.
         returns: Times that a refused caller comes back.
         slow: Part of the servers that are five times slower in the burst.
+        sheds: Part of the tries that servers reject at once in the burst.
         crashed: Part of the servers that fail everything in the burst.
         background: Requests per second of the least urgent rank.
         flood: Factor on the background within the burst.
@@ -42,6 +43,7 @@
     length: float = 10.0
     returns: int = 1
     slow: float = 0.0
+    sheds: float = 0.0
     crashed: float = 0.0
     background: float = 0.0
     flood: float = 1.0
@@ -60,6 +62,13 @@
     Pattern(name="flood-least-urgent", rate=160.0, background=40.0, flood=8.0),
     Pattern(name="crash-at-peak", burst=1.3, crashed=0.23),
     Pattern(name="leavers", burst=1.8, leavers=0.5),
+    Pattern(
+        name="rejecting-owner",
+        speeds=(1.0,),
+        rate=45.0,
+        sheds=0.55,
+        returns=3,
+    ),
     Pattern(
         name="large-bodies",
         speeds=(0.5, 1.0, 1.0, 1.5) * 2,
--- a/oleanderhoist/policy/lanes.py
+++ b/oleanderhoist/policy/lanes.py
@@ -33,6 +33,7 @@
 MIN_RETRY_SECONDS = 0.05
 MAX_RETRY_SECONDS = 2.0
 LATE_UTILISATION = 0.95
+MIN_OCCUPIED = 0.002  # Seconds; no try is over sooner.
 MIN_OWN_RATE = 0.05  # Part of the rate that any rank is expected to get.
 ABANDONED_SECONDS = 0.5
 
@@ -88,6 +89,19 @@
 Verdict = Granted | Refused
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Running:
+    """A ticket that has a slot.
+
+    Attributes:
+        began: When it got the slot.
+        until: When it is given up.
+    """
+
+    began: float
+    until: float
+
+
 @dataclasses.dataclass(kw_only=True)
 class Server:
     """What a lane knows of one server.
@@ -97,8 +111,10 @@
         data_center: Where it runs.
         slots: Requests it works on at once.
         service: Smoothed time from sending to answer, in seconds.
-        failures: Smoothed part of requests that failed.
-        running: When each running ticket is given up, by asker and id.
+        occupied: Smoothed time that a try keeps a slot, in seconds; below
+            the service time when the server rejects at once.
+        failures: Smoothed part of tries that failed.
+        running: Tickets that have a slot, by asker and id.
         blocked: Until when it gets no work.
         used: When it was last given work.
     """
@@ -107,8 +123,9 @@
     data_center: str
     slots: int
     service: float
+    occupied: float | None = None
     failures: float = 0.0
-    running: dict[tuple[str, int], float] = dataclasses.field(
+    running: dict[tuple[str, int], Running] = dataclasses.field(
         default_factory=dict
     )
     blocked: float = 0.0
@@ -119,16 +136,24 @@
         return len(self.running) < self.slots and now >= self.blocked
 
     def rate(self) -> float:
-        """Returns the requests per second that it can run."""
-        return self.slots * (1.0 - self.failures) / self.service
+        """Returns the requests per second that it can run to a good end.
 
-    def note(self, seconds: float | None, failed: bool) -> None:
-        """Takes in how a request ended.
+        Load pattern: a server rejects half of its requests at once. The tries
+        cost no time of its slots, so it runs almost as many as before.
+        """
+        occupied = self.service if self.occupied is None else self.occupied
+        return self.slots * (1.0 - self.failures) / max(MIN_OCCUPIED, occupied)
+
+    def note(self, held: float, seconds: float | None, failed: bool) -> None:
+        """Takes in how a try ended.
 
         Args:
+            held: Time that it kept a slot, in seconds.
             seconds: Time it took, when it tells about the server's speed.
             failed: Whether the server failed it.
         """
+        before = self.service if self.occupied is None else self.occupied
+        self.occupied = before + (held - before) * SERVICE_SMOOTHING
         if seconds is not None:
             self.service += (seconds - self.service) * SERVICE_SMOOTHING
         self.failures += (float(failed) - self.failures) * FAILURE_SMOOTHING
@@ -299,8 +324,9 @@
 
     def grant(self, ticket: Ticket, server: Server, now: float) -> Granted:
         """Gives a ticket a slot."""
-        until = ticket.deadline + ABANDONED_SECONDS
-        server.running[(ticket.asker, ticket.id)] = until
+        server.running[(ticket.asker, ticket.id)] = Running(
+            began=now, until=ticket.deadline + ABANDONED_SECONDS
+        )
         server.used = now
         return Granted(ticket=ticket, server=server.id)
 
@@ -316,11 +342,12 @@
     ) -> None:
         """Frees a slot."""
         known = self.servers.get(server)
-        if known is None or known.running.pop((asker, id), None) is None:
+        ended = known.running.pop((asker, id), None) if known else None
+        if known is None or ended is None:
             # An ask that was repeated may have been granted elsewhere, too.
             self.cancel(asker, id)
             return
-        known.note(seconds, failed)
+        known.note(now - ended.began, seconds, failed)
         if failed and known.failures > BLOCKED_FAILURES:
             self.block(known, now)
         if seconds is not None:
@@ -385,8 +412,8 @@
             while queue and now + self.service / 2 > queue[0].deadline:
                 refused.append(self.refuse(queue.popleft(), 0.0, now))
         for server in self.servers.values():
-            for key, until in list(server.running.items()):
-                if now > until:
+            for key, running in list(server.running.items()):
+                if now > running.until:
                     del server.running[key]
         return refused
 
--- a/tests/test_lanes.py
+++ b/tests/test_lanes.py
@@ -63,6 +63,10 @@
             anywhere = replay.play(pattern, "lane")
         self.assertGreater(ours, anywhere - 0.02)
 
+    def test_an_owner_that_rejects_at_once_is_used_in_full(self):
+        pattern = patterns.named("rejecting-owner")
+        self.assertGreater(replay.play(pattern, "lane", seeds=4), 0.775)
+
     def test_a_flood_of_the_least_urgent_harms_neither_rank(self):
         flood = patterns.named("flood-least-urgent")
         self.assertGreater(replay.play(flood, "lane"), 0.98)
@@ -149,7 +153,9 @@
         for known in three.servers.values():
             known.failures = 0.9
         for number, id in enumerate("abc"):
-            three.servers[id].running[("x", number)] = 99.0
+            three.servers[id].running[("x", number)] = lanes.Running(
+                began=9.9, until=99.0
+            )
             three.done("x", number, id, seconds=None, failed=True, now=10.0)
         blocked = sum(s.blocked > 10.0 for s in three.servers.values())
         self.assertEqual(1, blocked)
