Deliver a server's own failure when no slot is left to repeat; ask sooner

The ready answer is now passed on. It now asks 0.03 s after the beat; the store is read 0.15 s later.

--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -32,7 +32,8 @@
 OWN_READ_SPREAD_SECONDS = 0.35
 RECORD_READ_SECONDS = 0.65
 ASK_WHOLE_SECONDS = 0.2
-RELAY_SECONDS = 0.15  # Until contracts that a leader has sent must be here.
+ARRIVAL_SECONDS = 0.03  # For contracts that were sent beside a beat.
+RELAY_SECONDS = 0.15  # Until contracts that were asked for must be here.
 PAUSE_GROWTH = 1.5
 MAX_PAUSE = 4.0
 
@@ -387,7 +388,7 @@
 
     async def get_terms(self, revision: int) -> None:
         """Gets contracts from the leader, or else from the store."""
-        if await self.state.wait_terms(revision, RELAY_SECONDS):
+        if await self.state.wait_terms(revision, ARRIVAL_SECONDS):
             return
         self.peers.send(self.leader_address, self.hello())
         if not await self.state.wait_terms(revision, RELAY_SECONDS):
--- a/oleanderhoist/node/router.py
+++ b/oleanderhoist/node/router.py
@@ -61,6 +61,7 @@
         misses: Tries that ended before it was sent.
         tried: Servers that it was sent to.
         maybe_run: Whether a server may have run it.
+        failure: A server's own answer that told of a failure; None before.
     """
 
     request: messages.Request
@@ -75,6 +76,7 @@
     misses: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
     maybe_run: bool = False
+    failure: messages.Response | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -85,14 +87,12 @@
         failure: How it ended.
         code: Result code if it was the last.
         detail: What happened.
-        response: The server's own answer, to be passed on if it was the last.
         wait: Whether a newer picture should be awaited first.
     """
 
     failure: retry.Failure
     code: codes.Code
     detail: str = ""
-    response: messages.Response | None = None
     wait: bool = False
 
 
@@ -208,21 +208,28 @@
 
     def give_up(self, job: Job, result: Failed) -> outcomes.Outcome:
         """Returns the final outcome after a failed last try."""
-        if result.response is not None:
-            return outcomes.Complete(response=result.response, server="")
-        if job.maybe_run and not job.work.repeatable:
-            unknown = result.code
-            if unknown.outcome is not codes.Outcome.UNKNOWN:
-                unknown = codes.LOST
-            return outcomes.Unknown(code=unknown, detail=result.detail)
         if job.maybe_run:
-            return outcomes.Unknown(code=codes.LOST, detail=result.detail)
+            return self.lost(job, result.code, result.detail)
         return outcomes.NotRun(
             code=result.code,
             detail=result.detail,
             retry_after=lanes.MIN_RETRY_SECONDS,
         )
 
+    def lost(
+        self, job: Job, code: codes.Code, detail: str
+    ) -> outcomes.Complete | outcomes.Unknown:
+        """Returns the outcome of a request that may have run.
+
+        A server's own answer is passed on, even if it tells of a failure.
+        """
+        if job.failure is not None:
+            return outcomes.Complete(response=job.failure, server="")
+        known = code.outcome is codes.Outcome.UNKNOWN
+        if not known or job.work.repeatable:
+            code = codes.LOST
+        return outcomes.Unknown(code=code, detail=detail)
+
     async def attempt(self, job: Job) -> outcomes.Outcome | Failed:
         """Gets a slot and sends once."""
         target = await self.find(job)
@@ -286,11 +293,11 @@
 
     def refused(
         self, job: Job, lane: str, verdict: lanes.Refused
-    ) -> outcomes.NotRun | outcomes.Unknown:
+    ) -> outcomes.Outcome:
         """Returns the outcome of a refused ask."""
         home = self.state.picture.home(lane)
         if job.maybe_run:
-            return outcomes.Unknown(code=codes.LOST, detail="no slot to repeat")
+            return self.lost(job, codes.LOST, "no slot to repeat")
         return outcomes.NotRun(
             code=codes.OVERLOADED,
             detail=f"lane {lane} at {home}: wait {verdict.wait * 1000:.0f} ms",
@@ -401,11 +408,9 @@
                 code=codes.BAD_ANSWER,
                 detail=detail,
             )
+        job.failure = response
         return Failed(
-            failure=retry.Failure.LOST,
-            code=codes.LOST,
-            detail=detail,
-            response=response,
+            failure=retry.Failure.LOST, code=codes.LOST, detail=detail
         )
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -3,20 +3,25 @@
 import asyncio
 from collections.abc import AsyncIterator
 import random
+import types
 import unittest
 
+from oleanderhoist import outcomes
 from oleanderhoist import ports
 from oleanderhoist.http import messages
 from oleanderhoist.node import directory
 from oleanderhoist.node import documents
 from oleanderhoist.node import holder
 from oleanderhoist.node import parts
+from oleanderhoist.node import permits
 from oleanderhoist.node import pictures
 from oleanderhoist.node import router
 from oleanderhoist.node import state
 from oleanderhoist.node import wire
+from oleanderhoist.platform import dialect
 from oleanderhoist.policy import fleet
 from oleanderhoist.policy import keys
+from oleanderhoist.policy import lanes
 from oleanderhoist.policy import tenure
 from oleanderhoist.policy import terms
 from tests import virtual
@@ -148,6 +153,68 @@
         self.assertAlmostEqual(0.1, self.waited(-0.3, 1), places=2)
 
 
+class OneSlot:
+    """Permits for a first try; every later one is refused."""
+
+    def __init__(self):
+        self.peers = types.SimpleNamespace(address="10.0.0.1:1")
+        self.asked = 0
+
+    async def ask(
+        self, lane: str, ticket: lanes.Ticket
+    ) -> permits.Permit | lanes.Refused:
+        """Gives a slot once."""
+        self.asked += 1
+        if self.asked > 1:
+            return lanes.Refused(ticket=ticket, retry=0.1)
+        return permits.Permit(id=ticket.id, lane=lane, home="", server="s")
+
+    def done(self, permit: permits.Permit, **how: object) -> None:
+        """Takes the slot back."""
+
+
+class FailingServer:
+    """A client of a server that runs a request and tells of a failure."""
+
+    def get(self, address: str) -> "FailingServer":
+        """Returns the client of any server."""
+        return self
+
+    async def request(self, *args: object, **how: object) -> messages.Response:
+        """Returns the server's failure."""
+        return messages.Response(
+            status=500, headers=[(b"response-signature", b"x")], body=b"broken"
+        )
+
+
+class FailureTest(unittest.TestCase):
+    """A server's own answer is passed on when there is no better one."""
+
+    def test_a_failure_is_delivered_when_no_slot_is_left_to_repeat(self):
+        loop = virtual.Loop()
+        known = state.State()
+        server = fleet.Server(
+            id="s", pool="pool", address="x:1", data_center="a", slots=1
+        )
+        known.picture = fleet.Picture(
+            servers={"s": server}, members={member(1).address: member(1)}
+        )
+        made = router.Router(
+            platform=dialect,
+            permits=OneSlot(),
+            state=known,
+            clock=virtual.Clock(loop=loop),
+            budget=router.Budgets(ratio=1.0, extra=100, state=known),
+            data_center="a",
+        )
+        made.clients = FailingServer()
+        asked = job(arrived=loop.now, objective=1.0)
+        outcome = virtual.run(made.serve(asked), loop)
+        self.assertEqual(2, made.permits.asked)
+        self.assertIsInstance(outcome, outcomes.Complete)
+        self.assertEqual(b"broken", outcome.response.body)
+
+
 class Listing:
     """A platform that lists servers, or fails."""
 
--- a/tests/test_store_calls.py
+++ b/tests/test_store_calls.py
@@ -90,6 +90,19 @@
 
         self.assertEqual([], self.play(change()))
 
+    def test_a_router_that_missed_contracts_asks_at_the_next_beat(self):
+        async def change() -> list[str]:
+            self.start_all()
+            await asyncio.sleep(5)
+            self.world.odds = {"datagram_lost": 1.0}
+            await self.change()
+            await asyncio.sleep(0.2)
+            self.world.odds = {}
+            await asyncio.sleep(0.35)
+            return self.missing()
+
+        self.assertEqual([], self.play(change()))
+
     def test_a_lost_leader_sends_nobody_to_the_store(self):
         async def lose() -> float:
             self.start_all()
