Read the store at once where a system restarts, not at its first start

Test: 40 routers restarted together know contracts and servers after 0.3 s; without the change they do not.

--- a/oleanderhoist/node/core.py
+++ b/oleanderhoist/node/core.py
@@ -107,6 +107,7 @@
             ),
             longest_hold=settings.longest_hold,
             view_seconds=settings.view_seconds,
+            first_start=settings.first_start,
             homes=self.homes,
             router=self.router,
         )
--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -50,6 +50,8 @@
         me: This process as a member.
         longest_hold: Longest lease that servers accept, in seconds.
         view_seconds: How old the view of servers and contracts may become.
+        first_start: Whether no caller waits yet, so that a leader may be
+            awaited; else this process reads the store at once.
         homes: Lanes hosted here, for their servers' speeds.
         router: Sends requests, for the keys that were asked for.
     """
@@ -65,6 +67,7 @@
         me: fleet.Member,
         longest_hold: float,
         view_seconds: float,
+        first_start: bool,
         homes: homes.Homes,
         router: router.Router,
     ):
@@ -89,7 +92,8 @@
         self.terms_parts = parts.Assembly()
         self.watch = succession.Watch()
         self.record_read = 0.0
-        self.own_read = clock.monotonic()
+        self.hurries = not first_start
+        self.own_read = clock.monotonic() if first_start else directory.NEVER
         self.asked_whole = 0.0
         # Most successions are over before the last routers read by themselves.
         part = hashing.digest(me.address) / 2.0**64
@@ -142,7 +146,8 @@
                 silent_s=round(silence, 2),
                 age_s=round(self.age, 2),
             )
-        if silence > self.own_read_after:
+        hurries = self.hurries and self.state.terms is None
+        if hurries or silence > self.own_read_after:
             self.read_own(now)
         await self.consider(now)
 
--- a/oleanderhoist/platform/settings.py
+++ b/oleanderhoist/platform/settings.py
@@ -48,6 +48,8 @@
     listen: Listen
     internal_ports: tuple[Port, Port]
     limits: MachineLimits = MachineLimits()
+    # True only while the whole system starts for the first time.
+    bootstrap: bool = False
     # A list of texts `name=value`, not a table.
     bounds: list[str] = []
     provider: Provider
@@ -112,6 +114,7 @@
             bounds.get("config_apply_ms", 2000.0),
         )
         / 1000,
+        first_start=file.bootstrap,
     )
 
 
--- a/oleanderhoist/settings.py
+++ b/oleanderhoist/settings.py
@@ -104,6 +104,8 @@
         stop_seconds: Time from the stop signal to the kill, in seconds.
         view_seconds: Time in which changes of contracts and of servers must
             be in force, in seconds.
+        first_start: Whether the whole system starts for the first time, so
+            that no caller waits yet.
     """
 
     id: str
@@ -122,6 +124,7 @@
     retry_extra: float
     stop_seconds: float
     view_seconds: float
+    first_start: bool
 
 
 class AddressType(click.ParamType):
--- a/tests/ownership_world.py
+++ b/tests/ownership_world.py
@@ -359,7 +359,7 @@
         if handler is not None:
             handler(sender, message)
 
-    def start(self, name: str) -> None:
+    def start(self, name: str, *, first: bool = False) -> None:
         """Starts a router."""
         self.peers[name] = Peers(world=self, address=name)
         load = Load(world=self)
@@ -372,6 +372,7 @@
             me=fleet.Member(address=name, data_center="a", cores=1.0),
             longest_hold=LONGEST_HOLD,
             view_seconds=VIEW_SECONDS,
+            first_start=first,
             homes=load,
             router=load,
         )
--- a/tests/test_store_calls.py
+++ b/tests/test_store_calls.py
@@ -17,6 +17,7 @@
 SUCCESSION_CALLS = 1.0  # For each router, when the leader is lost.
 LEADER_CALLS = 7  # For each second: its record, the directory, the feed.
 IN_FORCE_SECONDS = 2.0
+RESTART_SECONDS = 0.3
 
 
 class StoreCallsTest(unittest.TestCase):
@@ -25,10 +26,10 @@
     def setUp(self):
         self.world = ownership_world.World(seed=1, nodes=ROUTERS)
 
-    def start_all(self) -> None:
+    def start_all(self, *, first: bool = True) -> None:
         """Starts all routers."""
         for name in self.world.names:
-            self.world.start(name)
+            self.world.start(name, first=first)
 
     async def change(self) -> None:
         """Changes the contracts once."""
@@ -68,6 +69,24 @@
         self.assertEqual([], self.missing())
         self.assertLess(calls, START_CALLS * ROUTERS)
 
+    def test_a_restart_of_all_knows_everything_at_once(self):
+        async def restart() -> None:
+            self.start_all()
+            await asyncio.sleep(5)
+            for name in self.world.names:
+                self.world.kill(name)
+            await asyncio.sleep(1)
+            self.start_all(first=False)
+            await asyncio.sleep(RESTART_SECONDS)
+            lacking = [
+                name
+                for name, one in self.world.followers.items()
+                if one.state.terms is None or not one.state.picture.servers
+            ]
+            self.assertEqual([], lacking)
+
+        self.play(restart())
+
     def test_a_change_of_contracts_is_read_once(self):
         async def change() -> float:
             self.start_all()
