Keep lapsed entries in a router's own reading; split the follower

Cause, found by reading: a router that reads the store itself took the directory as it was listed. Right after an outage of the store, whose entries may have lapsed, it dropped live servers for up to 2 s; the leader keeps them for 2.4 s.

Change: the reading starts from the servers that count, with the time of the last failure. Reading for oneself and retry budgets have modules of their own.

Test: test_entries_that_lapsed_in_an_outage_are_kept_for_a_while (before: 3 servers at once, after: 4, and 3 once the time is over).

--- a/oleanderhoist/node/core.py
+++ b/oleanderhoist/node/core.py
@@ -14,6 +14,7 @@
 from oleanderhoist import program
 from oleanderhoist import settings
 from oleanderhoist.http import client
+from oleanderhoist.node import budgets
 from oleanderhoist.node import follower
 from oleanderhoist.node import front
 from oleanderhoist.node import homes
@@ -79,7 +80,7 @@
             permits=self.permits,
             state=self.state,
             clock=clock,
-            budget=router.Budgets(
+            budget=budgets.Budgets(
                 ratio=settings.retry_ratio,
                 extra=settings.retry_extra,
                 state=self.state,
--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -14,6 +14,7 @@
 from oleanderhoist.node import parts
 from oleanderhoist.node import peers
 from oleanderhoist.node import pictures
+from oleanderhoist.node import reading
 from oleanderhoist.node import records
 from oleanderhoist.node import router
 from oleanderhoist.node import state
@@ -21,21 +22,17 @@
 from oleanderhoist.node import wire
 from oleanderhoist.policy import fleet
 from oleanderhoist.policy import hashing
-from oleanderhoist.policy import keys
 from oleanderhoist.policy import succession
 from oleanderhoist.policy import tenure
 
 TICK_SECONDS = 0.1
 HELLO_SECONDS = 0.5
-OWN_READ_SECONDS = 0.9
 OWN_READ_MARGIN_SECONDS = 0.75  # To read, and for what was missed before.
 OWN_READ_SPREAD_SECONDS = 0.35
 RECORD_READ_SECONDS = 0.65
 ASK_WHOLE_SECONDS = 0.2
 ARRIVAL_SECONDS = 0.03  # For contracts that were sent beside a beat.
 RELAY_SECONDS = 0.15  # Until contracts that were asked for must be here.
-PAUSE_GROWTH = 1.5
-MAX_PAUSE = 4.0
 
 
 class Follower:
@@ -93,7 +90,6 @@
         self.watch = succession.Watch()
         self.record_read = 0.0
         self.hurries = not first_start
-        self.own_read = clock.monotonic() if first_start else directory.NEVER
         self.asked_whole = 0.0
         # Most successions are over before the last routers read by themselves.
         part = hashing.digest(me.address) / 2.0**64
@@ -102,12 +98,17 @@
             - OWN_READ_MARGIN_SECONDS
             + part * OWN_READ_SPREAD_SECONDS
         )
-        self.pause = 1.0
-        self.store_failed = directory.NEVER
         self.unfit_until = 0.0
         self.leading: leader.Leader | None = None
         self.stopping = False
-        self.reading: asyncio.Task | None = None
+        self.reader = reading.Reader(
+            platform=platform,
+            state=state,
+            clock=clock,
+            terms_watch=self.terms_watch,
+            meet=self.meet,
+            read_at=clock.monotonic() if first_start else directory.NEVER,
+        )
         self.reaching: asyncio.Task | None = None
         peers.handlers[wire.Beat] = self.on_beat
         peers.handlers[wire.Part] = self.on_part
@@ -148,64 +149,14 @@
             )
         hurries = self.hurries and self.state.terms is None
         if hurries or silence > self.own_read_after:
-            self.read_own(now)
+            self.reader.read_soon(now)
         await self.consider(now)
 
-    def read_own(self, now: float) -> None:
-        """Starts to read the store for this process alone."""
-        running = self.reading is not None and not self.reading.done()
-        if running or now - self.own_read < OWN_READ_SECONDS * self.pause:
-            return
-        self.own_read = now
-        self.reading = asyncio.create_task(self.refresh())
-
-    def back_off(self) -> None:
-        """Reads less often while the store does not answer."""
-        self.store_failed = self.clock.monotonic()
-        self.pause = min(MAX_PAUSE, self.pause * PAUSE_GROWTH)
-
-    async def refresh(self) -> None:
-        """Reads contracts, servers and owners from the store."""
-        await self.terms_watch.read()
-        reader = directory.Directory(
-            platform=self.platform, clock=self.clock, servers={}
-        )
-        before = self.state.picture
-        await reader.read()
-        if reader.lost:
-            self.back_off()
-            return
-        self.pause = 1.0
-        try:
-            rows = await self.platform.read_rows()
-        except ports.StoreError as error:
-            reader.note(error)
-            return
-        self.state.confirmed = reader.read_at
-        record = records.leadership_of(rows)
-        self.meet(record)
-        if self.state.picture is not before or record.epoch < before.epoch:
-            return
-        picture = fleet.Picture(
-            epoch=before.epoch,
-            version=-1,
-            leader=before.leader,
-            members=before.members,
-            servers=reader.servers,
-            maps=records.maps_of(rows),
-        )
-        # The same content keeps its version, to which the next change applies.
-        same = picture.servers == before.servers and same_owners(
-            picture.maps, before.maps
-        )
-        if not same:
-            self.state.adopt(picture, "store")
-
     async def consider(self, now: float) -> None:
         """Tries to take the leadership when that is this process's turn."""
         if self.stopping or now < self.unfit_until:
             return
-        if now - self.record_read < RECORD_READ_SECONDS * self.pause:
+        if now - self.record_read < RECORD_READ_SECONDS * self.reader.pause:
             return
         members = dict(self.state.picture.weights)
         members.pop(self.leader_address, None)
@@ -220,9 +171,9 @@
             rows = await self.platform.read_rows()
         except ports.StoreError:
             self.watch = succession.Watch()
-            self.back_off()
+            self.reader.back_off()
             return
-        self.pause = 1.0
+        self.reader.pause = 1.0
         now = self.clock.monotonic()
         record = records.leadership_of(rows)
         row = rows.get(records.LEADER_KEY)
@@ -295,7 +246,7 @@
             rows=rows,
             tenure=right,
             terms_watch=self.terms_watch,
-            store_failed=self.store_failed,
+            store_failed=self.reader.failed,
         )
         reason = ""
         try:
@@ -459,12 +410,3 @@
             log.write(events.DATAGRAM_MALFORMED, peer=peer, reason=str(error))
             return
         self.state.adopt_terms(document, peer)
-
-
-def same_owners(
-    one: dict[str, keys.KeyMap], other: dict[str, keys.KeyMap]
-) -> bool:
-    """Tells whether two sets of maps give every key the same owner."""
-    if one.keys() != other.keys():
-        return False
-    return all(one[pool].owners() == other[pool].owners() for pool in one)
--- /dev/null
+++ b/oleanderhoist/node/reading.py
@@ -0,0 +1,126 @@
+"""Reads the store for one process alone, when no leader is heard."""
+
+import asyncio
+from collections.abc import Callable
+
+from oleanderhoist import clock
+from oleanderhoist import ports
+from oleanderhoist.node import directory
+from oleanderhoist.node import records
+from oleanderhoist.node import state
+from oleanderhoist.node import termswatch
+from oleanderhoist.policy import fleet
+from oleanderhoist.policy import keys
+
+READ_SECONDS = 0.9
+PAUSE_GROWTH = 1.5
+MAX_PAUSE = 4.0
+
+
+class Reader:
+    """Reads contracts, servers and owners, less often while that fails.
+
+    Args:
+        platform: The store and the directory.
+        state: Gets what was read.
+        clock: Time source.
+        terms_watch: Reads the contracts.
+        meet: Called with the leadership record that was read.
+        read_at: When the store was last read, on the monotonic clock.
+
+    Attributes:
+        pause: Factor on the time between two reads.
+        failed: When the store last failed, on the monotonic clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: ports.Platform,
+        state: state.State,
+        clock: clock.Clock,
+        terms_watch: termswatch.TermsWatch,
+        meet: Callable[[records.Leadership], None],
+        read_at: float,
+    ):
+        self.platform = platform
+        self.state = state
+        self.clock = clock
+        self.terms_watch = terms_watch
+        self.meet = meet
+        self.read_at = read_at
+        self.pause = 1.0
+        self.failed = directory.NEVER
+        self.task: asyncio.Task | None = None
+
+    def read_soon(self, now: float) -> None:
+        """Starts to read, unless that was done a moment ago."""
+        running = self.task is not None and not self.task.done()
+        if running or now - self.read_at < READ_SECONDS * self.pause:
+            return
+        self.read_at = now
+        self.task = asyncio.create_task(self.read())
+
+    def back_off(self) -> None:
+        """Reads less often while the store does not answer."""
+        self.failed = self.clock.monotonic()
+        self.pause = min(MAX_PAUSE, self.pause * PAUSE_GROWTH)
+
+    async def read(self) -> None:
+        """Reads contracts, servers and owners from the store."""
+        await self.terms_watch.read()
+        before = self.state.picture
+        # Entries that lapsed while the store was away may come back.
+        found = directory.Directory(
+            platform=self.platform,
+            clock=self.clock,
+            servers=before.servers,
+            settled=self.failed,
+        )
+        await found.read()
+        if found.lost:
+            self.back_off()
+            return
+        self.pause = 1.0
+        try:
+            rows = await self.platform.read_rows()
+        except ports.StoreError as error:
+            found.note(error)
+            return
+        self.state.confirmed = found.read_at
+        record = records.leadership_of(rows)
+        self.meet(record)
+        if self.state.picture is not before or record.epoch < before.epoch:
+            return
+        self.adopt(before, found.servers, records.maps_of(rows))
+
+    def adopt(
+        self,
+        before: fleet.Picture,
+        servers: dict[str, fleet.Server],
+        maps: dict[str, keys.KeyMap],
+    ) -> None:
+        """Adopts what was read if it differs from what is known.
+
+        The same content keeps its version, to which the next change applies.
+        """
+        if servers == before.servers and same_owners(maps, before.maps):
+            return
+        picture = fleet.Picture(
+            epoch=before.epoch,
+            version=-1,
+            leader=before.leader,
+            members=before.members,
+            servers=servers,
+            maps=maps,
+        )
+        self.state.adopt(picture, "store")
+
+
+def same_owners(
+    one: dict[str, keys.KeyMap], other: dict[str, keys.KeyMap]
+) -> bool:
+    """Tells whether two sets of maps give every key the same owner."""
+    if one.keys() != other.keys():
+        return False
+    return all(one[pool].owners() == other[pool].owners() for pool in one)
--- a/oleanderhoist/node/router.py
+++ b/oleanderhoist/node/router.py
@@ -16,6 +16,7 @@
 from oleanderhoist import ports
 from oleanderhoist.http import client
 from oleanderhoist.http import messages
+from oleanderhoist.node import budgets
 from oleanderhoist.node import homes
 from oleanderhoist.node import permits
 from oleanderhoist.node import state
@@ -115,7 +116,7 @@
         permits: permits.Permits,
         state: state.State,
         clock: clock.Clock,
-        budget: "Budgets",
+        budget: budgets.Budgets,
         data_center: str,
     ):
         self.platform = platform
@@ -414,56 +415,6 @@
         )
 
 
-class Budgets:
-    """Retry budgets of this process, one for each pool.
-
-    All processes together must stay within a ratio of the requests and a
-    fixed extra in each window; each may use an even part of the extra.
-
-    Args:
-        ratio: Retries for each request.
-        extra: Further retries of all processes in a window.
-        state: Tells how many processes there are.
-    """
-
-    SAFETY = 0.8
-
-    def __init__(self, *, ratio: float, extra: float, state: state.State):
-        self.ratio = ratio
-        self.extra = extra
-        self.state = state
-        self.by_pool: dict[str, retry.Budget] = {}
-
-    def get(self, pool: str) -> retry.Budget:
-        """Returns the budget of a pool.
-
-        It begins almost empty: a process that was started again must not
-        spend anew what it has spent before.
-        """
-        budget = self.by_pool.get(pool)
-        if budget is None:
-            budget = retry.Budget(credit=1.0)
-            self.by_pool[pool] = budget
-        budget.fraction = self.SAFETY * self.ratio
-        budget.ceiling = self.part()
-        return budget
-
-    def part(self) -> float:
-        """Returns this process's part of the extra retries."""
-        members = len(self.state.picture.members)
-        if members < 2:
-            return 1.0
-        return max(1.0, self.SAFETY * self.extra / members)
-
-    def earn(self, pool: str) -> None:
-        """Counts a first try."""
-        self.get(pool).earn()
-
-    def spend(self, pool: str) -> bool:
-        """Takes one retry when the budget allows it."""
-        return self.get(pool).spend()
-
-
 async def best(
     first: asyncio.Task, tries: set[asyncio.Task]
 ) -> outcomes.Outcome | Failed:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,6 +9,7 @@
 from oleanderhoist import outcomes
 from oleanderhoist import ports
 from oleanderhoist.http import messages
+from oleanderhoist.node import budgets
 from oleanderhoist.node import directory
 from oleanderhoist.node import documents
 from oleanderhoist.node import holder
@@ -47,7 +48,7 @@
 class BudgetTest(unittest.TestCase):
     """Retries of all processes together stay within the contract."""
 
-    def spend_all(self, budget: router.Budgets, requests: int) -> int:
+    def spend_all(self, budget: budgets.Budgets, requests: int) -> int:
         """Returns how many retries a number of requests allows."""
         spent = 0
         for _ in range(requests):
@@ -59,14 +60,14 @@
 
     def test_a_process_that_knows_nobody_spends_no_extra(self):
         known = state.State()
-        budget = router.Budgets(ratio=0.2, extra=139, state=known)
+        budget = budgets.Budgets(ratio=0.2, extra=139, state=known)
         self.assertLessEqual(self.spend_all(budget, 0), 1)
 
     def test_restarted_processes_together_stay_within_the_budget(self):
         spent = 0
         for _ in range(26):
             known = state.State()
-            budget = router.Budgets(ratio=0.2, extra=139, state=known)
+            budget = budgets.Budgets(ratio=0.2, extra=139, state=known)
             spent += self.spend_all(budget, 50)
             known.picture = picture(26)
             spent += self.spend_all(budget, 50)
@@ -204,7 +205,7 @@
             permits=OneSlot(),
             state=known,
             clock=virtual.Clock(loop=loop),
-            budget=router.Budgets(ratio=1.0, extra=100, state=known),
+            budget=budgets.Budgets(ratio=1.0, extra=100, state=known),
             data_center="a",
         )
         made.clients = FailingServer()
--- a/tests/test_store_calls.py
+++ b/tests/test_store_calls.py
@@ -136,6 +136,27 @@
 
         self.assertLess(self.play(lose()), SUCCESSION_CALLS * ROUTERS)
 
+    def test_entries_that_lapsed_in_an_outage_are_kept_for_a_while(self):
+        async def outage() -> list[int]:
+            self.start_all()
+            await asyncio.sleep(5)
+            one = self.world.followers[self.world.names[0]]
+            one.reader.back_off()
+            del self.world.listed["s1"]
+            found = []
+            for wait in (0.0, 3.0):
+                await asyncio.sleep(wait)
+                before = one.state.picture
+                one.state.adopt(
+                    dataclasses.replace(before, servers=self.known), "test"
+                )
+                await one.reader.read()
+                found.append(len(one.state.picture.servers))
+            return found
+
+        self.known = dict(self.world.listed)
+        self.assertEqual([4, 3], self.play(outage()))
+
     def test_routers_without_a_leader_read_for_themselves(self):
         async def cut() -> list[str]:
             self.start_all()
