--- a/soak/callers.py
+++ b/soak/callers.py
@@ -65,12 +65,13 @@
             path = platform_system.probe_prefix(probe)
         sent = time.monotonic()
         opened = self.kept.opened
-        status, body, failure = 0, b"", ""
+        status, body, failure, reached = 0, b"", "", True
         try:
             response = await self.exchange(id, repeatable, path)
             status, body = response.status, response.body
         except client.ExchangeError as error:
             failure = str(error)
+            reached = error.sent
         self.found.take(
             promises.Answer(
                 id=id,
@@ -83,6 +84,7 @@
                 probe=probe,
                 reused=opened == self.kept.opened,
                 error=failure,
+                reached=reached,
             )
         )
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -27,6 +27,7 @@
         probe: Version of the contracts that made its route; 0 for others.
         reused: Whether it went over a connection that was open before.
         error: Why no whole answer came.
+        reached: Whether a router took a byte of the request.
     """
 
     id: str
@@ -39,6 +40,7 @@
     probe: int = 0
     reused: bool = False
     error: str = ""
+    reached: bool = True
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -168,7 +170,10 @@
                 )
 
     def served(self, since: float) -> float:
-        """Returns the part of the requests since a time that were served."""
-        later = [a for a in self.answers if a.sent >= since]
+        """Returns the part of the requests since a time that were served.
+
+        Those that found no router listening are the balancer's to steer.
+        """
+        later = [a for a in self.answers if a.sent >= since and a.reached]
         good = sum(a.status == 200 for a in later)
         return good / len(later) if later else 0.0
