--- a/bench/patterns.py
+++ b/bench/patterns.py
@@ -69,6 +69,17 @@
         sheds=0.55,
         returns=3,
     ),
+    Pattern(
+        name="hot-owner-returns",
+        speeds=(1.0,),
+        slots=4,
+        service=0.16,
+        objective=0.48,
+        deadline=3.0,
+        rate=16.0,
+        burst=2.5,
+        returns=2,
+    ),
     Pattern(
         name="large-bodies",
         speeds=(0.5, 1.0, 1.0, 1.5) * 2,
--- a/oleanderhoist/policy/lanes.py
+++ b/oleanderhoist/policy/lanes.py
@@ -33,6 +33,7 @@
 MIN_RETRY_SECONDS = 0.05
 MAX_RETRY_SECONDS = 2.0
 LATE_UTILISATION = 0.95
+OVERLOAD = 1.2  # Demand against rate above which a burst is under way.
 MIN_OCCUPIED = 0.002  # Seconds; no try is over sooner.
 MIN_OWN_RATE = 0.05  # Part of the rate that any rank is expected to get.
 ABANDONED_SECONDS = 0.5
@@ -279,9 +280,16 @@
         return None
 
     def refuse(self, ticket: Ticket, wait: float, now: float) -> Refused:
-        """Returns a refusal that says when to come back."""
+        """Returns a refusal that says when to come back.
+
+        Load pattern: more arrives than can be served for seconds. Callers
+        that come back soon are refused again, and few come a third time; so
+        they are told to come late, when the burst may be over.
+        """
         slack = max(0.0, ticket.objective - now - self.service)
         retry = max(MIN_RETRY_SECONDS, wait - slack)
+        if self.demand(now) > OVERLOAD * self.rate(now):
+            retry = MAX_RETRY_SECONDS
         return Refused(
             ticket=ticket, retry=min(retry, MAX_RETRY_SECONDS), wait=wait
         )
--- a/tests/test_lanes.py
+++ b/tests/test_lanes.py
@@ -67,6 +67,16 @@
         pattern = patterns.named("rejecting-owner")
         self.assertGreater(replay.play(pattern, "lane", seeds=4), 0.775)
 
+    def test_callers_of_a_hot_owner_come_back_when_there_is_room(self):
+        pattern = patterns.named("hot-owner-returns")
+        results = [
+            replay.Replay(pattern=pattern, policy="lane", seed=seed).run()
+            for seed in range(4)
+        ]
+        refused = sum(result.refused for result in results)
+        asked = sum(result.asked[0] for result in results)
+        self.assertLess(refused, 0.16 * asked)
+
     def test_a_flood_of_the_least_urgent_harms_neither_rank(self):
         flood = patterns.named("flood-least-urgent")
         self.assertGreater(replay.play(flood, "lane"), 0.98)
