Never read for oneself while a leader is merely late; one way to kill in the soak

Bounds in the settings that are far below today's would have let each router read the store all the time; the reading now waits at least for the silence that counts as a loss. The soak's two kills share their code.

--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -93,10 +93,11 @@
         self.asked_whole = 0.0
         # Most successions are over before the last routers read by themselves.
         part = hashing.digest(me.address) / 2.0**64
-        self.own_read_after = (
+        self.own_read_after = max(
+            succession.SILENCE_SECONDS,
             view_seconds
             - OWN_READ_MARGIN_SECONDS
-            + part * OWN_READ_SPREAD_SECONDS
+            + part * OWN_READ_SPREAD_SECONDS,
         )
         self.unfit_until = 0.0
         self.leading: leader.Leader | None = None
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -141,13 +141,26 @@
 @FAULTS.register("kill-router")
 async def kill_router(injector: Injector) -> None:
     """Kills a router and starts it again."""
-    name = injector.draw("r")
+    await kill(injector, "r", injector.restart_router)
+
+
+@FAULTS.register("kill-server")
+async def kill_server(injector: Injector) -> None:
+    """Kills a server; it comes back with nothing."""
+    await kill(injector, "td", injector.restart_server)
+
+
+async def kill(
+    injector: Injector, prefixes: str, restart: Callable[[str], Awaitable[None]]
+) -> None:
+    """Kills a drawn process and starts it again."""
+    name = injector.draw(prefixes)
     if name is None:
         return
     injector.restarting.add(name)
     async with injector.span(f"kill {name}"):
         await injector.end(name, signal.SIGKILL)
-        await injector.restart_router(name)
+        await restart(name)
     injector.restarting.discard(name)
 
 
@@ -190,19 +203,6 @@
         injector.system.signal(name, signal.SIGHUP)
 
 
-@FAULTS.register("kill-server")
-async def kill_server(injector: Injector) -> None:
-    """Kills a server; it comes back with nothing."""
-    name = injector.draw("td")
-    if name is None:
-        return
-    injector.restarting.add(name)
-    async with injector.span(f"kill {name}"):
-        await injector.end(name, signal.SIGKILL)
-        await injector.restart_server(name)
-    injector.restarting.discard(name)
-
-
 @FAULTS.register("drain-server")
 async def drain_server(injector: Injector) -> None:
     """Lets a server leave as announced, and come back; planned work."""
