Send contracts that one router lacks to that one alone

Cause, found by reading the change: a leader that had not encoded its contracts yet answered the first hello that lacked them by sending them to all members.

Ruled out: later hellos (the encoded parts are kept), and the change of contracts itself, which does go to all.

--- a/oleanderhoist/node/leader.py
+++ b/oleanderhoist/node/leader.py
@@ -335,21 +335,22 @@
         would do at the same moment.
         """
         self.terms_parts = []
-        document = self.state.document()
-        if document is not None:
-            parts = documents.pack(document)
-            self.terms_parts = [wire.encode(part) for part in parts]
-        for part in self.terms_parts:
+        for part in self.encoded_terms():
             self.send_all(part)
 
     def send_terms(self, address: str) -> None:
         """Sends the contracts to one member."""
-        if not self.terms_parts:
-            self.spread_terms()
-            return
-        for part in self.terms_parts:
+        for part in self.encoded_terms():
             self.peers.send_raw(address, part)
 
+    def encoded_terms(self) -> list[bytes]:
+        """Returns the contracts in force as datagrams; none before any."""
+        document = self.state.document()
+        if document is not None and not self.terms_parts:
+            parts = documents.pack(document)
+            self.terms_parts = [wire.encode(part) for part in parts]
+        return self.terms_parts
+
     def on_hello(self, peer: str, message: wire.Hello) -> None:
         """Takes in that a member lives, and what it saw."""
         if message.leaving:
--- a/tests/test_store_calls.py
+++ b/tests/test_store_calls.py
@@ -4,8 +4,11 @@
 import dataclasses
 import unittest
 
+import msgspec
+
 from oleanderhoist import ports
 from oleanderhoist.node import records
+from oleanderhoist.node import wire
 from oleanderhoist.policy import keys
 from oleanderhoist.policy import tenure
 from tests import ownership_world
@@ -126,6 +129,36 @@
 
         self.assertEqual([], self.play(change()))
 
+    def test_contracts_that_one_router_lacks_go_to_it_alone(self):
+        receivers = []
+
+        async def lack() -> None:
+            self.start_all()
+            await asyncio.sleep(5)
+            leading = [
+                one.leading
+                for one in self.world.followers.values()
+                if one.leading
+            ]
+            leading[0].terms_parts = []
+            send = leading[0].peers.send_raw
+
+            def note(address: str, data: bytes) -> None:
+                if isinstance(wire.decode(data), wire.TermsPart):
+                    receivers.append(address)
+                send(address, data)
+
+            leading[0].peers.send_raw = note
+            lacking = next(
+                m for m in self.world.names if m != leading[0].me.address
+            )
+            other = self.world.followers[lacking]
+            hello = msgspec.structs.replace(other.hello(), terms=0)
+            leading[0].on_hello(lacking, hello)
+            self.assertEqual([lacking], receivers)
+
+        self.play(lack())
+
     def test_a_router_that_missed_contracts_asks_at_the_next_beat(self):
         async def change() -> list[str]:
             self.start_all()
