End a soak's processes when the soak is ended

A soak that got SIGTERM left its 10 processes running: its clean-up never ran. The signal now cancels the run, and the clean-up stops all.

--- a/soak/play.py
+++ b/soak/play.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import os
+import signal
 import time
 
 from soak import callers
@@ -78,6 +79,10 @@
         journal=found.read,
     )
     injector = faults.Injector(system=system, found=found, seed=seed)
+    # A soak that is ended leaves no process behind.
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGTERM, asyncio.current_task().cancel
+    )
     try:
         await system.start()
         sending = [
