--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,6 +13,7 @@
 DEADLINE_SECONDS = 2.0
 SLACK_SECONDS = 0.5
 UNREPEATABLE_SHARE = 0.4
+PROBE_SHARE = 0.2  # Lookups on the route that the newest contracts added.
 IDLE_SECONDS = 12.0
 PAUSE_SECONDS = 0.03
 
@@ -60,7 +61,11 @@
         id = f"{self.name}-{next(self.numbers)}"
         repeatable = self.rng.random() > UNREPEATABLE_SHARE
         path, probe = ("/look/" if repeatable else "/order/"), 0
-        if repeatable and self.found.changed and self.rng.random() < 0.2:
+        if (
+            repeatable
+            and self.found.changed
+            and self.rng.random() < PROBE_SHARE
+        ):
             probe = max(self.found.changed)
             path = platform_system.probe_prefix(probe)
         sent = time.monotonic()
--- a/soak/play.py
+++ b/soak/play.py
@@ -15,6 +15,7 @@
 CALM_SECONDS = 2.0
 RECOVER_SECONDS = 15.0  # After the last fault.
 WATCH_SECONDS = 3.0
+LOOK_SECONDS = 0.5
 SERVED_SHARE = 0.95
 FIRST_ROUTER = 2
 SUBNETS = 200  # Runs beside each other use addresses of their own.
@@ -129,7 +130,7 @@
     """Waits until requests are served again; returns how long that took."""
     began = time.monotonic()
     while (waited := time.monotonic() - began) < RECOVER_SECONDS:
-        await asyncio.sleep(0.5)
+        await asyncio.sleep(LOOK_SECONDS)
         since = time.monotonic() - WATCH_SECONDS
         if since >= began and found.served(since) >= SERVED_SHARE:
             return waited - WATCH_SECONDS
