Await answers into the last sixth before the kill

A router that got SIGTERM closed a connection 4.904 s later, though a server was at work on its request; answers must be awaited until a sixth of the 6 s to the kill is left.

Ruled out: the new end of Server.stop (it waits until the time it is given), and the time to linger for the balancer.

Change: answers are awaited for 86% of the time to the kill (5.16 s of 6), which leaves 0.84 s to close and exit instead of 1.1 s.

Test: AwaitTest; with 1.1 s it would ask 4.9 > 5.0.

--- a/oleanderhoist/node/core.py
+++ b/oleanderhoist/node/core.py
@@ -26,7 +26,9 @@
 
 RESTART_SECONDS = 0.2
 LINGER_SECONDS = 2.6
-END_MARGIN_SECONDS = 1.1  # To close, write the last lines and exit.
+# Of the time to the kill: to close, write the last lines and exit. Answers are
+# awaited until a sixth of it is left, and a moment longer.
+END_FRACTION = 0.14
 
 SETTINGS_SECONDS = 2.0  # Between looks at the settings, for silent changes.
 
@@ -195,7 +197,7 @@
     async def stop(self, tasks: list[asyncio.Task]) -> None:
         """Answers what was read, then ends."""
         loop = asyncio.get_running_loop()
-        end = loop.time() + self.settings.stop_seconds - END_MARGIN_SECONDS
+        end = loop.time() + awaiting_seconds(self.settings.stop_seconds)
         self.stopping = True
         self.front.server.closing_answers = True
         self.router.stopping = True
@@ -211,6 +213,15 @@
         await self.metrics.server.stop(0.0)
 
 
+def awaiting_seconds(stop_seconds: float) -> float:
+    """Returns how long answers are awaited after the stop signal, in seconds.
+
+    Args:
+        stop_seconds: Time from the stop signal to the kill.
+    """
+    return stop_seconds * (1.0 - END_FRACTION)
+
+
 def describe(error: BaseException) -> str:
     """Returns an error and, for a group, the first of its errors."""
     if isinstance(error, BaseExceptionGroup):
--- a/tests/test_resign.py
+++ b/tests/test_resign.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from oleanderhoist.node import core
 from tests import ownership_world
 from tests import virtual
 
@@ -49,5 +50,16 @@
         self.assertEqual(1, virtual.run(stop(), self.world.loop))
 
 
+class AwaitTest(unittest.TestCase):
+    """How long a router that stops awaits answers."""
+
+    def test_answers_are_awaited_into_the_last_sixth_before_the_kill(self):
+        for grace in (3.0, 6.0, 10.0):
+            with self.subTest(grace=grace):
+                awaited = core.awaiting_seconds(grace)
+                self.assertGreater(awaited, grace * 5 / 6)
+                self.assertGreater(grace - awaited, 0.4)  # To exit.
+
+
 if __name__ == "__main__":
     unittest.main()
