--- a/oleanderhoist/entry/router.py
+++ b/oleanderhoist/entry/router.py
@@ -62,18 +62,21 @@
     async def serve(self, one: call.Call) -> outcomes.Outcome:
         """Sends a call until it has an outcome."""
         tries = 0
+        lost: outcomes.Unknown | None = None
         self.budget.earn()
         FIRST_TRIES.labels(str(one.work.rank)).inc()
         while True:
             target = await self.target(one)
             if target is None:
-                return self.nowhere(one)
+                return truthful(self.nowhere(one), lost)
             tries += 1
             result = await self.attempt(one, target)
             if not isinstance(result, sending.Failed):
-                return result
+                return truthful(result, lost)
+            if isinstance(result.outcome, outcomes.Unknown):
+                lost = result.outcome
             if not self.again(one, result, tries):
-                return result.outcome
+                return truthful(result.outcome, lost)
             log.write(
                 events.REQUEST_RETRIED,
                 request=one.id,
@@ -241,3 +244,17 @@
         elif sending.is_not_run(result):
             await self.claims.abandon(claim)
         return result
+
+
+def truthful(
+    outcome: outcomes.Outcome, lost: outcomes.Unknown | None
+) -> outcomes.Outcome:
+    """Returns what may be told of a call over all of its tries.
+
+    Args:
+        outcome: How the last try ended.
+        lost: How an earlier try ended that may have run; None without one.
+    """
+    if lost is not None and isinstance(outcome, outcomes.NotRun):
+        return lost
+    return outcome
