Run an entry's checks apart from the router's

Change: the checks run in a process of their own; nothing in them is changed.

Run after it: test_node, test_entry, test_store_calls and test_permits in one process, all passed.

--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,54 +1,26 @@
-"""Tries of one call at an entry."""
+"""Runs the checks of an entry's tries in a process of their own.
 
-import asyncio
-import types
-import unittest
-
-from oleanderhoist import codes
-from oleanderhoist import outcomes
-from oleanderhoist.entry import router
-from oleanderhoist.entry import sending
-from oleanderhoist.policy import retry
-
-LOST = outcomes.Unknown(code=codes.BAD_ANSWER)
-REFUSED = outcomes.NotRun(code=codes.OVERLOADED)
-
-
-class TriesTest(unittest.TestCase):
-    """What is told of a call that was tried more than once."""
+Entry and router register metrics of the same names, as each is a program of
+its own, so one process cannot import both.
+"""
 
-    def serve(self, *results: object) -> outcomes.Outcome:
-        """Returns what is told when tries end so, one after the other."""
-        made = router.Router.__new__(router.Router)
-        left = list(results)
-
-        async def target(one: object) -> object:
-            return types.SimpleNamespace(
-                server=types.SimpleNamespace(id="s"), partition=""
-            )
-
-        async def attempt(one: object, target: object) -> object:
-            return left.pop(0)
-
-        made.budget = types.SimpleNamespace(earn=lambda: None)
-        made.target, made.attempt = target, attempt
-        made.again = lambda one, result, tries: bool(left)
-        call = types.SimpleNamespace(id="c", work=types.SimpleNamespace(rank=0))
-        return asyncio.run(made.serve(call))
-
-    def failed(self, outcome: outcomes.Outcome) -> sending.Failed:
-        """Returns a try that may be followed by another."""
-        return sending.Failed(failure=retry.Failure.LOST, outcome=outcome)
+import subprocess
+import sys
+import unittest
 
-    def test_a_refusal_after_a_lost_try_is_no_promise(self):
-        self.assertEqual(LOST, self.serve(self.failed(LOST), REFUSED))
 
-    def test_a_failed_last_try_does_not_hide_a_lost_one(self):
-        found = self.serve(self.failed(LOST), self.failed(REFUSED))
-        self.assertEqual(LOST, found)
+class EntryTest(unittest.TestCase):
+    """The checks in `tests.entry_tries`."""
 
-    def test_a_refusal_alone_is_one(self):
-        self.assertEqual(REFUSED, self.serve(self.failed(REFUSED), REFUSED))
+    def test_tries_are_told_truthfully(self):
+        found = subprocess.run(
+            [sys.executable, "-m", "unittest", "tests.entry_tries"],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        self.assertEqual(0, found.returncode, found.stderr)
+        self.assertIn("Ran 3 tests", found.stderr)
 
 
 if __name__ == "__main__":
