Use one codec of members; derive the time that a try keeps a slot once

Found by reading the whole change: the roster row had a type and two conversions of its own that repeat those of pictures (MemberItem, member_item, to_member), and a lane's server chose between occupied and service time in two places.

Ruled out as worth a change now: the two kinds of delays in test_ownership (each plays its own schedule), constructors of like shape, and Leader.newest, which repeats the state's picture but for a moment within a publication.

Behaviour is unchanged: a roster row has the same bytes ([[address, data center, cores]]) and is read back equal.

--- a/oleanderhoist/node/records.py
+++ b/oleanderhoist/node/records.py
@@ -15,6 +15,8 @@
 from oleanderhoist import events
 from oleanderhoist import log
 from oleanderhoist import ports
+from oleanderhoist.node import pictures
+from oleanderhoist.node import wire
 from oleanderhoist.policy import fleet
 from oleanderhoist.policy import keys
 from oleanderhoist.policy import tenure
@@ -43,14 +45,6 @@
     lapse_ms: int = 0
 
 
-class RosterItem(msgspec.Struct, array_like=True, frozen=True):
-    """A member in the roster."""
-
-    address: str
-    data_center: str
-    cores: float
-
-
 class DeposedError(Exception):
     """Another process has taken over the leadership."""
 
@@ -76,7 +70,7 @@
     """Encodes the members that a leader knows."""
     return msgspec.json.encode(
         [
-            RosterItem(member.address, member.data_center, member.cores)
+            pictures.member_item(member)
             for member in sorted(members.values(), key=lambda m: m.address)
         ]
     )
@@ -88,18 +82,11 @@
     if row is None:
         return {}
     try:
-        items = msgspec.json.decode(row.value, type=list[RosterItem])
+        items = msgspec.json.decode(row.value, type=list[wire.MemberItem])
     except (msgspec.DecodeError, msgspec.ValidationError) as error:
         log.write(events.ROW_UNREADABLE, key=ROSTER_KEY, reason=str(error))
         return {}
-    return {
-        item.address: fleet.Member(
-            address=item.address,
-            data_center=item.data_center,
-            cores=item.cores,
-        )
-        for item in items
-    }
+    return {item.address: pictures.to_member(item) for item in items}
 
 
 def maps_of(rows: dict[str, ports.Row]) -> dict[str, keys.KeyMap]:
--- a/oleanderhoist/policy/lanes.py
+++ b/oleanderhoist/policy/lanes.py
@@ -142,8 +142,12 @@
         Load pattern: a server rejects half of its requests at once. The tries
         cost no time of its slots, so it runs almost as many as before.
         """
-        occupied = self.service if self.occupied is None else self.occupied
-        return self.slots * (1.0 - self.failures) / max(MIN_OCCUPIED, occupied)
+        held = max(MIN_OCCUPIED, self.held())
+        return self.slots * (1.0 - self.failures) / held
+
+    def held(self) -> float:
+        """Returns the time that a try keeps a slot, in seconds."""
+        return self.service if self.occupied is None else self.occupied
 
     def note(self, held: float, seconds: float | None, failed: bool) -> None:
         """Takes in how a try ended.
@@ -153,7 +157,7 @@
             seconds: Time it took, when it tells about the server's speed.
             failed: Whether the server failed it.
         """
-        before = self.service if self.occupied is None else self.occupied
+        before = self.held()
         self.occupied = before + (held - before) * SERVICE_SMOOTHING
         if seconds is not None:
             self.service += (seconds - self.service) * SERVICE_SMOOTHING
