Log what a stop awaits and which requests it cuts; close opened connections

Callers saw a connection closed without an answer 5.169 s after SIGTERM, and the logs could not tell why: the users keep the last lines of a process, and those of a stopped router were 142 to 167 lines of 'Event loop is closed', from connections to servers that nothing closed before the loop ended.

302 says at each stop of a listener how many connections have a request without a response and how long they are awaited; 303 names each request that is cut, with what its connection was doing (bounded, as other lines of requests are). A program now closes the connections that it opened.

A router with two stand-in servers that is stopped in calm wrote tracebacks before, and none after; no decision has changed.

--- a/oleanderhoist/cli/options.py
+++ b/oleanderhoist/cli/options.py
@@ -11,6 +11,7 @@
 from oleanderhoist import exits
 from oleanderhoist import log
 from oleanderhoist import settings
+from oleanderhoist.http import streams
 
 DEFAULT_MAX_SKEW_MS = 50.0
 
@@ -102,9 +103,17 @@
     writer = log.Writer(stream=stream)
     writer.start()
     try:
-        asyncio.run(program)
+        asyncio.run(run_and_close(program))
     except OSError as error:
         click.echo(f"cannot listen: {error}; check the addresses", err=True)
         sys.exit(exits.ExitStatus.ERROR)
     finally:
         writer.stop()
+
+
+async def run_and_close(program: Coroutine[None, None, None]) -> None:
+    """Runs a program, then closes the connections that it opened."""
+    try:
+        await program
+    finally:
+        streams.close_opened()
--- a/oleanderhoist/events.py
+++ b/oleanderhoist/events.py
@@ -345,3 +345,17 @@
     "A program received a stop signal and finishes its work.",
     "oleanderhoist.program",
 )
+EXCHANGES_AWAITED = define(
+    302,
+    "stop.exchanges_awaited",
+    "A stop closed a listener and awaits exchanges: connections, how many of "
+    "them have a request without a response, and for how long.",
+    "oleanderhoist.http.server",
+)
+REQUEST_CUT = define(
+    303,
+    "stop.request_cut",
+    "A stop ran out of time and closed a connection whose request had no "
+    "whole response: what the connection was doing.",
+    "oleanderhoist.http.server",
+)
--- a/oleanderhoist/http/server.py
+++ b/oleanderhoist/http/server.py
@@ -5,11 +5,14 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
+import enum
 import re
 
 import h11
 
 from oleanderhoist import codes
+from oleanderhoist import events
+from oleanderhoist import log
 from oleanderhoist.http import messages
 from oleanderhoist.http import streams
 
@@ -31,6 +34,15 @@
     """The caller's body ended early, stalled or was malformed."""
 
 
+class Phase(enum.StrEnum):
+    """What a connection is doing."""
+
+    IDLE = "idle"
+    HEAD = "reading a head"
+    HANDLING = "handling a request"
+    WRITING = "writing a response"
+
+
 class Server:
     """Serves one listening socket.
 
@@ -109,6 +121,13 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + grace
         await asyncio.sleep(min(grace, ARRIVAL_SECONDS))
+        log.write(
+            events.EXCHANGES_AWAITED,
+            port=self.port,
+            connections=len(self.connections),
+            unanswered=sum(c.unanswered for c in self.connections),
+            grace_s=round(grace, 3),
+        )
         while self.connections and (remaining := end - loop.time()) > 0:
             for connection in self.connections:
                 connection.finish()
@@ -120,7 +139,7 @@
             for task in tasks:
                 task.cancel()
         for connection in list(self.connections):
-            connection.writer.close()
+            connection.cut()
 
 
 class Connection:
@@ -139,10 +158,16 @@
         self.protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.head_bytes
         )
-        self.busy = False
+        self.phase = Phase.IDLE
+        self.target = ""
         self.finishing = False
         self.closed = asyncio.Event()
 
+    @property
+    def unanswered(self) -> bool:
+        """Whether a request has arrived, at least in part, unanswered."""
+        return self.phase is not Phase.IDLE or self.reader.unread > 0
+
     async def serve(self) -> None:
         """Serves requests sequentially until the connection ends."""
         try:
@@ -156,9 +181,23 @@
     def finish(self) -> None:
         """Closes the connection after the running exchange, or now if idle."""
         self.finishing = True
-        if not self.busy and not self.reader.unread:
+        running = self.phase in (Phase.HEAD, Phase.HANDLING)
+        if not running and not self.reader.unread:
             self.writer.close()
 
+    def cut(self) -> None:
+        """Closes the connection whatever it is doing; logs a lost request."""
+        if self.unanswered:
+            log.write_limited(
+                events.REQUEST_CUT,
+                port=self.server.port,
+                path=self.target.partition("?")[0],
+                phase=self.phase.value,
+                unread_bytes=self.reader.unread,
+                unsent_bytes=self.writer.transport.get_write_buffer_size(),
+            )
+        self.writer.close()
+
     async def exchange(self) -> bool:
         """Serves one request.
 
@@ -168,17 +207,19 @@
         request = await self.read_head()
         if request is None:
             return False
-        self.busy = True
+        self.phase = Phase.HANDLING
+        self.target = request.target
         response = await self.handle(request)
         if response is None:
             return False
-        self.busy = False
+        self.phase = Phase.WRITING
         close = (
             response.close or self.finishing or self.server.close_after_response
         )
         if self.protocol.their_state is not h11.DONE:
             close = True
         await self.write(response, request.method, close)
+        self.phase = Phase.IDLE
         return not close and self.protocol.our_state is h11.DONE
 
     async def handle(
@@ -224,7 +265,8 @@
                 if data is None:
                     return None
                 received.extend(data)
-                self.busy = self.busy or bool(data)
+                if data:
+                    self.phase = Phase.HEAD
                 self.protocol.receive_data(data)
                 continue
             if isinstance(event, h11.Request):
--- a/oleanderhoist/http/streams.py
+++ b/oleanderhoist/http/streams.py
@@ -2,9 +2,12 @@
 
 import asyncio
 from collections.abc import Callable
+import weakref
 
 BUFFER_LIMIT_BYTES = 262_144
 
+OPENED: weakref.WeakSet[asyncio.StreamWriter] = weakref.WeakSet()
+
 
 class Reader(asyncio.StreamReader):
     """A stream reader that counts unread bytes and reports a disconnect.
@@ -71,4 +74,15 @@
     reader = Reader(loop=loop)
     protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
     transport, _ = await loop.create_connection(lambda: protocol, host, port)
-    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+    writer = asyncio.StreamWriter(transport, protocol, reader, loop)
+    OPENED.add(writer)
+    return reader, writer
+
+
+def close_opened() -> None:
+    """Closes all connections that `connect` opened, at the end of a program.
+
+    Otherwise each of them is reported as an error once the loop has ended.
+    """
+    for writer in list(OPENED):
+        writer.transport.abort()
