--- a/oleanderhoist/codes.py
+++ b/oleanderhoist/codes.py
@@ -245,6 +245,13 @@
     "The body ended early, stalled or outgrew the contract on its way",
     "The server got a part of it. Read the result with a lookup.",
 )
+STOPPED = define(
+    4004,
+    502,
+    _UNKNOWN,
+    "The program stopped before the server answered",
+    "It may have run. Resubmit only under its Idempotency-Key.",
+)
 CONTRACT_INVALID = define(
     5000,
     422,
--- a/oleanderhoist/node/core.py
+++ b/oleanderhoist/node/core.py
@@ -29,10 +29,14 @@
 # For this long, a stopping router fails its readiness probe and still accepts
 # requests.
 UNREADY_ACCEPT_SECONDS = 2.6
-# Part of the stop time that is reserved for closing connections, writing the
-# last log lines and exiting: a little less than a sixth; until then responses
-# are awaited.
+# Part of the stop time in which requests may wait for a slot; the rest is for
+# the servers' work.
+SLOT_FRACTION = 0.5
+# Part of the stop time that is reserved for writing the last responses, closing
+# connections, writing the last log lines and exiting: a little less than a
+# sixth; until then servers' responses are awaited.
 EXIT_FRACTION = 0.14
+WRITE_SECONDS = 0.3  # For writing responses after the last one is due.
 SETTINGS_POLL_SECONDS = 2.0  # For changes of the settings without SIGHUP.
 
 
@@ -211,21 +215,32 @@
     async def stop(self, tasks: list[asyncio.Task]) -> None:
         """Stops gracefully, after answering the requests that were read."""
         loop = asyncio.get_running_loop()
-        drain_end = loop.time() + drain_seconds(self.settings.stop_seconds)
+        began = loop.time()
+        stop_seconds = self.settings.stop_seconds
+        answers_due = began + drain_seconds(stop_seconds)
+        slots_due = began + SLOT_FRACTION * stop_seconds
         self.stopping = True
         self.frontend.server.close_after_response = True
+        self.frontend.answers_due.set(answers_due)
         self.forwarder.stopping = True
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(RESIGN_TIMEOUT_SECONDS):
-                await self.follower.stop()
-        await asyncio.sleep(UNREADY_ACCEPT_SECONDS)
-        await self.frontend.server.stop(max(0.0, drain_end - loop.time()))
+        self.forwarder.slots_due.set(slots_due)
+        accept_end = min(began + UNREADY_ACCEPT_SECONDS, slots_due)
+        await asyncio.gather(self.resign(), asyncio.sleep(accept_end - began))
+        await self.frontend.server.stop(
+            max(0.0, answers_due + WRITE_SECONDS - loop.time())
+        )
         for task in tasks:
             task.cancel()
         self.datagrams.close()
         await self.health.server.stop(0.0)
         await self.metrics.server.stop(0.0)
 
+    async def resign(self) -> None:
+        """Gives up leading, or reports to the leader that the router stops."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(RESIGN_TIMEOUT_SECONDS):
+                await self.follower.stop()
+
 
 def drain_seconds(stop_seconds: float) -> float:
     """Returns how long responses are awaited after the stop signal, in seconds.
--- a/oleanderhoist/node/forwarder.py
+++ b/oleanderhoist/node/forwarder.py
@@ -1,15 +1,14 @@
 """Forwards a request to a server, retrying and hedging where allowed."""
 
 import asyncio
-import dataclasses
 import itertools
-import random
 import time
 
 import prometheus_client
 
 from oleanderhoist import clock
 from oleanderhoist import codes
+from oleanderhoist import deadline
 from oleanderhoist import events
 from oleanderhoist import log
 from oleanderhoist import outcomes
@@ -18,10 +17,10 @@
 from oleanderhoist.http import messages
 from oleanderhoist.node import budgets
 from oleanderhoist.node import coordinator
+from oleanderhoist.node import jobs
 from oleanderhoist.node import slotclient
 from oleanderhoist.node import state
 from oleanderhoist.policy import cluster
-from oleanderhoist.policy import contractset
 from oleanderhoist.policy import keys
 from oleanderhoist.policy import retry
 from oleanderhoist.policy import slotqueue
@@ -32,9 +31,6 @@
 UNREPEATABLE_IDLE_SECONDS = 1.0
 MAX_UNSENT_ATTEMPTS = 3
 SNAPSHOT_WAIT_SECONDS = 0.1
-MAX_OWNER_WAIT_SECONDS = 0.4
-MIN_OWNER_WAIT_SECONDS = 0.1  # Most planned key moves take less.
-OWNER_WAIT_FRACTION = 0.5  # Of the objective; the server needs the rest.
 NO_OWNER_RETRY_SECONDS = 0.5
 RESPONSE_SLACK_SECONDS = 0.08
 KEYED_HEDGE_FACTOR = 2.0
@@ -47,59 +43,6 @@
 )
 
 
-@dataclasses.dataclass(kw_only=True)
-class Job:
-    """A request being forwarded, and the state of its attempts.
-
-    Attributes:
-        request: The caller's HTTP request; its body has been read.
-        head: The fields parsed from the request head.
-        body: The whole body.
-        work: Kind of work.
-        pool: Pool chosen for it.
-        arrived: When it arrived, in seconds on the monotonic clock.
-        deadline: When its final response is due, on the same clock.
-        objective: Latest time for a response of full value, on the same clock.
-        sends: Number of times it was sent to a server.
-        unsent_attempts: Attempts that ended before it was sent.
-        tried_servers: Ids of the servers that an exchange was started with.
-        maybe_run: Whether a server may have run it.
-        failure_response: The latest response in which a server reported a
-            failure; None without one.
-    """
-
-    request: messages.Request
-    head: ports.RequestHead
-    body: bytes
-    work: contractset.Work
-    pool: str
-    arrived: float
-    deadline: float
-    objective: float
-    sends: int = 0
-    unsent_attempts: int = 0
-    tried_servers: set[str] = dataclasses.field(default_factory=set)
-    maybe_run: bool = False
-    failure_response: messages.Response | None = None
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class FailedAttempt:
-    """A failed attempt that may be retried.
-
-    Attributes:
-        failure: How it failed.
-        code: Result code if it is not retried.
-        detail: Description of the failure for the log.
-        await_snapshot: Whether to wait for a newer snapshot before a retry.
-    """
-
-    failure: retry.Failure
-    code: codes.Code
-    detail: str = ""
-    await_snapshot: bool = False
-
-
 class Forwarder:
     """Selects a server, sends the request and retries where allowed.
 
@@ -110,6 +53,10 @@
         clock: Time source.
         budget: Retry budgets by pool.
         data_center: Data centre of this router.
+
+    Attributes:
+        slots_due: Until when requests may wait for a slot; set by a stop.
+        stopping: Whether the router stops.
     """
 
     def __init__(
@@ -131,9 +78,10 @@
         self.clients = client.Clients(connect_seconds=CONNECT_TIMEOUT_SECONDS)
         self.ids = itertools.count(1)
         self.stopping = False
+        self.slots_due = deadline.SharedDeadline()
         self.seen_keys: dict[str, list[int]] = {}
 
-    async def serve(self, job: Job) -> outcomes.Outcome:
+    async def serve(self, job: jobs.Job) -> outcomes.Outcome:
         """Forwards a request and returns its outcome."""
         self.budget.earn(job.pool)
         while True:
@@ -141,7 +89,7 @@
                 result = await self.attempt_hedged(job)
             else:
                 result = await self.attempt(job)
-            if not isinstance(result, FailedAttempt):
+            if not isinstance(result, jobs.FailedAttempt):
                 return result
             if not self.should_retry(job, result):
                 return self.final_outcome(job, result)
@@ -157,8 +105,8 @@
             )
 
     async def attempt_hedged(
-        self, job: Job
-    ) -> outcomes.Outcome | FailedAttempt:
+        self, job: jobs.Job
+    ) -> outcomes.Outcome | jobs.FailedAttempt:
         """Makes one attempt, and a hedged one when the response is slow.
 
         The first attempt continues, so a slow response is still delivered.
@@ -178,7 +126,7 @@
             for task in attempts:
                 task.cancel()
 
-    def hedge_delay(self, job: Job) -> float:
+    def hedge_delay(self, job: jobs.Job) -> float:
         """Returns how long to wait before a hedged request, in seconds.
 
         With a key, only one server can run the request, and the hedged request
@@ -188,13 +136,13 @@
         factor = KEYED_HEDGE_FACTOR if job.head.key is not None else 1.0
         return max(factor * job.work.objective, remaining / 2)
 
-    def may_hedge(self, job: Job) -> bool:
+    def may_hedge(self, job: jobs.Job) -> bool:
         """Returns whether to hedge; charges the retry budget if so."""
         if self.stopping or not 0 < job.sends < job.work.attempts:
             return False
         return self.budget.spend(job.pool)
 
-    def should_retry(self, job: Job, result: FailedAttempt) -> bool:
+    def should_retry(self, job: jobs.Job, result: jobs.FailedAttempt) -> bool:
         """Returns whether to retry; charges the retry budget if needed."""
         if job.sends >= job.work.attempts:
             return False
@@ -213,7 +161,7 @@
         return self.budget.spend(job.pool)
 
     def final_outcome(
-        self, job: Job, result: FailedAttempt
+        self, job: jobs.Job, result: jobs.FailedAttempt
     ) -> outcomes.Outcome:
         """Returns the outcome after the last attempt has failed."""
         if job.maybe_run:
@@ -225,7 +173,7 @@
         )
 
     def uncertain_outcome(
-        self, job: Job, code: codes.Code, detail: str
+        self, job: jobs.Job, code: codes.Code, detail: str
     ) -> outcomes.Complete | outcomes.Unknown:
         """Returns the outcome of a request that may have run.
 
@@ -238,17 +186,52 @@
             code = codes.LOST
         return outcomes.Unknown(code=code, detail=detail)
 
-    async def attempt(self, job: Job) -> outcomes.Outcome | FailedAttempt:
+    def stopped_outcome(
+        self, job: jobs.Job
+    ) -> outcomes.Complete | outcomes.NotRun | outcomes.Unknown:
+        """Returns the outcome of a request that a stop leaves no time for."""
+        if job.failure_response is not None:
+            return outcomes.Complete(response=job.failure_response, server="")
+        if job.maybe_run:
+            return outcomes.Unknown(code=codes.STOPPED)
+        return outcomes.NotRun(
+            code=codes.STOPPING, retry_after=slotqueue.MIN_RETRY_SECONDS
+        )
+
+    async def attempt(
+        self, job: jobs.Job
+    ) -> outcomes.Outcome | jobs.FailedAttempt:
         """Makes one attempt: acquires a slot and sends the request."""
+        try:
+            async with self.slots_due.limit():
+                grant = await self.acquire_slot(job)
+        except deadline.PassedError:
+            return self.stopped_outcome(job)
+        if not isinstance(grant, slotclient.SlotGrant):
+            return grant
+        server = self.state.snapshot.servers.get(grant.server)
+        if server is None or server.leaving:
+            self.slot_client.release(grant, seconds=None, failed=False)
+            return jobs.FailedAttempt(
+                failure=retry.Failure.NOT_SENT,
+                code=codes.NO_SERVER,
+                detail=f"server {grant.server} left after the slot grant",
+            )
+        return await self.send(job, server, grant)
+
+    async def acquire_slot(
+        self, job: jobs.Job
+    ) -> slotclient.SlotGrant | outcomes.Outcome | jobs.FailedAttempt:
+        """Acquires a slot, or returns the outcome without one."""
         target = await self.find_queue(job)
         if target is None:
             return self.no_server_outcome(job)
-        queue, owner = target
+        queue, _ = target
         request = slotqueue.SlotRequest(
             id=next(self.ids),
             requester=self.slot_client.datagrams.address,
             rank=job.work.rank,
-            deadline=job.deadline,
+            deadline=self.slots_due.limit_time(job.deadline),
             objective=job.objective,
             data_center=self.data_center,
             body_bytes=len(job.body),
@@ -257,18 +240,10 @@
         verdict = await self.slot_client.acquire(queue, request)
         if isinstance(verdict, slotqueue.Refused):
             return self.refused_outcome(job, queue, verdict)
-        server = self.state.snapshot.servers.get(verdict.server)
-        if server is None or server.leaving:
-            self.slot_client.release(verdict, seconds=None, failed=False)
-            return FailedAttempt(
-                failure=retry.Failure.NOT_SENT,
-                code=codes.NO_SERVER,
-                detail=f"server {verdict.server} left after the slot grant",
-            )
-        return await self.send(job, server, verdict)
+        return verdict
 
     async def find_queue(
-        self, job: Job
+        self, job: jobs.Job
     ) -> tuple[str, cluster.Server | None] | None:
         """Returns the slot queue and, for a keyed pool, the key's owner.
 
@@ -288,7 +263,7 @@
         if key is None or not 0 <= key < keys.KEY_COUNT:
             key = hash(job.head.id) % keys.KEY_COUNT
         self.seen_keys.setdefault(job.pool, []).append(key)
-        wait_end = owner_wait_end(job)
+        wait_end = jobs.owner_wait_end(job)
         while True:
             owner = self.state.snapshot.owner(job.pool, key)
             if owner is not None and not owner.leaving:
@@ -299,10 +274,12 @@
             ):
                 return None
 
-    def no_server_outcome(self, job: Job) -> outcomes.NotRun | FailedAttempt:
+    def no_server_outcome(
+        self, job: jobs.Job
+    ) -> outcomes.NotRun | jobs.FailedAttempt:
         """Returns the outcome when no server can be sent the request."""
         if job.maybe_run:
-            return FailedAttempt(
+            return jobs.FailedAttempt(
                 failure=retry.Failure.OUTCOME_UNKNOWN, code=codes.LOST
             )
         return outcomes.NotRun(
@@ -312,7 +289,7 @@
         )
 
     def refused_outcome(
-        self, job: Job, queue: str, verdict: slotqueue.Refused
+        self, job: jobs.Job, queue: str, verdict: slotqueue.Refused
     ) -> outcomes.Outcome:
         """Returns the outcome of a refused slot request."""
         coordinator = self.state.snapshot.coordinator(queue)
@@ -328,18 +305,18 @@
         )
 
     async def send(
-        self, job: Job, server: cluster.Server, grant: slotclient.SlotGrant
-    ) -> outcomes.Outcome | FailedAttempt:
+        self, job: jobs.Job, server: cluster.Server, grant: slotclient.SlotGrant
+    ) -> outcomes.Outcome | jobs.FailedAttempt:
         """Sends a request to a server and releases its slot."""
         started_at = time.monotonic()
-        result: outcomes.Outcome | FailedAttempt | None = None
+        result: outcomes.Outcome | jobs.FailedAttempt | None = None
         try:
             result = await self.exchange(job, server)
             return result
         finally:
             elapsed = time.monotonic() - started_at
             answered = isinstance(result, outcomes.Complete)
-            failed = isinstance(result, FailedAttempt)
+            failed = isinstance(result, jobs.FailedAttempt)
             self.slot_client.release(
                 grant, seconds=elapsed if answered else None, failed=failed
             )
@@ -347,7 +324,7 @@
             if answered:
                 result_label = "answered"
                 SERVER_SECONDS.observe(elapsed)
-            elif isinstance(result, FailedAttempt):
+            elif isinstance(result, jobs.FailedAttempt):
                 result_label = result.failure.value
             SENDS.labels(result_label).inc()
             log.write_limited(
@@ -361,20 +338,21 @@
                 took_ms=round(elapsed * 1000, 1),
                 result=result_label,
                 detail=result.detail
-                if isinstance(result, FailedAttempt)
+                if isinstance(result, jobs.FailedAttempt)
                 else "",
             )
 
     async def exchange(
-        self, job: Job, server: cluster.Server
-    ) -> outcomes.Outcome | FailedAttempt:
+        self, job: jobs.Job, server: cluster.Server
+    ) -> outcomes.Outcome | jobs.FailedAttempt:
         """Performs one exchange and classifies the response."""
         remaining = job.deadline - self.clock.monotonic()
         if remaining <= 0:
-            return FailedAttempt(
+            return jobs.FailedAttempt(
                 failure=retry.Failure.NOT_SENT, code=codes.TOO_LATE
             )
         job.sends += 1
+        job.possible_runs += 1
         job.tried_servers.add(server.id)
         idle_seconds = (
             REPEATABLE_IDLE_SECONDS
@@ -401,52 +379,52 @@
         return self.classify_response(job, server, response)
 
     def classify_error(
-        self, job: Job, server: cluster.Server, error: client.ExchangeError
-    ) -> FailedAttempt:
+        self, job: jobs.Job, server: cluster.Server, error: client.ExchangeError
+    ) -> jobs.FailedAttempt:
         """Classifies an exchange without a complete response."""
         detail = f"server {server.id}: {error}"
         if not error.maybe_sent:
             job.sends -= 1
-            return FailedAttempt(
+            job.possible_runs -= 1
+            return jobs.FailedAttempt(
                 failure=retry.Failure.NOT_SENT,
                 code=codes.NO_SERVER,
                 detail=detail,
                 await_snapshot=job.head.key is not None,
             )
-        job.maybe_run = True
         code = codes.LOST
         if error.timed_out:
             code = codes.TIMED_OUT
         elif error.response_started:
             code = codes.BAD_ANSWER
-        return FailedAttempt(
+        return jobs.FailedAttempt(
             failure=retry.Failure.OUTCOME_UNKNOWN, code=code, detail=detail
         )
 
     def classify_response(
-        self, job: Job, server: cluster.Server, response: messages.Response
-    ) -> outcomes.Outcome | FailedAttempt:
+        self, job: jobs.Job, server: cluster.Server, response: messages.Response
+    ) -> outcomes.Outcome | jobs.FailedAttempt:
         """Classifies a complete response."""
         kind = self.platform.classify(response)
         if kind is ports.AnswerKind.ANSWERED:
             return outcomes.Complete(response=response, server=server.id)
         detail = f"server {server.id}: {kind.value} {response.status}"
         if kind in (ports.AnswerKind.REFUSED, ports.AnswerKind.NOT_OWNER):
-            return FailedAttempt(
+            job.possible_runs -= 1
+            return jobs.FailedAttempt(
                 failure=retry.Failure.REFUSED,
                 code=codes.SERVER_REFUSED,
                 detail=detail,
                 await_snapshot=kind is ports.AnswerKind.NOT_OWNER,
             )
-        job.maybe_run = True
         if kind is ports.AnswerKind.UNSIGNED:
-            return FailedAttempt(
+            return jobs.FailedAttempt(
                 failure=retry.Failure.OUTCOME_UNKNOWN,
                 code=codes.BAD_ANSWER,
                 detail=detail,
             )
         job.failure_response = response
-        return FailedAttempt(
+        return jobs.FailedAttempt(
             failure=retry.Failure.OUTCOME_UNKNOWN,
             code=codes.LOST,
             detail=detail,
@@ -455,7 +433,7 @@
 
 async def first_complete(
     first: asyncio.Task, attempts: set[asyncio.Task]
-) -> outcomes.Outcome | FailedAttempt:
+) -> outcomes.Outcome | jobs.FailedAttempt:
     """Returns the first complete result, else that of the first attempt."""
     running = set(attempts)
     while running:
@@ -466,20 +444,3 @@
             if isinstance(task.result(), outcomes.Complete):
                 return task.result()
     return first.result()
-
-
-def owner_wait_end(job: Job) -> float:
-    """Returns when a request stops waiting for an owner of its key.
-
-    A planned move usually leaves a key without an owner for less than
-    `MIN_OWNER_WAIT_SECONDS`, the loss of a server for seconds. Waiting is
-    worthwhile only in the first case.
-    """
-    target_wait = OWNER_WAIT_FRACTION * (job.objective - job.arrived)
-    wait = min(MAX_OWNER_WAIT_SECONDS, max(MIN_OWNER_WAIT_SECONDS, target_wait))
-    return job.arrived + wait
-
-
-def draw_pool(work: contractset.Work) -> str:
-    """Chooses a pool for a request at random, by its traffic shares."""
-    return work.pick(random.random())
--- a/oleanderhoist/node/frontend.py
+++ b/oleanderhoist/node/frontend.py
@@ -6,6 +6,7 @@
 
 from oleanderhoist import clock
 from oleanderhoist import codes
+from oleanderhoist import deadline
 from oleanderhoist import events
 from oleanderhoist import log
 from oleanderhoist import outcomes
@@ -14,6 +15,7 @@
 from oleanderhoist.http import messages
 from oleanderhoist.http import server
 from oleanderhoist.node import forwarder
+from oleanderhoist.node import jobs
 from oleanderhoist.node import state
 from oleanderhoist.policy import contractset
 from oleanderhoist.policy import objectives
@@ -39,6 +41,9 @@
         state: Current snapshot and contracts.
         clock: Time source.
         memory_bytes: Memory of the VM, in bytes.
+
+    Attributes:
+        answers_due: When every request gets its answer; set by a stop.
     """
 
     def __init__(
@@ -57,6 +62,7 @@
         self.clock = clock
         self.max_buffered_bytes = int(memory_bytes * BODY_MEMORY_FRACTION)
         self.buffered_bytes = 0
+        self.answers_due = deadline.SharedDeadline()
         self.objectives = objectives.ObjectiveTracker()
         self.server = server.Server(
             handler=self.handle,
@@ -149,18 +155,25 @@
         received_bytes = 0
         chunks = []
         try:
-            async for chunk in request.body:
-                received_bytes += len(chunk)
-                self.buffered_bytes += len(chunk)
-                chunks.append(chunk)
-                if self.buffered_bytes > self.max_buffered_bytes:
-                    return outcomes.NotRun(
-                        code=codes.OVERLOADED, detail="no memory for the body"
-                    )
+            async with self.forwarder.slots_due.limit():
+                async for chunk in request.body:
+                    received_bytes += len(chunk)
+                    self.buffered_bytes += len(chunk)
+                    chunks.append(chunk)
+                    if self.buffered_bytes > self.max_buffered_bytes:
+                        return outcomes.NotRun(
+                            code=codes.OVERLOADED,
+                            detail="no memory for the body",
+                        )
             body = b"".join(chunks)
             del chunks
-            job = self.make_job(request, head, work, arrived, body)
-            return await self.forwarder.serve(job)
+            return await self.forward(
+                self.make_job(request, head, work, arrived, body)
+            )
+        except deadline.PassedError:
+            return outcomes.NotRun(
+                code=codes.STOPPING, retry_after=RETRY_AFTER_SECONDS
+            )
         except server.BodyError as error:
             return outcomes.NotRun(
                 code=codes.BODY_NOT_RECEIVED, detail=str(error)
@@ -168,6 +181,14 @@
         finally:
             self.buffered_bytes -= received_bytes
 
+    async def forward(self, job: jobs.Job) -> outcomes.Outcome:
+        """Forwards a request; a stop ends the wait for its server."""
+        try:
+            async with self.answers_due.limit():
+                return await self.forwarder.serve(job)
+        except deadline.PassedError:
+            return self.forwarder.stopped_outcome(job)
+
     def make_job(
         self,
         request: messages.Request,
@@ -175,18 +196,18 @@
         work: contractset.Work,
         arrived: float,
         body: bytes,
-    ) -> forwarder.Job:
+    ) -> jobs.Job:
         """Returns the job that forwards a request."""
         remaining = work.timeout
         if head.remaining is not None:
             remaining = min(remaining, head.remaining)
         objective = self.objectives.remaining(work, head.remaining)
-        return forwarder.Job(
+        return jobs.Job(
             request=request,
             head=head,
             body=body,
             work=work,
-            pool=forwarder.draw_pool(work),
+            pool=jobs.draw_pool(work),
             arrived=arrived,
             deadline=arrived + remaining,
             objective=arrived + objective,
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -14,6 +14,7 @@
 from oleanderhoist.node import directory
 from oleanderhoist.node import forwarder
 from oleanderhoist.node import fragments
+from oleanderhoist.node import jobs
 from oleanderhoist.node import leasemanager
 from oleanderhoist.node import slotclient
 from oleanderhoist.node import snapshots
@@ -80,7 +81,7 @@
         yield chunk
 
 
-def job(*, arrived: float, objective: float) -> forwarder.Job:
+def job(*, arrived: float, objective: float) -> jobs.Job:
     """Returns a request for a key."""
     work = contractset.Work(
         name="w",
@@ -94,7 +95,7 @@
         shares=(contractset.Share(pool="pool", weight=1.0),),
     )
     head = ports.RequestHead(id="r", host="h", path="/", remaining=4.0, key=7)
-    return forwarder.Job(
+    return jobs.Job(
         request=messages.Request(
             method="GET", target="/", headers=[], body=no_body()
         ),
