--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -1,6 +1,10 @@
 """Graceful stop of the HTTP server."""
 
 import asyncio
+from collections.abc import AsyncIterator
+import json
+import socket
+import time
 import unittest
 
 from oleanderhoist.http import messages
@@ -9,6 +13,9 @@
 RESPONSE_SECONDS = 0.2
 ACCEPT_DELAY_SECONDS = 0.02
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+SMALL_BUFFER_BYTES = 4_096
+LARGE_BODY = b"x" * 60_000
+IDLE_SECONDS = 0.1
 
 
 class DelayedServer(server.Server):
@@ -20,12 +27,53 @@
         await super().accept(reader, writer)
 
 
+class RecordingServer(server.Server):
+    """A server that records the writers of its connections."""
+
+    def __init__(self, **settings: object):
+        super().__init__(**settings)
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def accept(self, reader, writer) -> None:
+        """Serves one connection."""
+        self.writers.append(writer)
+        await super().accept(reader, writer)
+
+
+def stall_loop(seconds: float) -> None:
+    """Blocks the event loop."""
+    time.sleep(seconds)
+
+
 async def respond_slowly(request: messages.Request) -> messages.Response:
     """Responds after some time."""
     await asyncio.sleep(RESPONSE_SECONDS)
     return messages.Response(body=b"done")
 
 
+async def respond_at_length(request: messages.Request) -> messages.Response:
+    """Responds with a body larger than the sockets' buffers."""
+    return messages.Response(body=LARGE_BODY)
+
+
+async def respond_in_chunks(request: messages.Request) -> messages.Response:
+    """Responds with a stream that takes some time."""
+
+    async def stream() -> AsyncIterator[bytes]:
+        for chunk in (b"one", b"two"):
+            yield chunk
+            await asyncio.sleep(RESPONSE_SECONDS)
+
+    return messages.Response(
+        headers=[(b"transfer-encoding", b"chunked")], stream=stream()
+    )
+
+
+async def fail(request: messages.Request) -> messages.Response:
+    """Fails as no handler should."""
+    raise KeyError("unexpected")
+
+
 class StopTest(unittest.IsolatedAsyncioTestCase):
     """Which requests and connections a stop waits for."""
 
@@ -71,6 +119,36 @@
             await running.stop(5.0)
         self.assertEqual(b"", await reader.read())
 
+    async def test_a_stop_does_not_truncate_a_response_to_a_slow_caller(self):
+        running = await self.start(RecordingServer)
+        running.handler = respond_at_length
+        running.listener.sockets[0].setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES
+        )
+        caller = socket.socket()
+        caller.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES
+        )
+        caller.connect(("127.0.0.1", running.port))
+        reader, writer = await asyncio.open_connection(sock=caller, limit=1)
+        self.addCleanup(writer.close)
+        writer.write(REQUEST)
+        await asyncio.sleep(RESPONSE_SECONDS)
+        reading = asyncio.create_task(reader.read())
+        await running.stop(2.0)
+        # The process exits soon after the stop.
+        unsent = running.writers[0].transport.get_write_buffer_size()
+        self.assertEqual(0, unsent)
+        self.assertTrue((await reading).endswith(LARGE_BODY))
+
+    async def test_a_stop_does_not_cut_a_streamed_response(self):
+        running = await self.start(server.Server)
+        running.handler = respond_in_chunks
+        reader = await self.send(running)
+        await asyncio.sleep(RESPONSE_SECONDS / 2)
+        await running.stop(2.0)
+        self.assertTrue((await reader.read()).endswith(b"two\r\n0\r\n\r\n"))
+
     async def test_grace_bounds_a_stop(self):
         running = await self.start(server.Server)
         await self.send(running)
@@ -79,5 +157,43 @@
             await running.stop(0.06)
 
 
+class AnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Requests that are answered although something goes wrong."""
+
+    async def asyncSetUp(self) -> None:
+        self.server = server.Server(
+            handler=respond_slowly, host="127.0.0.1", port=0
+        )
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop, 0.0)
+
+    async def connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Opens a connection."""
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.server.port
+        )
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def test_a_stall_of_the_loop_does_not_make_a_connection_idle(self):
+        self.server.idle_seconds = IDLE_SECONDS
+        reader, writer = await self.connect()
+        await asyncio.sleep(IDLE_SECONDS / 2)
+        writer.write(REQUEST)
+        stall_loop(IDLE_SECONDS)
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.assertTrue(head.startswith(b"HTTP/1.1 200"))
+
+    async def test_a_failed_handler_does_not_close_unanswered(self):
+        self.server.handler = fail
+        reader, writer = await self.connect()
+        writer.write(REQUEST)
+        head, _, body = (await reader.read()).partition(b"\r\n\r\n")
+        self.assertTrue(head.startswith(b"HTTP/1.1 500"))
+        self.assertEqual("unknown", json.loads(body)["outcome"])
+
+
 if __name__ == "__main__":
     unittest.main()
