Send what was written before a stop ends

Callers behind a slow link got the beginning of a response from a router that stopped (rules MIXED can't break, its length was given; LOST can). Cause: a connection counted as closed as soon as its response was written into the transport, which holds up to 64 KiB more than the socket took; the stop ended and the process with it.

--- a/oleanderhoist/http/server.py
+++ b/oleanderhoist/http/server.py
@@ -104,8 +104,8 @@
         except (TimeoutError, OSError):
             pass
         finally:
+            await connection.close()
             self.connections.discard(connection)
-            writer.close()
 
     async def stop(self, grace: float) -> None:
         """Stops accepting, awaits running exchanges, then closes connections.
@@ -175,6 +175,15 @@
                 self.protocol.start_next_cycle()
         except h11.LocalProtocolError:
             pass
+
+    async def close(self) -> None:
+        """Closes the connection once the bytes that were written are sent."""
+        self.writer.close()
+        try:
+            async with asyncio.timeout(WRITE_TIMEOUT_SECONDS):
+                await self.writer.wait_closed()
+        except OSError:
+            self.writer.transport.abort()
         finally:
             self.closed.set()
 
@@ -187,14 +196,15 @@
 
     def cut(self) -> None:
         """Closes the connection whatever it is doing; logs a lost request."""
-        if self.unanswered:
+        unsent_bytes = self.writer.transport.get_write_buffer_size()
+        if self.unanswered or unsent_bytes:
             log.write_limited(
                 events.REQUEST_CUT,
                 port=self.server.port,
                 path=self.target.partition("?")[0],
                 phase=self.phase.value,
                 unread_bytes=self.reader.unread,
-                unsent_bytes=self.writer.transport.get_write_buffer_size(),
+                unsent_bytes=unsent_bytes,
             )
         self.writer.close()
 
