Let a stop await streamed responses

Callers of an entry that stopped got a part of a streamed response although the stop had time left. Cause: a connection counted as idle from the moment its handler returned, and a streamed body is written after that; the stop closed it between two chunks. Now it is idle only once the response is written, and then ends if a stop began meanwhile. The test failed before (the second chunk was missing) and passes now.

--- a/oleanderhoist/http/server.py
+++ b/oleanderhoist/http/server.py
@@ -190,8 +190,7 @@
     def finish(self) -> None:
         """Closes the connection after the running exchange, or now if idle."""
         self.finishing = True
-        running = self.phase in (Phase.HEAD, Phase.HANDLING)
-        if not running and not self.reader.unread:
+        if not self.unanswered:
             self.writer.close()
 
     def cut(self) -> None:
@@ -230,7 +229,9 @@
             close = True
         await self.write(response, request.method, close)
         self.phase = Phase.IDLE
-        return not close and self.protocol.our_state is h11.DONE
+        if self.finishing or close:
+            return False
+        return self.protocol.our_state is h11.DONE
 
     async def handle(
         self, request: messages.Request
