Read what arrived in time before calling a connection idle

Callers whose request reached a router during a stall of its event loop got a closed connection instead of an answer. Cause: after the stall the timeout of the idle connection fired in the same turn in which the bytes were handed over, and cancelled the read. Evidence: a loop blocked across the idle timeout closed the connection of a request that was sent before the timeout. Now the bytes that are there are read first; the same holds for slow heads and bodies.

--- a/oleanderhoist/http/server.py
+++ b/oleanderhoist/http/server.py
@@ -287,13 +287,26 @@
     async def receive(self, timeout: float, started: bool) -> bytes | None:
         """Reads bytes, or answers 408 when a started head stalls."""
         try:
-            async with asyncio.timeout(timeout):
-                return await self.reader.read(READ_BYTES)
+            return await self.read(timeout)
         except TimeoutError:
             if started:
                 await self.send_error(codes.HEAD_TIMEOUT)
             return None
 
+    async def read(self, timeout: float) -> bytes:
+        """Reads bytes; those that arrived in time count after a stall, too.
+
+        Raises:
+            TimeoutError: None arrived in time.
+        """
+        try:
+            async with asyncio.timeout(timeout):
+                return await self.reader.read(READ_BYTES)
+        except TimeoutError:
+            if not self.reader.unread:
+                raise
+            return await self.reader.read(READ_BYTES)
+
     def to_request(self, event: h11.Request) -> messages.Request:
         """Converts an h11 request head into a request with a body stream."""
         headers = list(event.headers)
@@ -336,8 +349,7 @@
     async def receive_body(self) -> None:
         """Passes the next bytes of a body to h11."""
         try:
-            async with asyncio.timeout(BODY_STALL_SECONDS):
-                data = await self.reader.read(READ_BYTES)
+            data = await self.read(BODY_STALL_SECONDS)
         except TimeoutError as error:
             raise BodyError("the body stalled") from error
         except OSError as error:
