Answer a request whose handler fails

Callers got a closed connection, and no line was written, when a handler raised what nobody expected. Cause: the server let the exception end the connection's task; errors of type OSError vanished without a trace. Now the caller gets 500 with an unknown outcome, which is all that is known, and 304 names the error. A handler that gives up the connection on purpose still does so with a ConnectionError, as streams and stand-ins do.

--- a/oleanderhoist/codes.py
+++ b/oleanderhoist/codes.py
@@ -252,6 +252,13 @@
     "The program stopped before the server answered",
     "It may have run. Resubmit only under its Idempotency-Key.",
 )
+HANDLER_FAILED = define(
+    4005,
+    500,
+    _UNKNOWN,
+    "The program failed while it handled the request",
+    "It may have run. Report the log line 304 of this moment.",
+)
 CONTRACT_INVALID = define(
     5000,
     422,
--- a/oleanderhoist/events.py
+++ b/oleanderhoist/events.py
@@ -359,3 +359,10 @@
     "whole response: what the connection was doing.",
     "oleanderhoist.http.server",
 )
+HANDLER_FAILED = define(
+    304,
+    "request.handler_failed",
+    "A program failed while it handled a request; the caller was told that "
+    "the outcome is unknown.",
+    "oleanderhoist.http.server",
+)
--- a/oleanderhoist/http/server.py
+++ b/oleanderhoist/http/server.py
@@ -235,6 +235,27 @@
 
     async def handle(
         self, request: messages.Request
+    ) -> messages.Response | None:
+        """Returns the response; None when the caller disconnected.
+
+        Raises:
+            ConnectionError: The handler gives up the connection.
+        """
+        try:
+            return await self.run_handler(request)
+        except ConnectionError:
+            raise
+        except Exception as error:
+            log.write_limited(
+                events.HANDLER_FAILED,
+                port=self.server.port,
+                path=request.path,
+                reason=f"{type(error).__name__}: {error}",
+            )
+            return messages.problem(codes.HANDLER_FAILED, close=True)
+
+    async def run_handler(
+        self, request: messages.Request
     ) -> messages.Response | None:
         """Runs the handler; returns None when the caller disconnected."""
         if not self.server.cancel_on_disconnect:
