--- a/bench/lanes.py
+++ b/bench/lanes.py
@@ -16,6 +16,7 @@
 
 from bench import patterns
 from bench import rivals
+from oleanderhoist.policy import serverslots
 from oleanderhoist.policy import slotqueue
 
 LATE_WORTH = 0.2  # Of an answer after its objective; a punctual one counts 1.
@@ -96,7 +97,7 @@
         )
         self.queue.update(
             [
-                slotqueue.ServerSlots(
+                serverslots.ServerSlots(
                     id=f"s{n}",
                     data_center=self.data_center(n),
                     slots=pattern.slots,
--- a/bench/rivals.py
+++ b/bench/rivals.py
@@ -9,6 +9,7 @@
 import random
 
 from oleanderhoist.policy import registry
+from oleanderhoist.policy import serverslots
 from oleanderhoist.policy import slotqueue
 
 MAX_QUEUED = 12  # Requests that wait for one server before more are refused.
@@ -74,11 +75,11 @@
             str, collections.deque[slotqueue.SlotRequest]
         ] = collections.defaultdict(collections.deque)
 
-    def load(self, server: slotqueue.ServerSlots, now: float) -> int:
+    def load(self, server: serverslots.ServerSlots, now: float) -> int:
         """Returns a server's load, as requests that run or wait."""
         return len(server.running) + len(self.queues_by_server[server.id])
 
-    def candidates(self) -> list[slotqueue.ServerSlots]:
+    def candidates(self) -> list[serverslots.ServerSlots]:
         """Returns two random servers to choose from."""
         servers = list(self.servers.values())
         return self.rng.sample(servers, min(2, len(servers)))
@@ -120,13 +121,13 @@
         self.reported_loads: dict[str, int] = {}
         self.reported_at = float("-inf")
 
-    def candidates(self) -> list[slotqueue.ServerSlots]:
+    def candidates(self) -> list[serverslots.ServerSlots]:
         """Returns all servers in random order, so that ties are random."""
         servers = list(self.servers.values())
         self.rng.shuffle(servers)
         return servers
 
-    def load(self, server: slotqueue.ServerSlots, now: float) -> int:
+    def load(self, server: serverslots.ServerSlots, now: float) -> int:
         """Returns the load that the server last reported."""
         if now - self.reported_at > MAX_REPORT_AGE_SECONDS:
             self.reported_at = now
--- a/oleanderhoist/node/coordinator.py
+++ b/oleanderhoist/node/coordinator.py
@@ -11,6 +11,7 @@
 from oleanderhoist import log
 from oleanderhoist.node import state
 from oleanderhoist.policy import cluster
+from oleanderhoist.policy import serverslots
 from oleanderhoist.policy import slotqueue
 
 TICK_SECONDS = 0.02
@@ -87,7 +88,7 @@
         """Updates the servers of a slot queue."""
         hosted.queue.update(
             [
-                slotqueue.ServerSlots(
+                serverslots.ServerSlots(
                     id=server.id,
                     data_center=server.data_center,
                     slots=server.slots,
--- a/oleanderhoist/policy/slotqueue.py
+++ b/oleanderhoist/policy/slotqueue.py
@@ -14,9 +14,9 @@
 import collections
 import dataclasses
 
+from oleanderhoist.policy import serverslots
+
 DEFAULT_SERVICE_SECONDS = 0.1
-SERVICE_SMOOTHING = 0.08
-FAILURE_SMOOTHING = 0.15
 BLOCK_FAILURE_RATE = 0.6
 BLOCK_SECONDS = 0.7
 EXPLORE_IDLE_SECONDS = 1.5
@@ -29,12 +29,10 @@
 LOCAL_WAIT_RESERVE = 2.2  # Service times that remain when local waiting ends.
 LOCAL_UTILISATION = 0.75  # Above this no slot may idle while requests wait.
 MAX_SKIPPED = 8  # Bounds the work of one scan of a queue.
-RATE_WINDOW_SECONDS = 0.5
 MIN_RETRY_SECONDS = 0.05
 MAX_RETRY_SECONDS = 2.0
 MAX_UTILISATION = 0.95  # Above this no overdue request is queued.
 OVERLOAD_RATIO = 1.2  # Ratio of demand to service rate that indicates a burst.
-MIN_SLOT_SECONDS = 0.002  # No attempt completes sooner.
 MIN_SUCCESS_RATE = 0.1  # Bounds the cost of a failing server.
 EXPIRY_FRACTION = 0.5  # Of the service time; must remain to the deadline.
 MIN_RATE_FRACTION = 0.05  # Of the service rate; assumed for every rank.
@@ -93,116 +91,6 @@
 Verdict = Granted | Refused
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Running:
-    """A request that holds a slot.
-
-    Attributes:
-        granted_at: When the slot was granted.
-        reclaim_at: When the slot is freed if it has not been released.
-    """
-
-    granted_at: float
-    reclaim_at: float
-
-
-@dataclasses.dataclass(kw_only=True)
-class ServerSlots:
-    """A slot queue's state of one server.
-
-    Attributes:
-        id: Id of the server.
-        data_center: Data centre of the server.
-        slots: Requests that it runs concurrently.
-        service_seconds: Smoothed service time, in seconds.
-        occupied_seconds: Smoothed time that an attempt holds a slot, in
-            seconds; short when the server rejects requests immediately.
-            None until an attempt has ended.
-        failure_rate: Smoothed fraction of attempts that failed.
-        running: Requests that hold a slot, by requester and id.
-        blocked_until: Until when it gets no requests.
-        last_used_at: When it was last granted to a request.
-    """
-
-    id: str
-    data_center: str
-    slots: int
-    service_seconds: float
-    occupied_seconds: float | None = None
-    failure_rate: float = 0.0
-    running: dict[tuple[str, int], Running] = dataclasses.field(
-        default_factory=dict
-    )
-    blocked_until: float = 0.0
-    last_used_at: float = 0.0
-
-    def available(self, now: float) -> bool:
-        """Returns whether it can take another request."""
-        return len(self.running) < self.slots and now >= self.blocked_until
-
-    def service_rate(self) -> float:
-        """Returns the requests per second that it can complete.
-
-        Requests that the server rejects immediately take hardly any slot
-        time, so a server that rejects half of them completes almost as many
-        as before.
-        """
-        seconds = max(MIN_SLOT_SECONDS, self.slot_seconds())
-        return self.slots * (1.0 - self.failure_rate) / seconds
-
-    def slot_seconds(self) -> float:
-        """Returns the time that an attempt holds a slot, in seconds."""
-        return (
-            self.service_seconds
-            if self.occupied_seconds is None
-            else self.occupied_seconds
-        )
-
-    def record_attempt(
-        self, occupied: float, seconds: float | None, failed: bool
-    ) -> None:
-        """Updates the statistics with a completed attempt.
-
-        Args:
-            occupied: Time that it held a slot, in seconds.
-            seconds: Service time in seconds; None when it says nothing about
-                the server's speed.
-            failed: Whether the attempt failed.
-        """
-        before = self.slot_seconds()
-        self.occupied_seconds = before + (occupied - before) * SERVICE_SMOOTHING
-        if seconds is not None:
-            self.service_seconds += (
-                seconds - self.service_seconds
-            ) * SERVICE_SMOOTHING
-        self.failure_rate += (
-            float(failed) - self.failure_rate
-        ) * FAILURE_SMOOTHING
-
-
-@dataclasses.dataclass(kw_only=True)
-class Arrivals:
-    """Arrival rate of one rank, decaying over a time window.
-
-    Attributes:
-        recent: Arrivals in the window that ends at `last`.
-        last: Time of the last arrival.
-    """
-
-    recent: float = 0.0
-    last: float = 0.0
-
-    def rate(self, now: float) -> float:
-        """Returns the arrivals per second."""
-        remaining = max(0.0, 1.0 - (now - self.last) / RATE_WINDOW_SECONDS)
-        return self.recent * remaining / RATE_WINDOW_SECONDS
-
-    def count(self, now: float) -> None:
-        """Counts an arrival."""
-        self.recent = self.rate(now) * RATE_WINDOW_SECONDS + 1.0
-        self.last = now
-
-
 class SlotQueue:
     """Priority queue of requests for the slots of a group of servers.
 
@@ -211,13 +99,13 @@
     """
 
     def __init__(self, *, service_seconds: float = DEFAULT_SERVICE_SECONDS):
-        self.servers: dict[str, ServerSlots] = {}
+        self.servers: dict[str, serverslots.ServerSlots] = {}
         self.service_seconds = service_seconds
         self.queues: dict[int, collections.deque[SlotRequest]] = {}
         self.overdue: collections.deque[SlotRequest] = collections.deque()
-        self.arrivals: dict[int, Arrivals] = {}
+        self.arrivals: dict[int, serverslots.Arrivals] = {}
 
-    def update(self, servers: list[ServerSlots]) -> None:
+    def update(self, servers: list[serverslots.ServerSlots]) -> None:
         """Replaces the usable servers, keeping the state of known ones."""
         known = self.servers
         self.servers = {}
@@ -276,7 +164,9 @@
         """
         on_time = now + self.service_seconds <= request.objective
         if on_time:
-            arrivals = self.arrivals.setdefault(request.rank, Arrivals())
+            arrivals = self.arrivals.setdefault(
+                request.rank, serverslots.Arrivals()
+            )
             arrivals.count(now)
         # A free slot suits no queued request, so taking it overtakes none.
         server = self.choose(request, now)
@@ -330,7 +220,9 @@
             expected_wait=wait,
         )
 
-    def choose(self, request: SlotRequest, now: float) -> ServerSlots | None:
+    def choose(
+        self, request: SlotRequest, now: float
+    ) -> serverslots.ServerSlots | None:
         """Returns the best server with a free slot, or None if none suits."""
         free = [s for s in self.servers.values() if s.available(now)]
         usable = [s for s in free if s.id not in request.excluded]
@@ -369,10 +261,10 @@
         )
 
     def grant(
-        self, request: SlotRequest, server: ServerSlots, now: float
+        self, request: SlotRequest, server: serverslots.ServerSlots, now: float
     ) -> Granted:
         """Grants a request a slot."""
-        server.running[(request.requester, request.id)] = Running(
+        server.running[(request.requester, request.id)] = serverslots.Running(
             granted_at=now, reclaim_at=request.deadline + RECLAIM_DELAY_SECONDS
         )
         server.last_used_at = now
@@ -399,10 +291,12 @@
         if failed and known.failure_rate > BLOCK_FAILURE_RATE:
             self.block(known, now)
         if seconds is not None:
-            step = (seconds - self.service_seconds) * SERVICE_SMOOTHING
+            step = (
+                seconds - self.service_seconds
+            ) * serverslots.SERVICE_SMOOTHING
             self.service_seconds += step
 
-    def block(self, server: ServerSlots, now: float) -> None:
+    def block(self, server: serverslots.ServerSlots, now: float) -> None:
         """Stops sending requests to a failing server for a while.
 
         At least half of the servers stay in use: if all of them fail, the
@@ -475,13 +369,15 @@
         return waiting
 
 
-def may_explore(request: SlotRequest, idle: ServerSlots) -> bool:
+def may_explore(request: SlotRequest, idle: serverslots.ServerSlots) -> bool:
     """Returns whether a request may probe a server that was idle for long."""
     local = idle.data_center == request.data_center
     return local or request.body_bytes < MAX_EXPLORE_BYTES
 
 
-def cost(server: ServerSlots, request: SlotRequest, now: float) -> float:
+def cost(
+    server: serverslots.ServerSlots, request: SlotRequest, now: float
+) -> float:
     """Returns the service time of a server, weighted by failures and distance.
 
     Distance weighs more the more slack a request has, so that it goes to a
--- a/tests/test_lanes.py
+++ b/tests/test_lanes.py
@@ -6,10 +6,11 @@
 
 from bench import lanes as simulation
 from bench import patterns
+from oleanderhoist.policy import serverslots
 from oleanderhoist.policy import slotqueue
 
 
-def slot_queue(*servers: slotqueue.ServerSlots) -> slotqueue.SlotQueue:
+def slot_queue(*servers: serverslots.ServerSlots) -> slotqueue.SlotQueue:
     """Returns a slot queue of servers with a service time of 0.1 s."""
     queue = slotqueue.SlotQueue(service_seconds=0.1)
     queue.update(list(servers))
@@ -18,9 +19,9 @@
 
 def server(
     id: str, slots: int = 1, data_center: str = "a"
-) -> slotqueue.ServerSlots:
+) -> serverslots.ServerSlots:
     """Returns a server with a service time of 0.1 s."""
-    return slotqueue.ServerSlots(
+    return serverslots.ServerSlots(
         id=id, data_center=data_center, slots=slots, service_seconds=0.1
     )
 
@@ -177,7 +178,7 @@
         for known in queue.servers.values():
             known.failure_rate = 0.9
         for number, id in enumerate("abc"):
-            queue.servers[id].running[("x", number)] = slotqueue.Running(
+            queue.servers[id].running[("x", number)] = serverslots.Running(
                 granted_at=9.9, reclaim_at=99.0
             )
             queue.release("x", number, id, seconds=None, failed=True, now=10.0)
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -10,6 +10,7 @@
 from oleanderhoist.node import state
 from oleanderhoist.node import wire
 from oleanderhoist.policy import cluster
+from oleanderhoist.policy import serverslots
 from oleanderhoist.policy import slotqueue
 
 REQUESTER = "10.0.0.1:1"
@@ -146,7 +147,7 @@
         queue.update(
             [
                 *queue.servers.values(),
-                slotqueue.ServerSlots(
+                serverslots.ServerSlots(
                     id="t", data_center="a", slots=1, service_seconds=0.1
                 ),
             ]
