Show what bytes without end cost the HTTP client

What callers see: a request whose server sends garbage waits until its deadline; at times all others on that router wait with it.

--- a/tests/entry_tries.py
+++ b/tests/entry_tries.py
@@ -8,6 +8,7 @@
 from oleanderhoist import outcomes
 from oleanderhoist.entry import forwarder
 from oleanderhoist.entry import sending
+from oleanderhoist.http import client
 from oleanderhoist.policy import retry
 
 UNKNOWN = outcomes.Unknown(code=codes.BAD_ANSWER)
@@ -52,6 +53,19 @@
     def test_a_refusal_alone_is_one(self):
         self.assertEqual(NOT_RUN, self.forward(self.failed(NOT_RUN), NOT_RUN))
 
+    def test_garbage_leaves_the_server_unjudged(self):
+        sender = sending.Sender(
+            clock=types.SimpleNamespace(monotonic=lambda: 0.0), slot_client=None
+        )
+        error = client.ExchangeError(
+            "not an answer", maybe_sent=True, response_started=True
+        )
+        target = types.SimpleNamespace(server=types.SimpleNamespace(id="s"))
+        call = types.SimpleNamespace(body_error=None)
+        result = sender.interpret_failure(call, target, error)
+        self.assertEqual(codes.BAD_ANSWER, result.outcome.code)
+        self.assertTrue(sender.is_suspected("s"))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -20,7 +20,7 @@
             check=False,
         )
         self.assertEqual(0, result.returncode, result.stderr)
-        self.assertIn("Ran 3 tests", result.stderr)
+        self.assertIn("Ran 4 tests", result.stderr)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/test_garbage.py
@@ -0,0 +1,271 @@
+"""Bytes without end that are no answer, and what they may cost the client."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+import time
+import types
+import unittest
+
+from oleanderhoist import codes
+from oleanderhoist.http import client
+from oleanderhoist.node import budgets
+from oleanderhoist.node import forwarder
+from oleanderhoist.node import state
+from oleanderhoist.platform import protocol
+from oleanderhoist.policy import cluster
+from tests import test_node
+
+PROCESSOR_SECONDS = 1.0
+ATTEMPT_SECONDS = 1.5  # Well below TIMEOUT_SECONDS, even beside load.
+TIMEOUT_SECONDS = 3.0
+# What the client may take: the largest body and the buffers of both sockets.
+MAX_SENT_BYTES = 12_000_000
+MAX_DETAIL_CHARS = 300
+TRICKLE_SECONDS = 0.002
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+ANSWER = OK + b"Content-Length: 2\r\n\r\nok"
+FOREIGN = b"HTTP/1.1 200 OK\r\nForeign: 1\r\nContent-Length: 99999999\r\n\r\n"
+BLANKS = b" " * 40_000
+LINE = b"x" * 4_000
+ENDLESS_ANSWERS = {
+    "a head without a line": (b"", LINE),
+    "a head without a blank line": (OK, b"A: b\r\n" * 500),
+    "informational heads": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 100),
+    "a switch of protocols": (b"HTTP/1.1 101 Switching\r\n\r\n", LINE),
+    "blanks in a head": (OK + b"A:" + BLANKS + b"\0\r\n\r\n", LINE),
+    "blanks in a chunk's extension": (
+        CHUNKED + b"1;" + BLANKS + b"\n\r\n",
+        b"",
+    ),
+    "blanks in a trailer": (CHUNKED + b"0\r\nA:" + BLANKS + b"\0\r\n\r\n", b""),
+    "a body of a huge length": (
+        OK + b"Content-Length: 9999999999\r\n\r\n",
+        b"",
+    ),
+    "a body until the close": (OK + b"\r\n", LINE),
+    "chunks": (CHUNKED, b"fa0\r\n" + LINE + b"\r\n"),
+    "tiny chunks": (CHUNKED, b"1\r\nx\r\n" * 1000),
+    "an extension of a chunk": (CHUNKED + b"1;", LINE),
+    "trailers": (CHUNKED + b"0\r\n", b"A: b\r\n" * 500),
+    "an answer to another request": (FOREIGN, LINE),
+    "answers to other requests": (b"", FOREIGN.replace(b"99999999", b"0")),
+}
+
+
+class Garbage:
+    """Answers with a start, then repeats a piece until the caller closes."""
+
+    def __init__(self, start: bytes, piece: bytes, pause: float = 0.0):
+        self.start_bytes = start
+        self.piece = piece
+        self.pause = pause
+        self.sent = 0
+        self.closed = asyncio.Event()
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serves one connection."""
+        await reader.readuntil(b"\r\n\r\n")
+        with contextlib.suppress(OSError):
+            await self.write(writer, self.start_bytes)
+            while self.piece:
+                await asyncio.sleep(self.pause)
+                await self.write(writer, self.piece)
+            await reader.read()
+        writer.close()
+        self.closed.set()
+
+    async def write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        """Writes bytes and waits while the caller doesn't read."""
+        writer.write(data)
+        self.sent += len(data)
+        await writer.drain()
+
+
+class Resetting(Garbage):
+    """Resets the connection in place of an orderly close."""
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serves one connection."""
+        await reader.readuntil(b"\r\n\r\n")
+        await self.write(writer, self.start_bytes)
+        await asyncio.sleep(0.1)
+        linger = struct.pack("ii", 1, 0)
+        writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, linger
+        )
+        writer.transport.abort()
+        self.closed.set()
+
+
+def is_own(headers: list) -> bool:
+    """Returns whether an answer belongs to the request."""
+    return not any(name == b"foreign" for name, _ in headers)
+
+
+class GarbageTest(unittest.IsolatedAsyncioTestCase):
+    """Garbage ends the attempt at once and holds nothing meanwhile."""
+
+    async def connect(self, server: Garbage) -> client.Client:
+        """Starts a server and returns a client of it."""
+        listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
+        self.addCleanup(listener.close)
+        port = listener.sockets[0].getsockname()[1]
+        return client.Client(
+            address=client.Address(host="127.0.0.1", port=port)
+        )
+
+    async def failure(
+        self, server: Garbage, timeout: float = TIMEOUT_SECONDS, **options
+    ) -> client.ExchangeError:
+        """Sends a request that must fail, and returns how it failed."""
+        caller = await self.connect(server)
+        with self.assertRaises(client.ExchangeError) as seen:
+            await caller.request(
+                options.pop("method", "GET"),
+                "/",
+                timeout=timeout,
+                accept=is_own,
+                **options,
+            )
+        await asyncio.wait_for(server.closed.wait(), ATTEMPT_SECONDS)
+        self.assertTrue(seen.exception.maybe_sent)
+        self.assertTrue(seen.exception.response_started)
+        return seen.exception
+
+    async def expect_no_answer(self, server: Garbage, **options) -> None:
+        """Expects that an attempt ends at once, and for the right reason."""
+        started_at = time.monotonic()
+        used = time.process_time()
+        error = await self.failure(server, **options)
+        self.assertLess(time.monotonic() - started_at, ATTEMPT_SECONDS)
+        self.assertLess(time.process_time() - used, PROCESSOR_SECONDS)
+        self.assertFalse(error.timed_out)
+        self.assertLess(server.sent, MAX_SENT_BYTES)
+
+    async def test_a_trickle_of_hints_holds_a_request_until_its_deadline(self):
+        hint = b"HTTP/1.1 100 Continue\r\n\r\n"
+        await self.expect_no_answer(Garbage(b"", hint, TRICKLE_SECONDS))
+
+    async def test_a_connect_is_answered_without_the_body(self):
+        await self.expect_no_answer(Garbage(ANSWER, b""), method="CONNECT")
+
+    async def test_a_garbage_line_reads_like_a_lost_connection(self):
+        error = await self.failure(Garbage(LINE + b"\r\n\r\n", LINE))
+        self.assertTrue(str(error).startswith("not an answer: "), error)
+
+    async def test_a_garbage_line_fills_the_log(self):
+        error = await self.failure(Garbage(LINE + b"\r\n\r\n", LINE))
+        self.assertLess(len(str(error)), MAX_DETAIL_CHARS)
+
+    async def test_bytes_fill_the_buffer_of_an_idle_connection(self):
+        server = Garbage(ANSWER, LINE, TRICKLE_SECONDS)
+        caller = await self.connect(server)
+        await caller.request("GET", "/", timeout=TIMEOUT_SECONDS)
+        await asyncio.wait_for(server.closed.wait(), ATTEMPT_SECONDS)
+
+    async def test_unfinished_bodies_fill_the_memory_together(self):
+        body = b"x" * 3_000_000
+        length = b"Content-Length: %d\r\n\r\n" % (len(body) + 1)
+        stuck = await self.connect(Garbage(OK + length + body, b""))
+        sound = await self.connect(Garbage(ANSWER, b""))
+        clients = client.Clients()
+        calls = [
+            clients.get(str(stuck.address)).request("GET", "/", timeout=1.5)
+            for _ in range(16)
+        ]
+        tasks = [asyncio.create_task(call) for call in calls]
+        await asyncio.sleep(1.0)
+        failed = sum(task.done() for task in tasks)
+        response = await clients.get(str(sound.address)).request(
+            "GET", "/", timeout=1.0
+        )
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.assertEqual(b"ok", response.body)
+        self.assertLess((len(tasks) - failed) * len(body), 36_000_000)
+
+    async def test_bytes_behind_an_answer_stay_for_the_next_request(self):
+        server = Garbage(ANSWER + LINE, LINE)
+        caller = await self.connect(server)
+        response = await caller.request("GET", "/", timeout=TIMEOUT_SECONDS)
+        self.assertEqual(b"ok", response.body)
+        await asyncio.wait_for(server.closed.wait(), ATTEMPT_SECONDS)
+
+    async def test_a_reset_completes_an_answer_without_a_length(self):
+        error = await self.failure(Resetting(OK + b"\r\npart", b""))
+        self.assertIn("reset", str(error))
+
+    async def test_a_reset_completes_a_stream_without_a_length(self):
+        part = b"x" * (client.MAX_BUFFERED_BODY_BYTES + 1)
+        caller = await self.connect(Resetting(OK + b"\r\n" + part, b""))
+        response = await caller.request(
+            "GET", "/", timeout=TIMEOUT_SECONDS, stream=True
+        )
+        with self.assertRaises(ConnectionAbortedError):
+            async for _ in response.stream:
+                pass
+
+    async def test_a_stream_is_cut_at_the_bound_of_a_whole_body(self):
+        caller = await self.connect(
+            Garbage(CHUNKED, b"fa0\r\n" + LINE + b"\r\n")
+        )
+        response = await caller.request(
+            "GET", "/", timeout=TIMEOUT_SECONDS, stream=True
+        )
+        size = 0
+        async for chunk in response.stream:
+            size += len(chunk)
+            if size > MAX_SENT_BYTES:
+                break
+        await response.stream.aclose()
+        self.assertGreater(size, MAX_SENT_BYTES)
+
+    async def test_garbage_leaves_a_server_of_a_router_unjudged(self):
+        address = str((await self.connect(Garbage(b"", LINE))).address)
+        grants = test_node.SingleSlotClient()
+        released = []
+        grants.release = lambda grant, **kwargs: released.append(kwargs)
+        server = cluster.Server(
+            id="s", pool="pool", address=address, data_center="a", slots=1
+        )
+        router_state = state.State()
+        router_state.snapshot = cluster.Snapshot(servers={"s": server})
+        router = forwarder.Forwarder(
+            platform=protocol,
+            slot_client=grants,
+            state=router_state,
+            clock=types.SimpleNamespace(monotonic=time.monotonic),
+            budget=budgets.Budgets(ratio=1.0, extra=9, state=router_state),
+            data_center="a",
+        )
+        job = test_node.job(arrived=time.monotonic(), objective=1.0)
+        verdict = await grants.acquire("pool", types.SimpleNamespace(id=1))
+        result = await router.send(job, server, verdict)
+        self.assertEqual(codes.BAD_ANSWER, result.code)
+        self.assertTrue(job.maybe_run)
+        self.assertEqual([{"seconds": None, "failed": True}], released)
+
+    async def test_a_trickled_head_outlasts_the_deadline(self):
+        server = Garbage(OK + b"A: ", b"b", TRICKLE_SECONDS)
+        error = await self.failure(server, timeout=0.3)
+        self.assertTrue(error.timed_out)
+
+
+def add_case(name: str, start: bytes, piece: bytes) -> None:
+    """Adds a test of an answer without end."""
+
+    async def test(self: GarbageTest) -> None:
+        await self.expect_no_answer(Garbage(start, piece))
+
+    slug = name.replace("'", "").replace(" ", "_")
+    setattr(GarbageTest, f"test_{slug}_without_end", test)
+
+
+for case, (first, repeated) in ENDLESS_ANSWERS.items():
+    add_case(case, first, repeated)
