Bound informational responses and end an exchange on a protocol switch

What callers see: a request waits until its deadline while its server sends 1xx heads; an answer to CONNECT reached the caller as a success without its body. Cause: read_head skipped informational responses without a bound and without giving way to other tasks; h11's PAUSED was taken for the end of a body. Why it works: more than eight 1xx heads, or PAUSED, fail the exchange at once, as an unknown outcome; every 128 h11 events other tasks run.

--- a/oleanderhoist/http/client.py
+++ b/oleanderhoist/http/client.py
@@ -18,6 +18,8 @@
 KEEP_ALIVE_FRACTION = 0.6
 MAX_BUFFERED_BODY_BYTES = 262_144
 MAX_FOREIGN_RESPONSES = 4
+MAX_INFORMATIONAL_RESPONSES = 8
+EVENTS_PER_TURN = 128  # Of h11, before other tasks run.
 
 PLACEHOLDER_HEADERS = [(b"host", b"-")]
 
@@ -306,6 +308,8 @@
         self.host = host
         self.accept = accept
         self.foreign_responses = 0
+        self.informational_responses = 0
+        self.events = 0
         self.maybe_sent = False
         self.response_started = False
 
@@ -444,8 +448,25 @@
                 continue
             if isinstance(event, h11.ConnectionClosed):
                 raise h11.RemoteProtocolError("the peer closed early")
+            await self.check_event(event)
             return event
 
+    async def check_event(self, event: h11.Event) -> None:
+        """Bounds what the responses of an exchange may cost.
+
+        Raises:
+            h11.RemoteProtocolError: No answer can follow.
+        """
+        self.events += 1
+        if self.events % EVENTS_PER_TURN == 0:
+            await asyncio.sleep(0)
+        if event is h11.PAUSED:
+            raise h11.RemoteProtocolError("the protocol was switched")
+        if isinstance(event, h11.InformationalResponse):
+            self.informational_responses += 1
+        if self.informational_responses > MAX_INFORMATIONAL_RESPONSES:
+            raise h11.RemoteProtocolError("too many informational responses")
+
     async def stream_body(self, chunks: list[bytes]) -> AsyncIterator[bytes]:
         """Yields the chunks already read, then the remaining ones."""
         try:
