Bound the bodies that the HTTP client keeps or drops

What callers see: a server that sends a body without end holds the request until its deadline, and the router's memory and processor meanwhile (152 MB in all); one process that dies of it takes all its requests along. Cause: a body was collected, or a foreign one dropped, without a bound. Why it works: an exchange takes at most 4 MiB (four pages of the store) and 16,384 chunks, foreign bodies included, and an announced length beyond it fails at once. A body over 256 KiB also fails once the bodies of all exchanges that share Clients take 32 MiB. Chunks go into one bytearray, so that tiny ones don't multiply the memory.

--- a/oleanderhoist/http/client.py
+++ b/oleanderhoist/http/client.py
@@ -17,12 +17,19 @@
 CONNECT_TIMEOUT_SECONDS = 0.3
 KEEP_ALIVE_FRACTION = 0.6
 MAX_BUFFERED_BODY_BYTES = 262_144
+# Of one exchange; a page of the platform's store is 1 MB before base64.
+MAX_BODY_BYTES = 4_194_304
+MAX_BODY_CHUNKS = 16_384
+# Of all exchanges: a fifth of the smallest VM's memory.
+MAX_TOTAL_BODY_BYTES = 33_554_432
 MAX_FOREIGN_RESPONSES = 4
 MAX_INFORMATIONAL_RESPONSES = 8
 EVENTS_PER_TURN = 128  # Of h11, before other tasks run.
 
 PLACEHOLDER_HEADERS = [(b"host", b"-")]
 
+BODILESS_STATUSES = (204, 304)
+
 ResponseFilter = Callable[[messages.Headers], bool]
 
 
@@ -72,6 +79,17 @@
         self.timed_out = timed_out
 
 
+@dataclasses.dataclass(kw_only=True)
+class BodyMemory:
+    """Memory that the unfinished bodies of several exchanges take.
+
+    Attributes:
+        used_bytes: Bytes received so far.
+    """
+
+    used_bytes: int = 0
+
+
 @dataclasses.dataclass(kw_only=True)
 class Connection:
     """One connection to a peer.
@@ -111,6 +129,7 @@
     Args:
         address: The peer.
         connect_seconds: Time allowed for opening a connection, in seconds.
+        memory: Shared with other clients; own memory by default.
     """
 
     def __init__(
@@ -118,9 +137,11 @@
         *,
         address: Address,
         connect_seconds: float = CONNECT_TIMEOUT_SECONDS,
+        memory: BodyMemory | None = None,
     ):
         self.address = address
         self.connect_seconds = connect_seconds
+        self.memory = memory or BodyMemory()
         self.idle: collections.deque[Connection] = collections.deque()
         self.opened = 0
 
@@ -281,6 +302,7 @@
     def __init__(self, *, connect_seconds: float = CONNECT_TIMEOUT_SECONDS):
         self.connect_seconds = connect_seconds
         self.by_address: dict[str, Client] = {}
+        self.memory = BodyMemory()
 
     def get(self, address: str) -> Client:
         """Returns the client of a peer, given as ``host:port``."""
@@ -288,6 +310,7 @@
             self.by_address[address] = Client(
                 address=Address.parse(address),
                 connect_seconds=self.connect_seconds,
+                memory=self.memory,
             )
         return self.by_address[address]
 
@@ -310,6 +333,8 @@
         self.foreign_responses = 0
         self.informational_responses = 0
         self.events = 0
+        self.body_bytes = 0
+        self.body_chunks = 0
         self.maybe_sent = False
         self.response_started = False
 
@@ -340,18 +365,38 @@
         response = messages.Response(
             status=head.status_code, headers=list(head.headers)
         )
-        chunks = []
-        size = 0
-        while (chunk := await self.read_chunk()) is not None:
-            chunks.append(chunk)
-            size += len(chunk)
-            if stream and size > MAX_BUFFERED_BODY_BYTES:
-                response.stream = self.stream_body(chunks)
-                return response
-        response.body = b"".join(chunks)
-        self.finish(response)
+        if not stream and method != "HEAD":
+            check_length(response)
+        await self.read_body(response, stream)
+        if response.stream is None:
+            self.finish(response)
         return response
 
+    async def read_body(
+        self, response: messages.Response, stream: bool
+    ) -> None:
+        """Reads the whole body, or turns a large one into a stream.
+
+        Raises:
+            ExchangeError: The bodies of all exchanges take too much memory.
+        """
+        body = bytearray()
+        memory = self.client.memory
+        try:
+            while (chunk := await self.read_bounded_chunk()) is not None:
+                body += chunk
+                memory.used_bytes += len(chunk)
+                if len(body) <= MAX_BUFFERED_BODY_BYTES:
+                    continue
+                if stream:
+                    response.stream = self.stream_body(bytes(body))
+                    return
+                if memory.used_bytes > MAX_TOTAL_BODY_BYTES:
+                    raise self.failure("no memory for the rest of the body")
+        finally:
+            memory.used_bytes -= len(body)
+        response.body = bytes(body)
+
     def finish(self, response: messages.Response) -> None:
         """Returns the connection to the idle pool.
 
@@ -416,7 +461,7 @@
         self.foreign_responses += 1
         if self.foreign_responses > MAX_FOREIGN_RESPONSES:
             raise h11.RemoteProtocolError("only answers to other requests")
-        while await self.read_chunk() is not None:
+        while await self.read_bounded_chunk() is not None:
             pass
         trailing = self.connection.protocol.trailing_data[0]
         # h11 accepts a response only after a request.
@@ -436,6 +481,22 @@
             return bytes(event.data)
         return None
 
+    async def read_bounded_chunk(self) -> bytes | None:
+        """Returns the next chunk of a body that is not streamed.
+
+        Raises:
+            h11.RemoteProtocolError: The exchange has had too many.
+        """
+        chunk = await self.read_chunk()
+        if chunk is not None:
+            self.body_bytes += len(chunk)
+            self.body_chunks += 1
+        if self.body_bytes > MAX_BODY_BYTES:
+            raise h11.RemoteProtocolError("the body is too large")
+        if self.body_chunks > MAX_BODY_CHUNKS:
+            raise h11.RemoteProtocolError("the body has too many chunks")
+        return chunk
+
     async def next_event(self) -> h11.Event:
         """Returns the next h11 event, reading from the socket as needed."""
         while True:
@@ -467,11 +528,10 @@
         if self.informational_responses > MAX_INFORMATIONAL_RESPONSES:
             raise h11.RemoteProtocolError("too many informational responses")
 
-    async def stream_body(self, chunks: list[bytes]) -> AsyncIterator[bytes]:
-        """Yields the chunks already read, then the remaining ones."""
+    async def stream_body(self, start: bytes) -> AsyncIterator[bytes]:
+        """Yields the part already read, then the remaining chunks."""
         try:
-            for chunk in chunks:
-                yield chunk
+            yield start
             while (chunk := await self.read_chunk()) is not None:
                 yield chunk
         except (OSError, h11.ProtocolError) as error:
@@ -480,6 +540,17 @@
         self.client.put_idle(self.connection)
 
 
+def check_length(response: messages.Response) -> None:
+    """Checks the announced length of a body that is not streamed.
+
+    Raises:
+        h11.RemoteProtocolError: It is too large.
+    """
+    length = int(messages.find(response.headers, b"content-length") or 0)
+    if response.status not in BODILESS_STATUSES and length > MAX_BODY_BYTES:
+        raise h11.RemoteProtocolError(f"a body of {length} bytes is too large")
+
+
 def keep_alive_seconds(headers: messages.Headers) -> float:
     """Returns how long a connection may stay idle, by its Keep-Alive header.
 
