Close an idle server connection as soon as bytes arrive on it

What callers see: nothing at once; a server that goes on sending after its answers fills 512 KiB (twice the reader's limit) for each idle connection of a router, until each is taken from the pool. Cause: an idle connection's bytes were looked at only on its reuse. Evidence: tests.test_garbage..test_bytes_fill_the_buffer_of_an_idle_connection failed (the connection stayed open for 1.5 s) and passes now. Why it works: while a connection is in the pool, its reader aborts it with the first bytes; these belong to no request, so nothing is lost.

--- a/oleanderhoist/http/client.py
+++ b/oleanderhoist/http/client.py
@@ -218,6 +218,7 @@
         now = time.monotonic()
         while self.idle:
             connection = self.idle.pop()
+            connection.reader.on_data = None
             if connection.reusable(now, idle_seconds):
                 return connection
             connection.writer.close()
@@ -242,8 +243,7 @@
             raise ExchangeError("the connection has closed", maybe_sent=False)
         if connection is None:
             connection = await self.open(timeout)
-        connection.idle_since = time.monotonic()
-        self.idle.append(connection)
+        self.add_idle(connection)
         return self.opened
 
     async def open(self, timeout: float) -> Connection:
@@ -286,7 +286,12 @@
         except h11.LocalProtocolError:
             connection.writer.close()
             return
+        self.add_idle(connection)
+
+    def add_idle(self, connection: Connection) -> None:
+        """Adds a connection to the idle pool; it closes if bytes arrive."""
         connection.idle_since = time.monotonic()
+        connection.reader.on_data = connection.writer.transport.abort
         self.idle.append(connection)
 
     def drop_idle(self) -> None:
--- a/oleanderhoist/http/streams.py
+++ b/oleanderhoist/http/streams.py
@@ -13,6 +13,7 @@
         unread: Number of bytes received but not yet read.
         disconnected: Whether the peer has closed or the connection broke.
         on_disconnect: Callback for that event; None without one.
+        on_data: Callback for the arrival of bytes; None without one.
     """
 
     def __init__(self, *, loop: asyncio.AbstractEventLoop):
@@ -20,11 +21,14 @@
         self.unread = 0
         self.disconnected = False
         self.on_disconnect: Callable[[], object] | None = None
+        self.on_data: Callable[[], object] | None = None
 
     def feed_data(self, data: bytes) -> None:
         """Receives bytes from the socket."""
         self.unread += len(data)
         super().feed_data(data)
+        if self.on_data is not None:
+            self.on_data()
 
     def feed_eof(self) -> None:
         """Receives the end of the peer's stream."""
