Say in the log that a server sent bytes that are no answer

What callers see: a detail of up to 64 KiB of the server's garbage in the problem document; operators see it in event 411, and h11's bare text there, which doesn't tell malformed bytes from a lost connection. Cause: h11 quotes the whole malformed line, and its text went on unchanged. Evidence: two tests of tests.test_garbage failed (4,035 characters; no "not an answer") and pass now. Why it works: an error of h11 before the end of the peer's bytes reads "not an answer: ..." and at most 200 characters of it are kept. It is logged at the end of the send (event 411, result `lost`), at a retry (102) and at the end of the request (410).

--- a/oleanderhoist/events.py
+++ b/oleanderhoist/events.py
@@ -192,7 +192,8 @@
 REQUEST_SENT = define(
     411,
     "request.sent",
-    "A request was sent to a server: slot queue, coordinator, result.",
+    "A request was sent to a server: slot queue, coordinator, result; "
+    "`detail` has 'not an answer' if the server sent other bytes.",
     "oleanderhoist.node.forwarder",
 )
 HOME_SILENT = define(
--- a/oleanderhoist/http/client.py
+++ b/oleanderhoist/http/client.py
@@ -27,6 +27,7 @@
 MAX_TOTAL_BODY_BYTES = 33_554_432
 MAX_FOREIGN_RESPONSES = 4
 MAX_INFORMATIONAL_RESPONSES = 8
+MAX_DETAIL_CHARS = 200  # A message of h11 may quote a whole line.
 EVENTS_PER_TURN = 128  # Of h11, before other tasks run.
 
 PLACEHOLDER_HEADERS = [(b"host", b"-")]
@@ -208,7 +209,7 @@
             ) from error
         except (OSError, h11.ProtocolError) as error:
             exchange.abort()
-            raise exchange.failure(str(error)) from error
+            raise exchange.failure(exchange.describe(error)) from error
         except BaseException:
             exchange.abort()
             raise
@@ -356,6 +357,14 @@
             timed_out=timed_out,
         )
 
+    def describe(self, error: Exception) -> str:
+        """Describes an error; tells malformed bytes from a lost connection."""
+        text = str(error)[:MAX_DETAIL_CHARS]
+        _, disconnected = self.connection.protocol.trailing_data
+        if isinstance(error, h11.RemoteProtocolError) and not disconnected:
+            return f"not an answer: {text}"
+        return text
+
     def abort(self) -> None:
         """Closes the connection, so that a late response is discarded."""
         self.connection.writer.transport.abort()
