Show six cases in which an answer is taken for another or for whole

Callers saw (reports of other operators): refusals for requests that a server had run or was running, after it wrote an earlier refusal once more on a kept connection.

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -14,6 +14,7 @@
 from oleanderhoist.node import forwarder
 from oleanderhoist.node import slotclient
 from oleanderhoist.node import state
+from oleanderhoist.platform import leasechannel
 from oleanderhoist.platform import protocol
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import slotqueue
@@ -153,6 +154,10 @@
                 self.assertIn(announced, received)
                 self.assertTrue(received.rstrip(b"\r\n").endswith(b"part"))
 
+    async def test_a_broken_stream_that_ends_by_a_close_is_reset(self):
+        with self.assertRaises(OSError):
+            await self.receive(b"1.0", [])
+
 
 class RouterSlots:
     """Grants every request a slot of the same server."""
@@ -252,12 +257,31 @@
         outcome = await self.outcome_after(stray)
         self.assertIsInstance(outcome, outcomes.Unknown)
 
+    async def test_a_nameless_answer_on_a_reused_connection_is_no_promise(self):
+        for stray in (scripted.refusal(), scripted.answer(body=b"earlier")):
+            with self.subTest(stray=stray):
+                outcome = await self.outcome_after(stray, scripted.answer("r"))
+                self.assertIsInstance(outcome, outcomes.Unknown)
+
     async def test_a_nameless_refusal_on_a_new_connection_is_a_promise(self):
         await self.router(
             scripted.write_and_end(scripted.refusal(), reset=False)
         )
         self.assertIsInstance(await self.forward("r"), outcomes.NotRun)
 
+    async def test_an_answer_glued_to_a_cut_head_is_no_promise(self):
+        whole = scripted.answer("r")
+        for end in range(1, len(whole) - len(b"done")):
+            data = whole[:end] + scripted.refusal("earlier") + whole
+            await self.router(scripted.write_and_end(data, reset=False))
+            outcome = await self.forward("r")
+            with self.subTest(bytes=whole[:end]):
+                if isinstance(outcome, outcomes.Complete):
+                    self.assertEqual(200, outcome.response.status)
+                    self.assertEqual(b"done", outcome.response.body)
+                else:
+                    self.assertIsInstance(outcome, outcomes.Unknown)
+
     async def test_extra_bytes_between_requests_end_the_connection(self):
         stray = scripted.refusal("r")
         pauses = (0, scripted.PAUSE_SECONDS)
@@ -278,6 +302,40 @@
                 self.assertIsInstance(outcome, outcomes.Complete)
                 self.assertEqual(2, peer.connections)
 
+    async def test_the_refusal_of_a_first_attempt_is_not_one_of_the_next(self):
+        peer = await self.router(scripted.run_and_repeat_refusal)
+        outcome = await self.forward("r", attempts=2)
+        self.assertEqual(1, peer.ran)
+        self.assertIsInstance(outcome, outcomes.Complete)
+
+    async def test_an_earlier_answer_does_not_end_a_release(self):
+        running = asyncio.Event()
+
+        async def script(
+            peer: scripted.Peer, writer: asyncio.StreamWriter
+        ) -> None:
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+            if writer.served > 1:
+                writer.write(head + b"Handover-Token: 1\r\n\r\n")
+            if peer.requests > 1:
+                await running.wait()
+            writer.write(head + b"Handover-Token: %d\r\n\r\n" % peer.requests)
+
+        peer = scripted.Peer(script)
+        await peer.start(self)
+        channel = leasechannel.LeaseChannel(
+            server=cluster.Server(
+                id="s", pool="p", address=peer.address, data_center="a", slots=1
+            )
+        )
+        self.addCleanup(channel.close)
+        self.assertEqual("1", await channel.release(0, 1, 5))
+        release = asyncio.create_task(channel.release(2, 3, 5))
+        await asyncio.sleep(scripted.PAUSE_SECONDS)
+        self.assertFalse(release.done())
+        running.set()
+        self.assertEqual("2", await release)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,4 +1,4 @@
-"""Runs the tests of `tests.entry_tries` in a separate process.
+"""Runs the tests of entries in separate processes.
 
 The entry and the router are separate programs that register metrics of the
 same names, so one process cannot import both.
@@ -10,17 +10,24 @@
 
 
 class EntryTest(unittest.TestCase):
-    """The tests in `tests.entry_tries`."""
+    """The tests in `tests.entry_tries` and `tests.entry_answers`."""
 
-    def test_tries_are_told_truthfully(self):
+    def run_module(self, name: str, count: int) -> None:
+        """Runs the tests of a module and expects that all pass."""
         result = subprocess.run(
-            [sys.executable, "-m", "unittest", "tests.entry_tries"],
+            [sys.executable, "-m", "unittest", name],
             capture_output=True,
             text=True,
             check=False,
         )
         self.assertEqual(0, result.returncode, result.stderr)
-        self.assertIn("Ran 3 tests", result.stderr)
+        self.assertIn(f"Ran {count} tests", result.stderr)
+
+    def test_tries_are_told_truthfully(self):
+        self.run_module("tests.entry_tries", 3)
+
+    def test_an_earlier_refusal_is_not_taken_for_a_later_one(self):
+        self.run_module("tests.entry_answers", 2)
 
 
 if __name__ == "__main__":
