Believe an answer on a reused connection only if it names its request

Callers saw: a refusal (not run, send again), or another request's success, for a request that the server was running. Cause: a response without a Request-Id counted as ours, wherever it arrived, so an answer that a server wrote once more behind an earlier exchange was taken for the one awaited. A head that was cut and followed by another answer holds two ids; the first one counted, and the other answer's Not-Executed with it. Rule: an answer is ours if its ids are all this request's; if one isn't, it is dropped as before. Without an id it is ours on a connection that carried no earlier exchange, where nothing can be written once more. On a reused one the attempt ends at once with an unknown outcome, and the connection is closed. Evidence: the two tests, which failed with NotRun (refused 503, refused 200) and with the body of the other request, pass; those of a named refusal and of a nameless one on a new connection still do. Why it works: a promise is passed on only with proof of the request that it is about. Cost: a server that doesn't makes each refusal on a reused connection an unknown outcome ("the answer names no request").

--- a/oleanderhoist/http/client.py
+++ b/oleanderhoist/http/client.py
@@ -21,7 +21,7 @@
 
 PLACEHOLDER_HEADERS = [(b"host", b"-")]
 
-ResponseFilter = Callable[[messages.Headers], bool]
+ResponseFilter = Callable[[messages.Headers], messages.Match]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, order=True)
@@ -80,6 +80,7 @@
         protocol: State of the HTTP protocol.
         idle_since: When the last exchange ended, in monotonic seconds.
         keep_alive_seconds: Longest idle time before a reuse, in seconds.
+        reused: Whether it has carried an earlier exchange.
     """
 
     reader: streams.Reader
@@ -87,6 +88,7 @@
     protocol: h11.Connection
     idle_since: float = 0.0
     keep_alive_seconds: float = IDLE_SECONDS
+    reused: bool = False
 
     def reusable(self, now: float, idle_seconds: float) -> bool:
         """Returns whether an idle connection may carry another request.
@@ -147,8 +149,8 @@
             stream: Whether a large response may be returned as a stream.
             idle_seconds: Longest idle time of a reused connection, in seconds.
             host: Value of the Host header; the peer's address by default.
-            accept: Returns whether a response, given its headers, belongs to
-                this request; other responses are read and dropped.
+            accept: Returns which request a response names, given its headers.
+                Foreign responses are read and dropped.
             reuse_only: Whether to fail without an idle connection instead of
                 opening one.
 
@@ -260,6 +262,7 @@
         except h11.LocalProtocolError:
             connection.writer.close()
             return
+        connection.reused = True
         connection.idle_since = time.monotonic()
         self.idle.append(connection)
 
@@ -394,14 +397,24 @@
         connection.writer.write(connection.protocol.send(h11.EndOfMessage()))
 
     async def read_head(self) -> h11.Response:
-        """Returns the head of the final response."""
+        """Returns the head of the final response.
+
+        Raises:
+            h11.RemoteProtocolError: It may belong to an earlier request.
+        """
         while True:
             event = await self.next_event()
             if not isinstance(event, h11.Response):
                 continue
-            if self.accept is None or self.accept(list(event.headers)):
+            if self.accept is None:
                 return event
-            await self.skip_response()
+            match = self.accept(list(event.headers))
+            if match is messages.Match.FOREIGN:
+                await self.skip_response()
+                continue
+            if match is messages.Match.UNNAMED and self.connection.reused:
+                raise h11.RemoteProtocolError("the answer names no request")
+            return event
 
     async def skip_response(self) -> None:
         """Drops a response that belongs to another request.
--- a/oleanderhoist/http/messages.py
+++ b/oleanderhoist/http/messages.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 import dataclasses
+import enum
 import json
 
 from oleanderhoist import codes
@@ -75,6 +76,28 @@
     close: bool = False
 
 
+class Match(enum.Enum):
+    """Whether a response names the request that it is read for."""
+
+    OURS = enum.auto()
+    FOREIGN = enum.auto()
+    UNNAMED = enum.auto()  # It names no request.
+
+
+def match_request(headers: Headers, name: bytes, id: str) -> Match:
+    """Returns which request a response names.
+
+    Args:
+        headers: Headers of the response.
+        name: Header that holds the request's id, in lower case.
+        id: Id of the request that the response is read for.
+    """
+    ids = {value for key, value in headers if key == name}
+    if not ids:
+        return Match.UNNAMED
+    return Match.OURS if ids == {id.encode("latin-1")} else Match.FOREIGN
+
+
 def find(headers: Headers, name: bytes) -> str | None:
     """Returns the first value of a header, given in lower case."""
     for key, value in headers:
--- a/oleanderhoist/node/forwarder.py
+++ b/oleanderhoist/node/forwarder.py
@@ -392,7 +392,7 @@
                 body=job.body,
                 idle_seconds=idle_seconds,
                 host=(job.request.header(b"host") or "-").encode("latin-1"),
-                accept=lambda headers: self.platform.matches_request(
+                accept=lambda headers: self.platform.match_request(
                     job.head.id, headers
                 ),
             )
--- a/oleanderhoist/platform/adapter.py
+++ b/oleanderhoist/platform/adapter.py
@@ -87,9 +87,11 @@
         """Returns the headers to send to a server, without Host."""
         return protocol.server_headers(request, server, remaining)
 
-    def matches_request(self, id: str, headers: messages.Headers) -> bool:
-        """Returns whether a response's headers name this request or none."""
-        return protocol.matches_request(id, headers)
+    def match_request(
+        self, id: str, headers: messages.Headers
+    ) -> messages.Match:
+        """Returns which request a response's headers name."""
+        return protocol.match_request(id, headers)
 
     def classify(self, response: messages.Response) -> ports.AnswerKind:
         """Classifies a server's response."""
--- a/oleanderhoist/platform/protocol.py
+++ b/oleanderhoist/platform/protocol.py
@@ -48,10 +48,11 @@
     return forwarded
 
 
-def matches_request(id: str, response_headers: messages.Headers) -> bool:
-    """Returns whether a response's headers name this request or none."""
-    response_id = messages.find(response_headers, headers.REQUEST_ID)
-    return response_id is None or response_id == id
+def match_request(
+    id: str, response_headers: messages.Headers
+) -> messages.Match:
+    """Returns which request a response's headers name."""
+    return messages.match_request(response_headers, headers.REQUEST_ID, id)
 
 
 def classify(response: messages.Response) -> ports.AnswerKind:
--- a/oleanderhoist/ports.py
+++ b/oleanderhoist/ports.py
@@ -294,8 +294,10 @@
     ) -> messages.Headers:
         """Returns the headers of a request to a server, without Host."""
 
-    def matches_request(self, id: str, headers: messages.Headers) -> bool:
-        """Returns whether a response's headers name this request or none."""
+    def match_request(
+        self, id: str, headers: messages.Headers
+    ) -> messages.Match:
+        """Returns which request a response's headers name."""
 
     def classify(self, response: messages.Response) -> AnswerKind:
         """Classifies a server's response."""
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -47,7 +47,10 @@
         body = await request.read()
         expected = request.header(b"expected-instance")
         if expected not in (None, self.id):
-            return base.text_response(421, "another server")
+            response = base.text_response(421, "another server")
+            id = (request.header(b"request-id") or "").encode()
+            response.headers.append((b"request-id", id))
+            return response
         if request.path == "/ran":
             return messages.json_response(self.ran)
         if request.path == "/faults":
@@ -138,10 +141,10 @@
     async def execute(
         self, request: messages.Request, body: bytes
     ) -> messages.Response:
-        """Executes a request."""
+        """Executes a request, or refuses it before execution."""
         id = (request.header(b"request-id") or "").encode()
         key = request.header(b"shard-key")
-        not_executed = [(b"not-executed", b"1")]
+        not_executed = [(b"request-id", id), (b"not-executed", b"1")]
         if self.inject("shed"):
             return messages.Response(status=503, headers=not_executed)
         if self.keyed and not self.owns_key(int(key or -1)):
