Repeat a request that may run once to the same server on a new connection

Callers saw: a refusal of a request that was refused once, sent again to the same server (with a key, its owner), and run there. Cause: both attempts have the same Request-Id, and the pool hands out the connection used last. The first refusal, written once more on it, names the request rightly but tells of the other attempt. Why it works: nothing of the first attempt can arrive on a connection that was opened after it. The idle one is closed for it, so the server holds no more of them. Cost: a connection for each such repeat. Idempotent requests keep the reuse, since no promise binds them.

--- a/oleanderhoist/http/client.py
+++ b/oleanderhoist/http/client.py
@@ -137,6 +137,7 @@
         host: bytes | None = None,
         accept: ResponseFilter | None = None,
         reuse_only: bool = False,
+        fresh: bool = False,
     ) -> messages.Response:
         """Performs one exchange, without retries.
 
@@ -153,6 +154,8 @@
                 Foreign responses are read and dropped.
             reuse_only: Whether to fail without an idle connection instead of
                 opening one.
+            fresh: Whether to open a connection even if there is an idle one,
+                which is then closed.
 
         Returns:
             The response, complete unless it is a stream.
@@ -164,6 +167,9 @@
         connection = self.take_idle(idle_seconds)
         if connection is None and reuse_only:
             raise ExchangeError("the connection has closed", maybe_sent=False)
+        if connection is not None and fresh:
+            connection.writer.close()
+            connection = None
         if connection is None:
             connection = await self.open(timeout)
         exchange = Exchange(
--- a/oleanderhoist/node/forwarder.py
+++ b/oleanderhoist/node/forwarder.py
@@ -375,6 +375,8 @@
                 failure=retry.Failure.NOT_SENT, code=codes.TOO_LATE
             )
         job.sends += 1
+        # On a kept connection, a late copy of the first refusal has this id.
+        fresh = not job.work.repeatable and server.id in job.tried_servers
         job.tried_servers.add(server.id)
         idle_seconds = (
             REPEATABLE_IDLE_SECONDS
@@ -395,6 +397,7 @@
                 accept=lambda headers: self.platform.match_request(
                     job.head.id, headers
                 ),
+                fresh=fresh,
             )
         except client.ExchangeError as error:
             return self.classify_error(job, server, error)
