Send each release of a lease on a connection of its own

What happens: a release ends with the answer to an earlier one, with its handover token, while the server still works on the keys; the keys are then granted to another server at once (OWNER). Cause: releases shared a kept connection, and their answers carry no id, so one that is written once more can't be told from the awaited one. Evidence: the test failed, as the release was done while the work ran, and passes. Why it works: on a new connection no answer to an earlier call can arrive. Cost: a connection for each release. Grants keep theirs: it stands for the server's process. An earlier 200 or 409 there shortens no lease, since send_grant records the expiry whatever the answer.

--- a/oleanderhoist/platform/leasechannel.py
+++ b/oleanderhoist/platform/leasechannel.py
@@ -21,7 +21,8 @@
     """Lease channel to one server.
 
     Grants use a single connection: while it stays open, the server's process
-    is the same. A release may take long and uses a separate connection.
+    is the same. A release may take long and uses a connection of its own, on
+    which no answer to an earlier release can arrive.
     """
 
     def __init__(self, *, server: cluster.Server):
@@ -69,6 +70,7 @@
                 path,
                 timeout=timeout,
                 reuse_only=is_grant,
+                fresh=not is_grant,
                 headers=[
                     (b"content-type", b"application/json"),
                     self.expected_header,
