Reset the connection of an answer that breaks off

Callers saw: nothing reported. An HTTP/1.0 caller of an entry reads a part of a streamed body and an orderly end, which is how a whole body ends for it. Cause: an answer without a length is sent to such a caller without chunks, and the server closed the connection the same way when the stream broke. Evidence: the test read 4 bytes and the end of the stream; now it is reset. Callers of HTTP/1.1 saw the missing chunk or bytes before, and still do (test_a_broken_stream_lacks_a_part_that_its_head_announces). Why it works: a reset is never the end of a body.

--- a/oleanderhoist/http/server.py
+++ b/oleanderhoist/http/server.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 import contextlib
 import re
+import socket
+import struct
 
 import h11
 
@@ -24,6 +26,7 @@
 
 Handler = Callable[[messages.Request], Awaitable[messages.Response]]
 
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER of zero seconds.
 _BARE_LF = re.compile(rb"(?<!\r)\n")
 
 
@@ -90,7 +93,7 @@
         try:
             await connection.serve()
         except (TimeoutError, OSError):
-            pass
+            reset(writer)
         finally:
             self.connections.discard(connection)
             writer.close()
@@ -329,6 +332,18 @@
             await self.writer.drain()
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Resets a connection.
+
+    An orderly close would complete a response whose body ends with it.
+    """
+    with contextlib.suppress(OSError):
+        writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+        )
+    writer.transport.abort()
+
+
 def check_head(data: bytes | bytearray) -> codes.Code | None:
     """Checks a request head for framing on which parsers disagree.
 
