--- a/oleanderhoist/http/client.py
+++ b/oleanderhoist/http/client.py
@@ -34,7 +34,7 @@
 
 BODILESS_STATUSES = (204, 304)
 
-ResponseFilter = Callable[[messages.Headers], bool]
+ResponseFilter = Callable[[messages.Headers], messages.Match]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, order=True)
@@ -104,6 +104,7 @@
         protocol: State of the HTTP protocol.
         idle_since: When the last exchange ended, in monotonic seconds.
         keep_alive_seconds: Longest idle time before a reuse, in seconds.
+        reused: Whether it has carried an earlier exchange.
     """
 
     reader: streams.Reader
@@ -111,6 +112,7 @@
     protocol: h11.Connection
     idle_since: float = 0.0
     keep_alive_seconds: float = IDLE_SECONDS
+    reused: bool = False
 
     def reusable(self, now: float, idle_seconds: float) -> bool:
         """Returns whether an idle connection may carry another request.
@@ -162,6 +164,7 @@
         host: bytes | None = None,
         accept: ResponseFilter | None = None,
         reuse_only: bool = False,
+        fresh: bool = False,
     ) -> messages.Response:
         """Performs one exchange, without retries.
 
@@ -174,10 +177,12 @@
             stream: Whether a large response may be returned as a stream.
             idle_seconds: Longest idle time of a reused connection, in seconds.
             host: Value of the Host header; the peer's address by default.
-            accept: Returns whether a response, given its headers, belongs to
-                this request; other responses are read and dropped.
+            accept: Returns which request a response names, given its headers.
+                Foreign responses are read and dropped.
             reuse_only: Whether to fail without an idle connection instead of
                 opening one.
+            fresh: Whether to open a connection even if there is an idle one,
+                which is then closed.
 
         Returns:
             The response, complete unless it is a stream.
@@ -189,6 +194,9 @@
         connection = self.take_idle(idle_seconds)
         if connection is None and reuse_only:
             raise ExchangeError("the connection has closed", maybe_sent=False)
+        if connection is not None and fresh:
+            connection.writer.close()
+            connection = None
         if connection is None:
             connection = await self.open(timeout)
         exchange = Exchange(
@@ -287,6 +295,7 @@
         except h11.LocalProtocolError:
             connection.writer.close()
             return
+        connection.reused = True
         self.add_idle(connection)
 
     def add_idle(self, connection: Connection) -> None:
@@ -409,7 +418,7 @@
                 if len(body) <= MAX_BUFFERED_BODY_BYTES:
                     continue
                 if stream:
-                    response.stream = self.stream_body(bytes(body))
+                    response.stream = self.stream_body(response, bytes(body))
                     return
                 if memory.used_bytes > MAX_TOTAL_BODY_BYTES:
                     raise self.failure("no memory for the rest of the body")
@@ -463,14 +472,24 @@
         connection.writer.write(connection.protocol.send(h11.EndOfMessage()))
 
     async def read_head(self) -> h11.Response:
-        """Returns the head of the final response."""
+        """Returns the head of the final response.
+
+        Raises:
+            h11.RemoteProtocolError: It may belong to an earlier request.
+        """
         while True:
             event = await self.next_event()
             if not isinstance(event, h11.Response):
                 continue
-            if self.accept is None or self.accept(list(event.headers)):
+            if self.accept is None:
                 return event
-            await self.skip_response()
+            match = self.accept(list(event.headers))
+            if match is messages.Match.FOREIGN:
+                await self.skip_response()
+                continue
+            if match is messages.Match.UNNAMED and self.connection.reused:
+                raise h11.RemoteProtocolError("the answer names no request")
+            return event
 
     async def skip_response(self) -> None:
         """Drops a response that belongs to another request.
@@ -549,7 +568,9 @@
         if self.informational_responses > MAX_INFORMATIONAL_RESPONSES:
             raise h11.RemoteProtocolError("too many informational responses")
 
-    async def stream_body(self, start: bytes) -> AsyncIterator[bytes]:
+    async def stream_body(
+        self, response: messages.Response, start: bytes
+    ) -> AsyncIterator[bytes]:
         """Yields the part already read, then the remaining chunks."""
         try:
             yield start
@@ -558,7 +579,7 @@
         except (OSError, h11.ProtocolError) as error:
             self.abort()
             raise ConnectionAbortedError("the answer was cut short") from error
-        self.client.put_idle(self.connection)
+        self.finish(response)
 
 
 def check_blanks(framing: bytes) -> None:
--- a/oleanderhoist/node/forwarder.py
+++ b/oleanderhoist/node/forwarder.py
@@ -376,6 +376,8 @@
             )
         job.sends += 1
         job.possible_runs += 1
+        # On a kept connection, a late copy of the first refusal has this id.
+        fresh = not job.work.repeatable and server.id in job.tried_servers
         job.tried_servers.add(server.id)
         idle_seconds = (
             REPEATABLE_IDLE_SECONDS
@@ -393,9 +395,10 @@
                 body=job.body,
                 idle_seconds=idle_seconds,
                 host=(job.request.header(b"host") or "-").encode("latin-1"),
-                accept=lambda headers: self.platform.matches_request(
+                accept=lambda headers: self.platform.match_request(
                     job.head.id, headers
                 ),
+                fresh=fresh,
             )
         except client.ExchangeError as error:
             return self.classify_error(job, server, error)
--- a/tests/test_garbage.py
+++ b/tests/test_garbage.py
@@ -10,12 +10,13 @@
 
 from oleanderhoist import codes
 from oleanderhoist.http import client
+from oleanderhoist.http import messages
 from oleanderhoist.node import budgets
 from oleanderhoist.node import forwarder
 from oleanderhoist.node import state
 from oleanderhoist.platform import protocol
 from oleanderhoist.policy import cluster
-from tests import test_node
+from tests import test_forwarder
 
 PROCESSOR_SECONDS = 1.0
 ATTEMPT_SECONDS = 1.5  # Well below TIMEOUT_SECONDS, even beside load.
@@ -104,9 +105,10 @@
         self.closed.set()
 
 
-def is_own(headers: list) -> bool:
+def match_request(headers: messages.Headers) -> messages.Match:
     """Returns whether an answer belongs to the request."""
-    return not any(name == b"foreign" for name, _ in headers)
+    foreign = messages.find(headers, b"foreign") is not None
+    return messages.Match.FOREIGN if foreign else messages.Match.OURS
 
 
 class GarbageTest(unittest.IsolatedAsyncioTestCase):
@@ -131,7 +133,7 @@
                 options.pop("method", "GET"),
                 "/",
                 timeout=timeout,
-                accept=is_own,
+                accept=match_request,
                 **options,
             )
         await asyncio.wait_for(server.closed.wait(), ATTEMPT_SECONDS)
@@ -228,7 +230,7 @@
 
     async def test_garbage_leaves_a_server_of_a_router_unjudged(self):
         address = str((await self.connect(Garbage(b"", LINE))).address)
-        grants = test_node.SingleSlotClient()
+        grants = test_forwarder.SingleSlotClient()
         released = []
         grants.release = lambda grant, **kwargs: released.append(kwargs)
         server = cluster.Server(
@@ -244,7 +246,7 @@
             budget=budgets.Budgets(ratio=1.0, extra=9, state=router_state),
             data_center="a",
         )
-        job = test_node.job(arrived=time.monotonic(), objective=1.0)
+        job = test_forwarder.job(arrived=time.monotonic(), objective=1.0)
         verdict = await grants.acquire("pool", types.SimpleNamespace(id=1))
         result = await router.send(job, server, verdict)
         self.assertEqual(codes.BAD_ANSWER, result.code)
