--- a/oleanderhoist/entry/calls.py
+++ b/oleanderhoist/entry/calls.py
@@ -5,6 +5,7 @@
 import hashlib
 
 from oleanderhoist import contract
+from oleanderhoist import outcomes
 from oleanderhoist.http import messages
 from oleanderhoist.http import server
 
@@ -40,6 +41,9 @@
         remaining_body: The chunks after `body`; None unless it is streamed.
         streaming: Whether streaming the body to a server has begun.
         body_error: Error that ended the streaming of the body, if any.
+        possible_runs: Number of exchanges, running or ended, in which a server
+            may have run it.
+        completed: Its outcome once a server has answered; None before.
     """
 
     id: str
@@ -53,6 +57,13 @@
     remaining_body: AsyncIterator[bytes] | None = None
     streaming: bool = False
     body_error: Exception | None = None
+    possible_runs: int = 0
+    completed: outcomes.Complete | None = None
+
+    @property
+    def maybe_run(self) -> bool:
+        """Whether a server may have run it, or may be running it now."""
+        return self.possible_runs > 0
 
     @property
     def needs_claim(self) -> bool:
--- a/oleanderhoist/entry/claims.py
+++ b/oleanderhoist/entry/claims.py
@@ -92,11 +92,32 @@
     ) -> ClaimResult:
         """Claims an Idempotency-Key before its request is sent.
 
+        A claim whose caller is cancelled is withdrawn in the background.
+
         Args:
             customer: Customer that sent the request.
             idempotency_key: Value of the Idempotency-Key header.
             fingerprint: Hash that identifies the request.
         """
+        claiming = asyncio.create_task(
+            self.write_claim(customer, idempotency_key, fingerprint)
+        )
+        try:
+            return await asyncio.shield(claiming)
+        except asyncio.CancelledError:
+            self.run_in_background(self.withdraw(claiming))
+            raise
+
+    async def withdraw(self, claiming: asyncio.Task[ClaimResult]) -> None:
+        """Deletes the claim that a task acquires."""
+        claim = await claiming
+        if isinstance(claim, Acquired):
+            await self.delete_claim(claim.key, claim.version)
+
+    async def write_claim(
+        self, customer: str, idempotency_key: str, fingerprint: str
+    ) -> ClaimResult:
+        """Writes a claim, or reads the earlier one."""
         if self.clock.monotonic() < self.backoff_until:
             return Unavailable()
         key = record_key(customer, idempotency_key)
@@ -153,7 +174,18 @@
     async def complete(
         self, claim: Acquired, response: messages.Response
     ) -> None:
-        """Stores the response, so that a resubmission receives it."""
+        """Stores the response, so that a resubmission receives it.
+
+        Goes on in the background if its caller is cancelled.
+        """
+        await asyncio.shield(
+            self.run_in_background(self.write_response(claim, response))
+        )
+
+    async def write_response(
+        self, claim: Acquired, response: messages.Response
+    ) -> None:
+        """Stores a response in the claim's record."""
         value = {**claim.value, "state": DONE, **pack_response(response)}
         await self.table.put(claim.key, value, expected=claim.version)
 
@@ -161,13 +193,15 @@
         """Deletes the claim of a request that certainly did not run.
 
         Tries once while the caller waits; if the table is unavailable, the
-        claim is deleted in the background.
+        claim is deleted in the background, as it is if the caller is cancelled.
         """
         try:
             await self.table.delete(claim.key, expected=claim.version)
-        except table.TableError:
-            self.start_backoff()
+        except (table.TableError, asyncio.CancelledError) as error:
             self.run_in_background(self.delete_claim(claim.key, claim.version))
+            if isinstance(error, asyncio.CancelledError):
+                raise
+            self.start_backoff()
 
     async def delete_claim(self, key: str, version: int) -> None:
         """Deletes a claim, with retries while the table is unavailable."""
@@ -190,11 +224,19 @@
                 await self.delete_claim(key, record.version)
             return
 
-    def run_in_background(self, cleanup: Coroutine[None, None, None]) -> None:
+    async def wait_for_cleanups(self, timeout: float) -> None:
+        """Waits for the background tasks, for at most `timeout` seconds."""
+        if self.cleanup_tasks:
+            await asyncio.wait(self.cleanup_tasks, timeout=timeout)
+
+    def run_in_background(
+        self, cleanup: Coroutine[None, None, None]
+    ) -> asyncio.Task[None]:
         """Runs a cleanup in a background task."""
         task = asyncio.create_task(cleanup)
         self.cleanup_tasks.add(task)
         task.add_done_callback(self.cleanup_tasks.discard)
+        return task
 
 
 def record_key(customer: str, idempotency_key: str) -> str:
--- a/oleanderhoist/entry/core.py
+++ b/oleanderhoist/entry/core.py
@@ -27,8 +27,13 @@
 LEADER_TIMEOUT_SECONDS = 0.3
 MIN_DRAIN_SECONDS = 2.0
 STOP_POLL_SECONDS = HELLO_INTERVAL_SECONDS / 2
-HTTP_DRAIN_SECONDS = 1.0
-HEALTH_DRAIN_SECONDS = 0.1
+# Part of the stop time in which requests may wait for a slot; the rest is for
+# the servers' work.
+SLOT_FRACTION = 0.5
+# Part of the stop time, up to a limit, that is reserved for writing the last
+# responses and closing connections; until then servers' responses are awaited.
+EXIT_FRACTION = 0.2
+MAX_EXIT_SECONDS = 1.0
 PLACERS_POLL_SECONDS = 2.0
 
 
@@ -257,13 +262,16 @@
         Fails readiness, announces that the entry is leaving and waits until no
         request is in flight and the leader has removed the entry from the
         snapshot, so that other entries coordinate its servers. The wait takes
-        at least MIN_DRAIN_SECONDS, unless `stop_seconds` is shorter, and at
-        most `stop_seconds`.
+        at least MIN_DRAIN_SECONDS, unless `stop_seconds` is shorter. Every
+        request has its answer, and the stop ends, within `stop_seconds`.
         """
+        stop_began = self.clock.monotonic()
+        stop_end = stop_began + self.settings.stop_seconds
+        answers_due = stop_end - exit_seconds(self.settings.stop_seconds)
+        self.set_deadlines(answers_due)
         self.frontend.stopping = True
         self.registration.leaving = True
-        stop_began = self.clock.monotonic()
-        while self.clock.monotonic() < stop_began + self.settings.stop_seconds:
+        while self.clock.monotonic() < answers_due:
             waited_seconds = self.clock.monotonic() - stop_began
             listed = self.settings.id in self.snapshot_store.snapshot.entries
             if waited_seconds > MIN_DRAIN_SECONDS and not (
@@ -271,14 +279,39 @@
             ):
                 break
             await asyncio.sleep(STOP_POLL_SECONDS)
-        await self.server.stop(HTTP_DRAIN_SECONDS)
+        remaining_seconds = stop_end - self.clock.monotonic()
+        await self.server.stop(max(0.0, remaining_seconds))
+        remaining_seconds = stop_end - self.clock.monotonic()
+        await self.claims.wait_for_cleanups(max(0.0, remaining_seconds))
         for task in self.tasks:
             task.cancel()
-        await self.health.server.stop(HEALTH_DRAIN_SECONDS)
+        await self.health.server.stop(0.0)
         self.transport.stop()
 
+    def set_deadlines(self, answers_due: float) -> None:
+        """Sets when the waits of all requests end.
+
+        Args:
+            answers_due: When every request gets its answer, in monotonic
+                seconds.
+        """
+        now = self.clock.monotonic()
+        loop_offset = asyncio.get_running_loop().time() - now
+        slots_due = now + SLOT_FRACTION * self.settings.stop_seconds
+        self.forwarder.slots_due.set(slots_due + loop_offset)
+        self.frontend.answers_due.set(answers_due + loop_offset)
+
     async def run(self) -> None:
         """Runs until a stop signal."""
         await self.start()
         await program.wait_for_stop("entry")
         await self.stop()
+
+
+def exit_seconds(stop_seconds: float) -> float:
+    """Returns the end of the stop time in which no response is awaited.
+
+    Args:
+        stop_seconds: Longest graceful stop, in seconds.
+    """
+    return min(MAX_EXIT_SECONDS, EXIT_FRACTION * stop_seconds)
--- a/oleanderhoist/entry/forwarder.py
+++ b/oleanderhoist/entry/forwarder.py
@@ -6,6 +6,7 @@
 
 from oleanderhoist import clock
 from oleanderhoist import codes
+from oleanderhoist import deadline
 from oleanderhoist import events
 from oleanderhoist import log
 from oleanderhoist import outcomes
@@ -38,6 +39,10 @@
         clock: Time source.
         policy: Registered name of the choice policy.
         rng: Random number generator.
+
+    Attributes:
+        slots_due: Until when calls may wait for a server and its slot; set by
+            a stop.
     """
 
     def __init__(
@@ -57,16 +62,42 @@
         self.policy = choice.CHOICES.get(policy)()
         self.rng = rng
         self.retry_budget = retry.Budget()
+        self.slots_due = deadline.SharedDeadline()
         self.sender = sending.Sender(clock=clock, slot_client=slot_client)
 
     async def forward(self, call: calls.Call) -> outcomes.Outcome:
-        """Sends a call, with retries, and returns its outcome."""
+        """Sends a call, with retries, and returns its outcome.
+
+        A stop ends the waits for a server and a slot.
+        """
+        try:
+            return await self.forward_in_time(call)
+        except deadline.PassedError:
+            return self.stopped_outcome(call)
+
+    def stopped_outcome(self, call: calls.Call) -> outcomes.Outcome:
+        """Returns the outcome of a call that a stop leaves no time for."""
+        if call.completed is not None:
+            return call.completed
+        if call.maybe_run:
+            return outcomes.Unknown(code=codes.STOPPED)
+        return outcomes.NotRun(
+            code=codes.STOPPING, retry_after=outcomes.RETRY_AFTER_SECONDS
+        )
+
+    async def forward_in_time(self, call: calls.Call) -> outcomes.Outcome:
+        """Sends a call, with retries, and returns its outcome.
+
+        Raises:
+            PassedError: A stop left no time to wait for a server or a slot.
+        """
         attempts = 0
         earlier_unknown: outcomes.Unknown | None = None
         self.retry_budget.earn()
         FIRST_ATTEMPTS.labels(str(call.work.rank)).inc()
         while True:
-            target = await self.select_target(call)
+            async with self.slots_due.limit():
+                target = await self.select_target(call)
             if target is None:
                 return combine_outcomes(
                     self.no_server_outcome(call), earlier_unknown
@@ -214,7 +245,10 @@
                 worth=call.work.worth,
                 expected_seconds=call.work.service_ms / 1000,
             )
-            grant = await self.slot_client.acquire(slot_request, call.deadline)
+            async with self.slots_due.limit():
+                grant = await self.slot_client.acquire(
+                    slot_request, call.deadline
+                )
             if isinstance(grant, slotclient.SlotRefusal):
                 return self.handle_refusal(call, target, grant)
             started_at = self.clock.monotonic()
@@ -259,6 +293,7 @@
             return sending.outcome_of_claim(claim)
         result = await self.sender.send(call, target)
         if isinstance(result, outcomes.Complete):
+            call.completed = result
             await self.claims.complete(claim, result.response)
         elif sending.is_not_run(result):
             await self.claims.abandon(claim)
--- a/oleanderhoist/entry/frontend.py
+++ b/oleanderhoist/entry/frontend.py
@@ -10,6 +10,7 @@
 from oleanderhoist import clock
 from oleanderhoist import codes
 from oleanderhoist import contract
+from oleanderhoist import deadline
 from oleanderhoist import events
 from oleanderhoist import log
 from oleanderhoist import outcomes
@@ -55,6 +56,9 @@
         forwarder: Forwards admitted calls.
         claims: Checks earlier claims on Idempotency-Keys.
         clock: Time source.
+
+    Attributes:
+        answers_due: When every request gets its answer; set by a stop.
     """
 
     def __init__(
@@ -73,6 +77,7 @@
         self.clock = clock
         self.in_flight = 0
         self.stopping = False
+        self.answers_due = deadline.SharedDeadline()
         self.idle = asyncio.Event()
         self.idle.set()
 
@@ -169,7 +174,10 @@
         if refusal is not None and not call.needs_claim:
             return refusal
         try:
-            await call.buffer_body()
+            async with self.forwarder.slots_due.limit():
+                await call.buffer_body()
+        except deadline.PassedError:
+            return stopped_body_outcome(call)
         except calls.BodyTooLargeError:
             return outcomes.NotRun(code=codes.BODY_TOO_LARGE)
         except server.BodyError as error:
@@ -181,11 +189,29 @@
                 code=codes.BODY_TOO_LARGE,
                 detail=f"under a key, at most {calls.MAX_BUFFERED_BYTES} bytes",
             )
-        outcome = refusal or await self.forwarder.forward(call)
+        outcome = refusal or await self.forward(call)
         if isinstance(outcome, outcomes.NotRun) and call.needs_claim:
-            return await self.verify_not_run(call, outcome)
+            return await self.verify_in_time(call, outcome)
         return outcome
 
+    async def forward(self, call: calls.Call) -> outcomes.Outcome:
+        """Forwards a call; a stop ends the wait for its server."""
+        try:
+            async with self.answers_due.limit():
+                return await self.forwarder.forward(call)
+        except deadline.PassedError:
+            return self.forwarder.stopped_outcome(call)
+
+    async def verify_in_time(
+        self, call: calls.Call, outcome: outcomes.NotRun
+    ) -> outcomes.Outcome:
+        """Verifies `not run`, which is unknown if a stop leaves no time."""
+        try:
+            async with self.answers_due.limit():
+                return await self.verify_not_run(call, outcome)
+        except deadline.PassedError:
+            return unchecked_outcome(outcome.code)
+
     def check_limits(self, call: calls.Call) -> outcomes.NotRun | None:
         """Returns the refusal of a call over a limit, or None."""
         if self.in_flight > MAX_IN_FLIGHT_REQUESTS:
@@ -221,12 +247,29 @@
         if earlier_claim is None:
             return outcome
         if isinstance(earlier_claim, claims.Unavailable):
-            return outcomes.Unknown(
-                code=codes.REFUSED_UNCHECKED, detail=outcome.code.title
-            )
+            return unchecked_outcome(outcome.code)
         return sending.outcome_of_claim(earlier_claim)
 
 
+def stopped_body_outcome(
+    call: calls.Call,
+) -> outcomes.NotRun | outcomes.Unknown:
+    """Returns the outcome of a call whose body a stop leaves no time for.
+
+    Without its whole body, an earlier claim on its key can't be compared.
+    """
+    if call.needs_claim:
+        return unchecked_outcome(codes.STOPPING)
+    return outcomes.NotRun(
+        code=codes.STOPPING, retry_after=outcomes.RETRY_AFTER_SECONDS
+    )
+
+
+def unchecked_outcome(refusal: codes.Code) -> outcomes.Unknown:
+    """Returns the outcome of a refused call whose key was not checked."""
+    return outcomes.Unknown(code=codes.REFUSED_UNCHECKED, detail=refusal.title)
+
+
 def has_unread_body(request: messages.Request) -> bool:
     """Returns whether a request has a body that may be unread."""
     return request.length != 0
--- a/oleanderhoist/entry/sending.py
+++ b/oleanderhoist/entry/sending.py
@@ -86,7 +86,17 @@
     async def send(
         self, call: calls.Call, target: Target
     ) -> outcomes.Outcome | FailedAttempt:
-        """Sends a call to a server, once."""
+        """Sends a call to a server, once, and counts what may have run it."""
+        call.possible_runs += 1
+        result = await self.exchange(call, target)
+        if is_not_run(result):
+            call.possible_runs -= 1
+        return result
+
+    async def exchange(
+        self, call: calls.Call, target: Target
+    ) -> outcomes.Outcome | FailedAttempt:
+        """Performs one exchange and interprets its result."""
         remaining = call.deadline - self.clock.monotonic()
         if remaining <= 0:
             return outcomes.NotRun(code=codes.TOO_LATE)
--- a/tests/entry_stops.py
+++ b/tests/entry_stops.py
@@ -1,4 +1,4 @@
-"""Requests that are open when an entry stops; run by `tests.test_stop_entry`."""
+"""Requests that are open when an entry stops; see `tests.test_stop_entry`."""
 
 import asyncio
 import dataclasses
@@ -27,7 +27,7 @@
 TIMEOUT_SECONDS = 5.0  # Longer than any stop.
 ANY_PORT = client.Address(host=HOST, port=0)
 ORDER_KEY = "order-1"
-STREAM_BYTES = 200_000  # Too long to be buffered.
+STREAM_BYTES = 400_000  # Too long to be buffered.
 SETTINGS = settings.EntrySettings(
     id="e",
     data_center="dc",
--- a/tests/entry_tries.py
+++ b/tests/entry_tries.py
@@ -5,6 +5,7 @@
 import unittest
 
 from oleanderhoist import codes
+from oleanderhoist import deadline
 from oleanderhoist import outcomes
 from oleanderhoist.entry import forwarder
 from oleanderhoist.entry import sending
@@ -20,6 +21,7 @@
     def forward(self, *results: object) -> outcomes.Outcome:
         """Returns the outcome of a call whose attempts end with `results`."""
         tested = forwarder.Forwarder.__new__(forwarder.Forwarder)
+        tested.slots_due = deadline.SharedDeadline()
         remaining = list(results)
 
         async def select_target(call: object) -> object:
