--- a/oleanderhoist/cli/options.py
+++ b/oleanderhoist/cli/options.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 import functools
+import signal
 import sys
 
 import click
@@ -87,10 +88,14 @@
 def run(program: Coroutine[None, None, None], log_file: str) -> None:
     """Runs a program with its log writer.
 
+    Ignores SIGHUP: the program has no settings to reload, and the hang-up of
+    an operator's terminal must not close its callers' connections.
+
     Args:
         program: Coroutine of the program.
         log_file: File for log lines; '-' is standard output.
     """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         stream = sys.stdout if log_file == "-" else open(log_file, "a")  # noqa: SIM115
     except OSError as error:
