--- a/oleanderhoist/entry/calls.py
+++ b/oleanderhoist/entry/calls.py
@@ -5,6 +5,7 @@
 import hashlib
 
 from oleanderhoist import contract
+from oleanderhoist import outcomes
 from oleanderhoist.http import messages
 from oleanderhoist.http import server
 
@@ -41,6 +42,9 @@
         streaming: Whether streaming the body to a server has begun.
         body_error: Error that ended the streaming of the body, if any.
         tried: Ids of the servers that it was sent to.
+        possible_runs: Number of exchanges, running or ended, in which a server
+            may have run it.
+        completed: Its outcome once a server has answered; None before.
     """
 
     id: str
@@ -55,6 +59,13 @@
     streaming: bool = False
     body_error: Exception | None = None
     tried: set[str] = dataclasses.field(default_factory=set)
+    possible_runs: int = 0
+    completed: outcomes.Complete | None = None
+
+    @property
+    def maybe_run(self) -> bool:
+        """Whether a server may have run it, or may be running it now."""
+        return self.possible_runs > 0
 
     @property
     def needs_claim(self) -> bool:
