Split the HTTP client into its pool and its exchanges

An exchange knows the Host, the memory and where its connection goes instead of the whole client. No decision changed; the tests of answers, garbage, server, forwarder, stop, tree and store pass.

--- /dev/null
+++ b/oleanderhoist/http/exchange.py
@@ -0,0 +1,399 @@
+"""One HTTP/1.1 exchange on a connection, based on h11."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import dataclasses
+
+import h11
+
+from oleanderhoist.http import messages
+from oleanderhoist.http import streams
+
+READ_BYTES = 65_536
+# h11 takes quadratic time over a run of blanks in a head or a chunk's header.
+FRAMING_READ_BYTES = 2048
+MAX_BLANKS_BYTES = 256
+IDLE_SECONDS = 4.0
+KEEP_ALIVE_FRACTION = 0.6
+MAX_BUFFERED_BODY_BYTES = 262_144
+# Of one exchange; a page of the platform's store is 1 MB before base64.
+MAX_BODY_BYTES = 4_194_304
+MAX_BODY_CHUNKS = 16_384
+# Of all exchanges: a fifth of the smallest VM's memory.
+MAX_TOTAL_BODY_BYTES = 33_554_432
+MAX_FOREIGN_RESPONSES = 4
+MAX_INFORMATIONAL_RESPONSES = 8
+MAX_DETAIL_CHARS = 200  # A message of h11 may quote a whole line.
+EVENTS_PER_TURN = 128  # Of h11, before other tasks run.
+
+PLACEHOLDER_HEADERS = [(b"host", b"-")]
+
+BODILESS_STATUSES = (204, 304)
+
+ResponseFilter = Callable[[messages.Headers], messages.Match]
+
+
+class ExchangeError(Exception):
+    """An exchange failed.
+
+    Attributes:
+        maybe_sent: Whether a byte of the request may have left this process.
+        response_started: Whether a byte of the response had arrived.
+        timed_out: Whether it failed by a timeout.
+    """
+
+    def __init__(
+        self,
+        text: str,
+        *,
+        maybe_sent: bool,
+        response_started: bool = False,
+        timed_out: bool = False,
+    ):
+        super().__init__(text)
+        self.maybe_sent = maybe_sent
+        self.response_started = response_started
+        self.timed_out = timed_out
+
+
+@dataclasses.dataclass(kw_only=True)
+class BodyMemory:
+    """Memory that the unfinished bodies of several exchanges take.
+
+    Attributes:
+        used_bytes: Bytes received so far.
+    """
+
+    used_bytes: int = 0
+
+
+@dataclasses.dataclass(kw_only=True)
+class Connection:
+    """One connection to a peer.
+
+    Attributes:
+        reader: Reader of the connection's bytes.
+        writer: Writer of the connection's bytes.
+        protocol: State of the HTTP protocol.
+        idle_since: When the last exchange ended, in monotonic seconds.
+        keep_alive_seconds: Longest idle time before a reuse, in seconds.
+        reused: Whether it has carried an earlier exchange.
+    """
+
+    reader: streams.Reader
+    writer: asyncio.StreamWriter
+    protocol: h11.Connection
+    idle_since: float = 0.0
+    keep_alive_seconds: float = IDLE_SECONDS
+    reused: bool = False
+
+    def reusable(self, now: float, idle_seconds: float) -> bool:
+        """Returns whether an idle connection may carry another request.
+
+        Bytes that arrived without a pending request belong to no exchange, so
+        such a connection is not reused.
+        """
+        if self.writer.is_closing() or self.reader.at_eof():
+            return False
+        if self.reader.unread:
+            return False
+        return now - self.idle_since < min(
+            idle_seconds, self.keep_alive_seconds
+        )
+
+
+class Exchange:
+    """One request and its response on one connection.
+
+    Args:
+        connection: The connection.
+        host: Value of the Host header.
+        memory: Counts the bodies of all exchanges.
+        release: Takes the connection back after a complete exchange.
+        accept: Returns which request a response names.
+    """
+
+    def __init__(
+        self,
+        *,
+        connection: Connection,
+        host: bytes,
+        memory: BodyMemory,
+        release: Callable[[Connection], None],
+        accept: ResponseFilter | None = None,
+    ):
+        self.connection = connection
+        self.host = host
+        self.memory = memory
+        self.release = release
+        self.accept = accept
+        self.foreign_responses = 0
+        self.informational_responses = 0
+        self.events = 0
+        self.read_bytes = FRAMING_READ_BYTES
+        self.body_bytes = 0
+        self.body_chunks = 0
+        self.maybe_sent = False
+        self.response_started = False
+
+    def failure(self, text: str, timed_out: bool = False) -> ExchangeError:
+        """Returns an error that states how far the exchange got."""
+        return ExchangeError(
+            text,
+            maybe_sent=self.maybe_sent,
+            response_started=self.response_started,
+            timed_out=timed_out,
+        )
+
+    def describe(self, error: Exception) -> str:
+        """Describes an error; tells malformed bytes from a lost connection."""
+        text = str(error)[:MAX_DETAIL_CHARS]
+        _, disconnected = self.connection.protocol.trailing_data
+        if isinstance(error, h11.RemoteProtocolError) and not disconnected:
+            return f"not an answer: {text}"
+        return text
+
+    def abort(self) -> None:
+        """Closes the connection, so that a late response is discarded."""
+        self.connection.writer.transport.abort()
+
+    async def run(
+        self,
+        method: str,
+        target: str,
+        headers: messages.Headers,
+        body: bytes | AsyncIterator[bytes],
+        stream: bool,
+    ) -> messages.Response:
+        """Sends the request and reads the response."""
+        await self.send(method, target, headers, body)
+        head = await self.read_head()
+        response = messages.Response(
+            status=head.status_code, headers=list(head.headers)
+        )
+        if not stream and method != "HEAD":
+            check_length(response)
+        if not messages.find(response.headers, b"transfer-encoding"):
+            self.read_bytes = READ_BYTES
+        await self.read_body(response, stream)
+        if response.stream is None:
+            self.finish(response)
+        return response
+
+    async def read_body(
+        self, response: messages.Response, stream: bool
+    ) -> None:
+        """Reads the whole body, or turns a large one into a stream.
+
+        Raises:
+            ExchangeError: The bodies of all exchanges take too much memory.
+        """
+        body = bytearray()
+        memory = self.memory
+        try:
+            while (chunk := await self.read_bounded_chunk()) is not None:
+                body += chunk
+                memory.used_bytes += len(chunk)
+                if len(body) <= MAX_BUFFERED_BODY_BYTES:
+                    continue
+                if stream:
+                    response.stream = self.stream_body(response, bytes(body))
+                    return
+                if memory.used_bytes > MAX_TOTAL_BODY_BYTES:
+                    raise self.failure("no memory for the rest of the body")
+        finally:
+            memory.used_bytes -= len(body)
+        response.body = bytes(body)
+
+    def finish(self, response: messages.Response) -> None:
+        """Returns the connection to the idle pool.
+
+        Closes it instead if it carried a response to another request.
+        """
+        if self.foreign_responses:
+            self.abort()
+            return
+        self.connection.keep_alive_seconds = keep_alive_seconds(
+            response.headers
+        )
+        self.release(self.connection)
+
+    async def send(
+        self,
+        method: str,
+        target: str,
+        headers: messages.Headers,
+        body: bytes | AsyncIterator[bytes],
+    ) -> None:
+        """Sends the head and the body."""
+        connection = self.connection
+        all_headers = [(b"host", self.host), *headers]
+        is_whole = isinstance(body, bytes)
+        if is_whole and (body or method not in ("GET", "HEAD", "DELETE")):
+            all_headers.append((b"content-length", b"%d" % len(body)))
+        event = h11.Request(method=method, target=target, headers=all_headers)
+        head = connection.protocol.send(event)
+        if is_whole:
+            if body:
+                head += connection.protocol.send(h11.Data(data=body))
+            head += connection.protocol.send(h11.EndOfMessage())
+            self.maybe_sent = True
+            connection.writer.write(head)
+            return
+        self.maybe_sent = True
+        connection.writer.write(head)
+        async for chunk in body:
+            connection.writer.write(
+                connection.protocol.send(h11.Data(data=chunk))
+            )
+            await connection.writer.drain()
+        connection.writer.write(connection.protocol.send(h11.EndOfMessage()))
+
+    async def read_head(self) -> h11.Response:
+        """Returns the head of the final response.
+
+        Raises:
+            h11.RemoteProtocolError: It may belong to an earlier request.
+        """
+        while True:
+            event = await self.next_event()
+            if not isinstance(event, h11.Response):
+                continue
+            if self.accept is None:
+                return event
+            match = self.accept(list(event.headers))
+            if match is messages.Match.FOREIGN:
+                await self.skip_response()
+                continue
+            if match is messages.Match.UNNAMED and self.connection.reused:
+                raise h11.RemoteProtocolError("the answer names no request")
+            return event
+
+    async def skip_response(self) -> None:
+        """Drops a response that belongs to another request.
+
+        Raises:
+            h11.RemoteProtocolError: There were too many of them.
+        """
+        self.foreign_responses += 1
+        if self.foreign_responses > MAX_FOREIGN_RESPONSES:
+            raise h11.RemoteProtocolError("only answers to other requests")
+        while await self.read_bounded_chunk() is not None:
+            pass
+        trailing = self.connection.protocol.trailing_data[0]
+        # h11 accepts a response only after a request.
+        protocol = h11.Connection(h11.CLIENT)
+        protocol.send(
+            h11.Request(method="GET", target="/", headers=PLACEHOLDER_HEADERS)
+        )
+        protocol.send(h11.EndOfMessage())
+        if trailing:
+            protocol.receive_data(trailing)
+        self.connection.protocol = protocol
+
+    async def read_chunk(self) -> bytes | None:
+        """Returns the next chunk of the response, or None at its end."""
+        event = await self.next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        return None
+
+    async def read_bounded_chunk(self) -> bytes | None:
+        """Returns the next chunk of a body that is not streamed.
+
+        Raises:
+            h11.RemoteProtocolError: The exchange has had too many.
+        """
+        chunk = await self.read_chunk()
+        if chunk is not None:
+            self.body_bytes += len(chunk)
+            self.body_chunks += 1
+        if self.body_bytes > MAX_BODY_BYTES:
+            raise h11.RemoteProtocolError("the body is too large")
+        if self.body_chunks > MAX_BODY_CHUNKS:
+            raise h11.RemoteProtocolError("the body has too many chunks")
+        return chunk
+
+    async def next_event(self) -> h11.Event:
+        """Returns the next h11 event, reading from the socket as needed."""
+        while True:
+            protocol = self.connection.protocol
+            event = protocol.next_event()
+            if event is h11.NEED_DATA:
+                check_blanks(protocol.trailing_data[0])
+                data = await self.connection.reader.read(self.read_bytes)
+                self.response_started = self.response_started or bool(data)
+                protocol.receive_data(data)
+                continue
+            if isinstance(event, h11.ConnectionClosed):
+                raise h11.RemoteProtocolError("the peer closed early")
+            await self.check_event(event)
+            return event
+
+    async def check_event(self, event: h11.Event) -> None:
+        """Bounds what the responses of an exchange may cost.
+
+        Raises:
+            h11.RemoteProtocolError: No answer can follow.
+        """
+        self.events += 1
+        if self.events % EVENTS_PER_TURN == 0:
+            await asyncio.sleep(0)
+        if event is h11.PAUSED:
+            raise h11.RemoteProtocolError("the protocol was switched")
+        if isinstance(event, h11.InformationalResponse):
+            self.informational_responses += 1
+        if self.informational_responses > MAX_INFORMATIONAL_RESPONSES:
+            raise h11.RemoteProtocolError("too many informational responses")
+
+    async def stream_body(
+        self, response: messages.Response, start: bytes
+    ) -> AsyncIterator[bytes]:
+        """Yields the part already read, then the remaining chunks."""
+        try:
+            yield start
+            while (chunk := await self.read_chunk()) is not None:
+                yield chunk
+        except (OSError, h11.ProtocolError) as error:
+            self.abort()
+            raise ConnectionAbortedError("the answer was cut short") from error
+        self.finish(response)
+
+
+def check_blanks(framing: bytes) -> None:
+    """Checks an incomplete head, chunk header or trailer.
+
+    Raises:
+        h11.RemoteProtocolError: It has a long run of blanks.
+    """
+    if b" " * MAX_BLANKS_BYTES in framing.replace(b"\t", b" "):
+        raise h11.RemoteProtocolError("too many blanks in a line")
+
+
+def check_length(response: messages.Response) -> None:
+    """Checks the announced length of a body that is not streamed.
+
+    Raises:
+        h11.RemoteProtocolError: It is too large.
+    """
+    length = int(messages.find(response.headers, b"content-length") or 0)
+    if response.status not in BODILESS_STATUSES and length > MAX_BODY_BYTES:
+        raise h11.RemoteProtocolError(f"a body of {length} bytes is too large")
+
+
+def keep_alive_seconds(headers: messages.Headers) -> float:
+    """Returns how long a connection may stay idle, by its Keep-Alive header.
+
+    Args:
+        headers: Headers of its latest response.
+
+    Returns:
+        Time in seconds, well below the timeout that the peer states.
+    """
+    header = messages.find(headers, b"keep-alive") or ""
+    for part in header.split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return int(value) * KEEP_ALIVE_FRACTION
+    return IDLE_SECONDS
--- a/oleanderhoist/node/forwarder.py
+++ b/oleanderhoist/node/forwarder.py
@@ -14,6 +14,7 @@
 from oleanderhoist import outcomes
 from oleanderhoist import ports
 from oleanderhoist.http import client
+from oleanderhoist.http import exchange
 from oleanderhoist.http import messages
 from oleanderhoist.node import budgets
 from oleanderhoist.node import coordinator
@@ -400,12 +401,15 @@
                 ),
                 fresh=fresh,
             )
-        except client.ExchangeError as error:
+        except exchange.ExchangeError as error:
             return self.classify_error(job, server, error)
         return self.classify_response(job, server, response)
 
     def classify_error(
-        self, job: jobs.Job, server: cluster.Server, error: client.ExchangeError
+        self,
+        job: jobs.Job,
+        server: cluster.Server,
+        error: exchange.ExchangeError,
     ) -> jobs.FailedAttempt:
         """Classifies an exchange without a complete response."""
         detail = f"server {server.id}: {error}"
--- a/standins/platform_system.py
+++ b/standins/platform_system.py
@@ -9,6 +9,7 @@
 import time
 
 from oleanderhoist.http import client
+from oleanderhoist.http import exchange
 from standins import proxy
 
 START_TIMEOUT_SECONDS = 15.0
@@ -267,7 +268,7 @@
                         method, path, timeout=CALL_TIMEOUT_SECONDS, body=data
                     )
                     return response.body
-                except client.ExchangeError:
+                except exchange.ExchangeError:
                     await asyncio.sleep(RETRY_INTERVAL_SECONDS)
 
     async def send(
@@ -309,7 +310,7 @@
         """Returns whether a router serves requests at a path."""
         try:
             return await self.send("up", router=router, path=path) == 200
-        except client.ExchangeError:
+        except exchange.ExchangeError:
             return False
 
     async def ran(self, *ids: str) -> list[str]:
--- a/tests/test_garbage.py
+++ b/tests/test_garbage.py
@@ -10,6 +10,7 @@
 
 from oleanderhoist import codes
 from oleanderhoist.http import client
+from oleanderhoist.http import exchange
 from oleanderhoist.http import messages
 from oleanderhoist.node import budgets
 from oleanderhoist.node import forwarder
@@ -125,10 +126,10 @@
 
     async def failure(
         self, server: Garbage, timeout: float = TIMEOUT_SECONDS, **options
-    ) -> client.ExchangeError:
+    ) -> exchange.ExchangeError:
         """Sends a request that must fail, and returns how it failed."""
         caller = await self.connect(server)
-        with self.assertRaises(client.ExchangeError) as seen:
+        with self.assertRaises(exchange.ExchangeError) as seen:
             await caller.request(
                 options.pop("method", "GET"),
                 "/",
@@ -204,7 +205,7 @@
         self.assertIn("reset", str(error))
 
     async def test_a_reset_completes_a_stream_without_a_length(self):
-        part = b"x" * (client.MAX_BUFFERED_BODY_BYTES + 1)
+        part = b"x" * (exchange.MAX_BUFFERED_BODY_BYTES + 1)
         caller = await self.connect(Resetting(OK + b"\r\n" + part, b""))
         response = await caller.request(
             "GET", "/", timeout=TIMEOUT_SECONDS, stream=True
