Name the module of the HTTP client's exchanges in the plural

`exchange` was the module, a method of the server's connection, one of the forwarder and a usual local name; a reader had to look which was meant. The module is now `http/exchanges.py`, as `messages.py` and `streams.py` beside it.

--- a/bench/router.py
+++ b/bench/router.py
@@ -16,7 +16,7 @@
 import click
 
 from oleanderhoist.http import client
-from oleanderhoist.http import exchange
+from oleanderhoist.http import exchanges
 from standins import platform_system
 
 ROUTER_NUMBER = 2
@@ -69,7 +69,7 @@
                 body=b"x" * BODY_BYTES if unrepeatable else b"",
                 host=b"a.example",
             )
-        except exchange.ExchangeError as error:
+        except exchanges.ExchangeError as error:
             click.echo(f"request {number}: {error}", err=True)
             return
         self.served += response.status == 200
--- a/oleanderhoist/adminclient.py
+++ b/oleanderhoist/adminclient.py
@@ -9,7 +9,7 @@
 from oleanderhoist import console
 from oleanderhoist import exits
 from oleanderhoist.http import client
-from oleanderhoist.http import exchange
+from oleanderhoist.http import exchanges
 from oleanderhoist.http import messages
 
 TIMEOUT_SECONDS = 10.0
@@ -81,7 +81,7 @@
                 return await self.follow(
                     address, method, path, body, base_version
                 )
-            except exchange.ExchangeError as error:
+            except exchanges.ExchangeError as error:
                 last_error = f"{address}: {error}"
                 if error.maybe_sent and method == "PUT":
                     raise console.UserError(
@@ -121,7 +121,7 @@
             location = messages.find(response.headers, b"location") or ""
             host = location.removeprefix("http://").partition("/")[0]
             address = client.Address.parse(host)
-        raise exchange.ExchangeError(
+        raise exchanges.ExchangeError(
             "too many redirects: the leader is changing", maybe_sent=False
         )
 
--- a/oleanderhoist/clients/inventory.py
+++ b/oleanderhoist/clients/inventory.py
@@ -6,7 +6,7 @@
 import pydantic
 
 from oleanderhoist.http import client
-from oleanderhoist.http import exchange
+from oleanderhoist.http import exchanges
 from oleanderhoist.policy import topology
 
 TIMEOUT_SECONDS = 1.0
@@ -50,7 +50,7 @@
                 "GET", "/servers", timeout=TIMEOUT_SECONDS
             )
             listed = _SERVER_LIST.validate_json(response.body)
-        except (exchange.ExchangeError, pydantic.ValidationError) as error:
+        except (exchanges.ExchangeError, pydantic.ValidationError) as error:
             raise InventoryError(str(error)) from error
         return [to_server(item) for item in listed]
 
--- a/oleanderhoist/clients/table.py
+++ b/oleanderhoist/clients/table.py
@@ -12,7 +12,7 @@
 from oleanderhoist import events
 from oleanderhoist import log
 from oleanderhoist.http import client
-from oleanderhoist.http import exchange
+from oleanderhoist.http import exchanges
 from oleanderhoist.http import messages
 
 TIMEOUT_SECONDS = 0.6
@@ -176,7 +176,7 @@
             response = await self.client.request(
                 method, path, timeout=self.timeout, headers=headers, body=body
             )
-        except exchange.ExchangeError as error:
+        except exchanges.ExchangeError as error:
             raise TableError(str(error)) from error
         if response.status >= 500:
             raise TableError(f"status {response.status}")
--- a/oleanderhoist/entry/renewer.py
+++ b/oleanderhoist/entry/renewer.py
@@ -10,7 +10,7 @@
 from oleanderhoist import program
 from oleanderhoist.entry import snapshots
 from oleanderhoist.http import client
-from oleanderhoist.http import exchange
+from oleanderhoist.http import exchanges
 from oleanderhoist.http import messages
 from oleanderhoist.peers import wire
 from oleanderhoist.policy import hashing
@@ -200,7 +200,7 @@
                 timeout=SEND_TIMEOUT_SECONDS,
                 body=json.dumps(body).encode(),
             )
-        except exchange.ExchangeError:
+        except exchanges.ExchangeError:
             return None
 
     def record_failure(self, server: topology.Server, renewal: Renewal) -> None:
--- a/oleanderhoist/entry/sending.py
+++ b/oleanderhoist/entry/sending.py
@@ -10,7 +10,7 @@
 from oleanderhoist.entry import claims
 from oleanderhoist.entry import slotclient
 from oleanderhoist.http import client
-from oleanderhoist.http import exchange
+from oleanderhoist.http import exchanges
 from oleanderhoist.http import messages
 from oleanderhoist.policy import retry
 from oleanderhoist.policy import topology
@@ -119,14 +119,14 @@
                 ),
                 stream=not call.needs_claim,
                 idle_seconds=(
-                    exchange.IDLE_SECONDS
+                    exchanges.IDLE_SECONDS
                     if call.work.repeatable
                     else UNREPEATABLE_MAX_IDLE_SECONDS
                 ),
                 accept=lambda headers: match_request(call.id, headers),
                 fresh=fresh,
             )
-        except exchange.ExchangeError as error:
+        except exchanges.ExchangeError as error:
             if error.timed_out and error.maybe_sent:
                 self.cancel(call, server_client)
             return self.interpret_failure(call, target, error)
@@ -150,7 +150,7 @@
                 f"/oleander/requests/{id}",
                 timeout=CANCEL_TIMEOUT_SECONDS,
             )
-        except exchange.ExchangeError:
+        except exchanges.ExchangeError:
             pass
 
     def headers(
@@ -203,7 +203,7 @@
             load.heard_at = self.clock.monotonic()
 
     def interpret_failure(
-        self, call: calls.Call, target: Target, error: exchange.ExchangeError
+        self, call: calls.Call, target: Target, error: exchanges.ExchangeError
     ) -> outcomes.Outcome | FailedAttempt:
         """Interprets an exchange without a complete response."""
         detail = f"server {target.server.id}: {error}"
--- a/oleanderhoist/http/client.py
+++ b/oleanderhoist/http/client.py
@@ -8,7 +8,7 @@
 
 import h11
 
-from oleanderhoist.http import exchange
+from oleanderhoist.http import exchanges
 from oleanderhoist.http import messages
 from oleanderhoist.http import streams
 
@@ -52,12 +52,12 @@
         *,
         address: Address,
         connect_seconds: float = CONNECT_TIMEOUT_SECONDS,
-        memory: exchange.BodyMemory | None = None,
+        memory: exchanges.BodyMemory | None = None,
     ):
         self.address = address
         self.connect_seconds = connect_seconds
-        self.memory = memory or exchange.BodyMemory()
-        self.idle: collections.deque[exchange.Connection] = collections.deque()
+        self.memory = memory or exchanges.BodyMemory()
+        self.idle: collections.deque[exchanges.Connection] = collections.deque()
         self.opened = 0
 
     async def request(
@@ -69,9 +69,9 @@
         headers: messages.Headers | None = None,
         body: bytes | AsyncIterator[bytes] = b"",
         stream: bool = False,
-        idle_seconds: float = exchange.IDLE_SECONDS,
+        idle_seconds: float = exchanges.IDLE_SECONDS,
         host: bytes | None = None,
-        accept: exchange.ResponseFilter | None = None,
+        accept: exchanges.ResponseFilter | None = None,
         reuse_only: bool = False,
         fresh: bool = False,
     ) -> messages.Response:
@@ -102,7 +102,7 @@
         deadline = time.monotonic() + timeout
         connection = self.take_idle(idle_seconds)
         if connection is None and reuse_only:
-            raise exchange.ExchangeError(
+            raise exchanges.ExchangeError(
                 "the connection has closed", maybe_sent=False
             )
         if connection is not None and fresh:
@@ -110,7 +110,7 @@
             connection = None
         if connection is None:
             connection = await self.open(timeout)
-        running = exchange.Exchange(
+        running = exchanges.Exchange(
             connection=connection,
             host=host or str(self.address).encode(),
             memory=self.memory,
@@ -137,7 +137,7 @@
             running.abort()
             raise
 
-    def take_idle(self, idle_seconds: float) -> exchange.Connection | None:
+    def take_idle(self, idle_seconds: float) -> exchanges.Connection | None:
         """Removes and returns a reusable idle connection, or None."""
         now = time.monotonic()
         while self.idle:
@@ -162,9 +162,9 @@
             ExchangeError: The peer cannot be reached, or there is no idle
                 connection and none may be opened.
         """
-        connection = self.take_idle(exchange.IDLE_SECONDS)
+        connection = self.take_idle(exchanges.IDLE_SECONDS)
         if connection is None and reuse_only:
-            raise exchange.ExchangeError(
+            raise exchanges.ExchangeError(
                 "the connection has closed", maybe_sent=False
             )
         if connection is None:
@@ -172,7 +172,7 @@
         self.add_idle(connection)
         return self.opened
 
-    async def open(self, timeout: float) -> exchange.Connection:
+    async def open(self, timeout: float) -> exchanges.Connection:
         """Opens a connection.
 
         Raises:
@@ -184,22 +184,22 @@
                     self.address.host, self.address.port
                 )
         except TimeoutError as error:
-            raise exchange.ExchangeError(
+            raise exchanges.ExchangeError(
                 f"cannot connect to {self.address} in time",
                 maybe_sent=False,
                 timed_out=True,
             ) from error
         except OSError as error:
-            raise exchange.ExchangeError(
+            raise exchanges.ExchangeError(
                 str(error), maybe_sent=False
             ) from error
         self.opened += 1
         protocol = h11.Connection(h11.CLIENT)
-        return exchange.Connection(
+        return exchanges.Connection(
             reader=reader, writer=writer, protocol=protocol
         )
 
-    def put_idle(self, connection: exchange.Connection) -> None:
+    def put_idle(self, connection: exchanges.Connection) -> None:
         """Returns a connection to the idle pool after a complete exchange.
 
         A connection with bytes after the complete response, or with unsent
@@ -219,7 +219,7 @@
         connection.reused = True
         self.add_idle(connection)
 
-    def add_idle(self, connection: exchange.Connection) -> None:
+    def add_idle(self, connection: exchanges.Connection) -> None:
         """Adds a connection to the idle pool; it closes if bytes arrive."""
         connection.idle_since = time.monotonic()
         connection.reader.on_data = connection.writer.transport.abort
@@ -241,7 +241,7 @@
     def __init__(self, *, connect_seconds: float = CONNECT_TIMEOUT_SECONDS):
         self.connect_seconds = connect_seconds
         self.by_address: dict[str, Client] = {}
-        self.memory = exchange.BodyMemory()
+        self.memory = exchanges.BodyMemory()
 
     def get(self, address: str) -> Client:
         """Returns the client of a peer, given as ``host:port``."""
--- a/oleanderhoist/node/forwarder.py
+++ b/oleanderhoist/node/forwarder.py
@@ -14,7 +14,7 @@
 from oleanderhoist import outcomes
 from oleanderhoist import ports
 from oleanderhoist.http import client
-from oleanderhoist.http import exchange
+from oleanderhoist.http import exchanges
 from oleanderhoist.http import messages
 from oleanderhoist.node import budgets
 from oleanderhoist.node import coordinator
@@ -401,7 +401,7 @@
                 ),
                 fresh=fresh,
             )
-        except exchange.ExchangeError as error:
+        except exchanges.ExchangeError as error:
             return self.classify_error(job, server, error)
         return self.classify_response(job, server, response)
 
@@ -409,7 +409,7 @@
         self,
         job: jobs.Job,
         server: cluster.Server,
-        error: exchange.ExchangeError,
+        error: exchanges.ExchangeError,
     ) -> jobs.FailedAttempt:
         """Classifies an exchange without a complete response."""
         detail = f"server {server.id}: {error}"
--- a/oleanderhoist/platform/leasechannel.py
+++ b/oleanderhoist/platform/leasechannel.py
@@ -5,7 +5,7 @@
 
 from oleanderhoist import ports
 from oleanderhoist.http import client
-from oleanderhoist.http import exchange
+from oleanderhoist.http import exchanges
 from oleanderhoist.http import messages
 from oleanderhoist.platform import headers
 from oleanderhoist.policy import cluster
@@ -51,7 +51,7 @@
                 return await self.grant_client.prepare(
                     GRANT_TIMEOUT_SECONDS, reuse_only=not allow_new
                 )
-            except exchange.ExchangeError as error:
+            except exchanges.ExchangeError as error:
                 raise ports.OrderError(str(error)) from error
 
     async def call(
@@ -78,7 +78,7 @@
                 ],
                 body=json.dumps(body).encode(),
             )
-        except exchange.ExchangeError as error:
+        except exchanges.ExchangeError as error:
             raise ports.OrderError(str(error)) from error
 
     async def grant(self, lease_grant: ports.LeaseGrant) -> bool:
--- a/oleanderhoist/platform/store.py
+++ b/oleanderhoist/platform/store.py
@@ -8,7 +8,7 @@
 from oleanderhoist import clock
 from oleanderhoist import ports
 from oleanderhoist.http import client
-from oleanderhoist.http import exchange
+from oleanderhoist.http import exchanges
 from oleanderhoist.http import messages
 from oleanderhoist.policy import storeclock
 
@@ -74,7 +74,7 @@
             response = await self.client.request(
                 method, path, timeout=timeout, headers=headers, body=body
             )
-        except exchange.ExchangeError as error:
+        except exchanges.ExchangeError as error:
             raise ports.StoreError(
                 str(error), maybe_applied=error.maybe_sent and method != "GET"
             ) from error
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -6,7 +6,7 @@
 import time
 
 from oleanderhoist.http import client
-from oleanderhoist.http import exchange
+from oleanderhoist.http import exchanges
 from oleanderhoist.http import messages
 from soak import invariants
 from standins import platform_system
@@ -76,7 +76,7 @@
         try:
             response = await self.exchange(id, repeatable, path)
             status, body = response.status, response.body
-        except exchange.ExchangeError as error:
+        except exchanges.ExchangeError as error:
             error_text = str(error)
             reached_router = error.maybe_sent
         self.checker.record_answer(
@@ -101,7 +101,7 @@
         """Performs one exchange.
 
         Raises:
-            exchange.ExchangeError: No complete response arrived.
+            exchanges.ExchangeError: No complete response arrived.
         """
         key = self.rng.randrange(KEY_COUNT)
         headers = [
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -8,7 +8,7 @@
 import uuid
 
 from oleanderhoist.http import client
-from oleanderhoist.http import exchange
+from oleanderhoist.http import exchanges
 from oleanderhoist.http import messages
 
 TIMEOUT_SECONDS = 40.0
@@ -216,7 +216,7 @@
             response = await self.clients[entry].request(
                 kind.method, path, timeout=timeout, headers=headers, body=body
             )
-        except exchange.ExchangeError as error:
+        except exchanges.ExchangeError as error:
             outcome = UNKNOWN if error.maybe_sent else NOT_RUN
             return outcome, "transport", str(error)
         outcome = messages.find(response.headers, b"oleander-outcome")
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -20,7 +20,7 @@
 
 from oleanderhoist import codes
 from oleanderhoist.http import client
-from oleanderhoist.http import exchange
+from oleanderhoist.http import exchanges
 from oleanderhoist.http import messages
 from standins import caller
 from standins import record
@@ -328,7 +328,7 @@
         for name in self.named("placer-"):
             try:
                 answer = await self.call(name, method, path, body, headers)
-            except exchange.ExchangeError:
+            except exchanges.ExchangeError:
                 continue
             if answer.status not in (307, 503):
                 return answer
@@ -371,7 +371,7 @@
             response = await http_client.request(
                 "GET", "/readyz", timeout=READY_TIMEOUT_SECONDS
             )
-        except exchange.ExchangeError:
+        except exchanges.ExchangeError:
             return False
         finally:
             http_client.drop_idle()
--- a/standins/platform_system.py
+++ b/standins/platform_system.py
@@ -9,7 +9,7 @@
 import time
 
 from oleanderhoist.http import client
-from oleanderhoist.http import exchange
+from oleanderhoist.http import exchanges
 from standins import proxy
 
 START_TIMEOUT_SECONDS = 15.0
@@ -268,7 +268,7 @@
                         method, path, timeout=CALL_TIMEOUT_SECONDS, body=data
                     )
                     return response.body
-                except exchange.ExchangeError:
+                except exchanges.ExchangeError:
                     await asyncio.sleep(RETRY_INTERVAL_SECONDS)
 
     async def send(
@@ -310,7 +310,7 @@
         """Returns whether a router serves requests at a path."""
         try:
             return await self.send("up", router=router, path=path) == 200
-        except exchange.ExchangeError:
+        except exchanges.ExchangeError:
             return False
 
     async def ran(self, *ids: str) -> list[str]:
--- a/tests/entry_answers.py
+++ b/tests/entry_answers.py
@@ -8,7 +8,7 @@
 from oleanderhoist import outcomes
 from oleanderhoist.entry import calls
 from oleanderhoist.entry import sending
-from oleanderhoist.http import exchange
+from oleanderhoist.http import exchanges
 from oleanderhoist.http import messages
 from oleanderhoist.policy import retry
 from tests import scripted
@@ -84,7 +84,7 @@
                 self.assertIsInstance(outcome, kind)
 
     async def test_a_stream_behind_another_answer_ends_its_connection(self):
-        body = b"x" * 2 * exchange.MAX_BUFFERED_BODY_BYTES
+        body = b"x" * 2 * exchanges.MAX_BUFFERED_BODY_BYTES
 
         async def script(peer, writer):
             writer.write(scripted.refusal("earlier"))
--- a/tests/entry_stops.py
+++ b/tests/entry_stops.py
@@ -15,7 +15,7 @@
 from oleanderhoist.entry import core
 from oleanderhoist.entry import slotclient
 from oleanderhoist.http import client
-from oleanderhoist.http import exchange
+from oleanderhoist.http import exchanges
 from oleanderhoist.http import messages
 from oleanderhoist.peers import wire
 from oleanderhoist.policy import topology
@@ -190,7 +190,7 @@
 
     async def send(
         self, path: str, *, key: str = ""
-    ) -> messages.Response | exchange.ExchangeError:
+    ) -> messages.Response | exchanges.ExchangeError:
         """Sends a request; returns the response, or how it failed."""
         address = client.Address(host=HOST, port=self.entry.server.port)
         headers = [(b"authorization", b"Bearer " + CREDENTIAL.encode())]
@@ -204,7 +204,7 @@
                 headers=headers,
                 body=b"work",
             )
-        except exchange.ExchangeError as error:
+        except exchanges.ExchangeError as error:
             return error
 
     async def stop_during(self, *requests) -> list:
@@ -288,7 +288,7 @@
             b"%x\r\n%s\r\n" % (STREAM_BYTES, b"x" * STREAM_BYTES)
         )
         (result,) = await self.stop_during(self.send("/lookup"))
-        self.assertIsInstance(result, exchange.ExchangeError)
+        self.assertIsInstance(result, exchanges.ExchangeError)
 
 
 class ClaimsTest(RunningEntryTest):
--- a/tests/entry_tries.py
+++ b/tests/entry_tries.py
@@ -9,7 +9,7 @@
 from oleanderhoist import outcomes
 from oleanderhoist.entry import forwarder
 from oleanderhoist.entry import sending
-from oleanderhoist.http import exchange
+from oleanderhoist.http import exchanges
 from oleanderhoist.policy import retry
 
 UNKNOWN = outcomes.Unknown(code=codes.BAD_ANSWER)
@@ -59,7 +59,7 @@
         sender = sending.Sender(
             clock=types.SimpleNamespace(monotonic=lambda: 0.0), slot_client=None
         )
-        error = exchange.ExchangeError(
+        error = exchanges.ExchangeError(
             "not an answer", maybe_sent=True, response_started=True
         )
         target = types.SimpleNamespace(server=types.SimpleNamespace(id="s"))
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -8,7 +8,7 @@
 from oleanderhoist import clock
 from oleanderhoist import outcomes
 from oleanderhoist.http import client
-from oleanderhoist.http import exchange
+from oleanderhoist.http import exchanges
 from oleanderhoist.http import messages
 from oleanderhoist.http import server
 from oleanderhoist.node import budgets
@@ -35,7 +35,7 @@
     connection = client.Client(address=client.Address.parse(peer.address))
     try:
         return await connection.request(method, "/", timeout=TIMEOUT_SECONDS)
-    except exchange.ExchangeError:
+    except exchanges.ExchangeError:
         return None
     finally:
         connection.drop_idle()
--- a/tests/test_garbage.py
+++ b/tests/test_garbage.py
@@ -10,7 +10,7 @@
 
 from oleanderhoist import codes
 from oleanderhoist.http import client
-from oleanderhoist.http import exchange
+from oleanderhoist.http import exchanges
 from oleanderhoist.http import messages
 from oleanderhoist.node import budgets
 from oleanderhoist.node import forwarder
@@ -126,10 +126,10 @@
 
     async def failure(
         self, server: Garbage, timeout: float = TIMEOUT_SECONDS, **options
-    ) -> exchange.ExchangeError:
+    ) -> exchanges.ExchangeError:
         """Sends a request that must fail, and returns how it failed."""
         caller = await self.connect(server)
-        with self.assertRaises(exchange.ExchangeError) as seen:
+        with self.assertRaises(exchanges.ExchangeError) as seen:
             await caller.request(
                 options.pop("method", "GET"),
                 "/",
@@ -205,7 +205,7 @@
         self.assertIn("reset", str(error))
 
     async def test_a_reset_completes_a_stream_without_a_length(self):
-        part = b"x" * (exchange.MAX_BUFFERED_BODY_BYTES + 1)
+        part = b"x" * (exchanges.MAX_BUFFERED_BODY_BYTES + 1)
         caller = await self.connect(Resetting(OK + b"\r\n" + part, b""))
         response = await caller.request(
             "GET", "/", timeout=TIMEOUT_SECONDS, stream=True
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -7,7 +7,7 @@
 import unittest
 
 from oleanderhoist.http import client
-from oleanderhoist.http import exchange
+from oleanderhoist.http import exchanges
 from oleanderhoist.http import messages
 from standins import platform_system
 
@@ -39,7 +39,9 @@
         await self.system.write_row("op", "config", patient_config())
         await asyncio.sleep(ROW_SECONDS)
 
-    async def send(self, id: str) -> messages.Response | exchange.ExchangeError:
+    async def send(
+        self, id: str
+    ) -> messages.Response | exchanges.ExchangeError:
         """Sends an order; returns the response, or how it failed."""
         address = client.Address(
             host=f"{SUBNET}.2", port=platform_system.FRONT_PORT
@@ -56,7 +58,7 @@
                 body=b"order",
                 host=b"a.example",
             )
-        except exchange.ExchangeError as error:
+        except exchanges.ExchangeError as error:
             return error
 
     async def stop_with_silent_server(self, count: int) -> list:
