--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -8,6 +8,7 @@
 import signal
 import time
 
+from oleanderhoist.http import streams
 from standins import caller
 from standins import fleet
 from standins import proxy
@@ -103,6 +104,7 @@
             if self.fleet is not None:
                 await self.fleet.stop()
             await self.proxies.stop()
+            streams.close_opened()
 
     async def execute(self, statement: language.Statement) -> None:
         """Executes one statement.
