--- a/oleanderhoist/node/forwarder.py
+++ b/oleanderhoist/node/forwarder.py
@@ -15,10 +15,10 @@
 from oleanderhoist import ports
 from oleanderhoist.http import client
 from oleanderhoist.http import exchanges
-from oleanderhoist.http import messages
 from oleanderhoist.node import budgets
 from oleanderhoist.node import coordinator
 from oleanderhoist.node import jobs
+from oleanderhoist.node import results
 from oleanderhoist.node import slotclient
 from oleanderhoist.node import state
 from oleanderhoist.policy import cluster
@@ -32,7 +32,6 @@
 UNREPEATABLE_IDLE_SECONDS = 1.0
 MAX_UNSENT_ATTEMPTS = 3
 SNAPSHOT_WAIT_SECONDS = 0.1
-NO_OWNER_RETRY_SECONDS = 0.5
 RESPONSE_SLACK_SECONDS = 0.08
 KEYED_HEDGE_FACTOR = 2.0
 
@@ -103,7 +102,7 @@
             async with self.answers_due.limit():
                 return await self.make_attempts(job)
         except deadline.PassedError:
-            return self.stopped_outcome(job)
+            return results.stopped_outcome(job)
 
     async def make_attempts(self, job: jobs.Job) -> outcomes.Outcome:
         """Makes attempts until one is final."""
@@ -116,7 +115,7 @@
             if not isinstance(result, jobs.FailedAttempt):
                 return result
             if not self.should_retry(job, result):
-                return self.final_outcome(job, result)
+                return results.final_outcome(job, result)
             if result.await_snapshot:
                 await self.state.wait_for_snapshot(SNAPSHOT_WAIT_SECONDS)
             log.write_limited(
@@ -184,44 +183,6 @@
             return job.unsent_attempts <= MAX_UNSENT_ATTEMPTS
         return self.budget.spend(job.pool)
 
-    def final_outcome(
-        self, job: jobs.Job, result: jobs.FailedAttempt
-    ) -> outcomes.Outcome:
-        """Returns the outcome after the last attempt has failed."""
-        if job.maybe_run:
-            return self.uncertain_outcome(job, result.code, result.detail)
-        return outcomes.NotRun(
-            code=result.code,
-            detail=result.detail,
-            retry_after=slotqueue.MIN_RETRY_SECONDS,
-        )
-
-    def uncertain_outcome(
-        self, job: jobs.Job, code: codes.Code, detail: str
-    ) -> outcomes.Complete | outcomes.Unknown:
-        """Returns the outcome of a request that may have run.
-
-        A server's own response is forwarded, even if it reports a failure.
-        """
-        if job.failure_response is not None:
-            return outcomes.Complete(response=job.failure_response, server="")
-        outcome_unknown = code.outcome is codes.ExecutionStatus.UNKNOWN
-        if not outcome_unknown or job.work.repeatable:
-            code = codes.LOST
-        return outcomes.Unknown(code=code, detail=detail)
-
-    def stopped_outcome(
-        self, job: jobs.Job
-    ) -> outcomes.Complete | outcomes.NotRun | outcomes.Unknown:
-        """Returns the outcome of a request that a stop leaves no time for."""
-        if job.failure_response is not None:
-            return outcomes.Complete(response=job.failure_response, server="")
-        if job.maybe_run:
-            return outcomes.Unknown(code=codes.STOPPED)
-        return outcomes.NotRun(
-            code=codes.STOPPING, retry_after=slotqueue.MIN_RETRY_SECONDS
-        )
-
     async def attempt(
         self, job: jobs.Job
     ) -> outcomes.Outcome | jobs.FailedAttempt:
@@ -230,7 +191,7 @@
             async with self.slots_due.limit():
                 grant = await self.acquire_slot(job)
         except deadline.PassedError:
-            return self.stopped_outcome(job)
+            return results.stopped_outcome(job)
         if not isinstance(grant, slotclient.SlotGrant):
             return grant
         server = self.state.snapshot.servers.get(grant.server)
@@ -249,7 +210,7 @@
         """Acquires a slot, or returns the outcome without one."""
         target = await self.find_queue(job)
         if target is None:
-            return self.no_server_outcome(job)
+            return results.no_server_outcome(job)
         queue, _ = target
         request = slotqueue.SlotRequest(
             id=next(self.ids),
@@ -263,7 +224,9 @@
         )
         verdict = await self.slot_client.acquire(queue, request)
         if isinstance(verdict, slotqueue.Refused):
-            return self.refused_outcome(job, queue, verdict)
+            return results.refused_outcome(
+                job, queue, self.state.snapshot.coordinator(queue), verdict
+            )
         return verdict
 
     async def find_queue(
@@ -298,36 +261,6 @@
             ):
                 return None
 
-    def no_server_outcome(
-        self, job: jobs.Job
-    ) -> outcomes.NotRun | jobs.FailedAttempt:
-        """Returns the outcome when no server can be sent the request."""
-        if job.maybe_run:
-            return jobs.FailedAttempt(
-                failure=retry.Failure.OUTCOME_UNKNOWN, code=codes.LOST
-            )
-        return outcomes.NotRun(
-            code=codes.NO_OWNER,
-            detail=f"pool {job.pool}",
-            retry_after=NO_OWNER_RETRY_SECONDS,
-        )
-
-    def refused_outcome(
-        self, job: jobs.Job, queue: str, verdict: slotqueue.Refused
-    ) -> outcomes.Outcome:
-        """Returns the outcome of a refused slot request."""
-        coordinator = self.state.snapshot.coordinator(queue)
-        if job.maybe_run:
-            return self.uncertain_outcome(
-                job, codes.LOST, "no slot for a retry"
-            )
-        return outcomes.NotRun(
-            code=codes.OVERLOADED,
-            detail=f"slot queue {queue} at {coordinator}: "
-            f"expected wait {verdict.expected_wait * 1000:.0f} ms",
-            retry_after=verdict.retry_after,
-        )
-
     async def send(
         self, job: jobs.Job, server: cluster.Server, grant: slotclient.SlotGrant
     ) -> outcomes.Outcome | jobs.FailedAttempt:
@@ -402,63 +335,9 @@
                 fresh=fresh,
             )
         except exchanges.ExchangeError as error:
-            return self.classify_error(job, server, error)
-        return self.classify_response(job, server, response)
-
-    def classify_error(
-        self,
-        job: jobs.Job,
-        server: cluster.Server,
-        error: exchanges.ExchangeError,
-    ) -> jobs.FailedAttempt:
-        """Classifies an exchange without a complete response."""
-        detail = f"server {server.id}: {error}"
-        if not error.maybe_sent:
-            job.sends -= 1
-            job.possible_runs -= 1
-            return jobs.FailedAttempt(
-                failure=retry.Failure.NOT_SENT,
-                code=codes.NO_SERVER,
-                detail=detail,
-                await_snapshot=job.head.key is not None,
-            )
-        code = codes.LOST
-        if error.timed_out:
-            code = codes.TIMED_OUT
-        elif error.response_started:
-            code = codes.BAD_ANSWER
-        return jobs.FailedAttempt(
-            failure=retry.Failure.OUTCOME_UNKNOWN, code=code, detail=detail
-        )
-
-    def classify_response(
-        self, job: jobs.Job, server: cluster.Server, response: messages.Response
-    ) -> outcomes.Outcome | jobs.FailedAttempt:
-        """Classifies a complete response."""
+            return results.classify_error(job, server, error)
         kind = self.platform.classify(response)
-        if kind is ports.AnswerKind.ANSWERED:
-            return outcomes.Complete(response=response, server=server.id)
-        detail = f"server {server.id}: {kind.value} {response.status}"
-        if kind in (ports.AnswerKind.REFUSED, ports.AnswerKind.NOT_OWNER):
-            job.possible_runs -= 1
-            return jobs.FailedAttempt(
-                failure=retry.Failure.REFUSED,
-                code=codes.SERVER_REFUSED,
-                detail=detail,
-                await_snapshot=kind is ports.AnswerKind.NOT_OWNER,
-            )
-        if kind is ports.AnswerKind.UNSIGNED:
-            return jobs.FailedAttempt(
-                failure=retry.Failure.OUTCOME_UNKNOWN,
-                code=codes.BAD_ANSWER,
-                detail=detail,
-            )
-        job.failure_response = response
-        return jobs.FailedAttempt(
-            failure=retry.Failure.OUTCOME_UNKNOWN,
-            code=codes.LOST,
-            detail=detail,
-        )
+        return results.classify_response(job, server, response, kind)
 
 
 async def first_complete(
--- /dev/null
+++ b/oleanderhoist/node/results.py
@@ -0,0 +1,139 @@
+"""Outcomes of requests and of attempts."""
+
+from oleanderhoist import codes
+from oleanderhoist import outcomes
+from oleanderhoist import ports
+from oleanderhoist.http import exchanges
+from oleanderhoist.http import messages
+from oleanderhoist.node import jobs
+from oleanderhoist.policy import cluster
+from oleanderhoist.policy import retry
+from oleanderhoist.policy import slotqueue
+
+NO_OWNER_RETRY_SECONDS = 0.5
+
+
+def final_outcome(
+    job: jobs.Job, result: jobs.FailedAttempt
+) -> outcomes.Outcome:
+    """Returns the outcome after the last attempt has failed."""
+    if job.maybe_run:
+        return uncertain_outcome(job, result.code, result.detail)
+    return outcomes.NotRun(
+        code=result.code,
+        detail=result.detail,
+        retry_after=slotqueue.MIN_RETRY_SECONDS,
+    )
+
+
+def uncertain_outcome(
+    job: jobs.Job, code: codes.Code, detail: str
+) -> outcomes.Complete | outcomes.Unknown:
+    """Returns the outcome of a request that may have run.
+
+    A server's own response is forwarded, even if it reports a failure.
+    """
+    if job.failure_response is not None:
+        return outcomes.Complete(response=job.failure_response, server="")
+    outcome_unknown = code.outcome is codes.ExecutionStatus.UNKNOWN
+    if not outcome_unknown or job.work.repeatable:
+        code = codes.LOST
+    return outcomes.Unknown(code=code, detail=detail)
+
+
+def stopped_outcome(
+    job: jobs.Job,
+) -> outcomes.Complete | outcomes.NotRun | outcomes.Unknown:
+    """Returns the outcome of a request that a stop leaves no time for."""
+    if job.failure_response is not None:
+        return outcomes.Complete(response=job.failure_response, server="")
+    if job.maybe_run:
+        return outcomes.Unknown(code=codes.STOPPED)
+    return outcomes.NotRun(
+        code=codes.STOPPING, retry_after=slotqueue.MIN_RETRY_SECONDS
+    )
+
+
+def no_server_outcome(job: jobs.Job) -> outcomes.NotRun | jobs.FailedAttempt:
+    """Returns the outcome when no server can be sent the request."""
+    if job.maybe_run:
+        return jobs.FailedAttempt(
+            failure=retry.Failure.OUTCOME_UNKNOWN, code=codes.LOST
+        )
+    return outcomes.NotRun(
+        code=codes.NO_OWNER,
+        detail=f"pool {job.pool}",
+        retry_after=NO_OWNER_RETRY_SECONDS,
+    )
+
+
+def refused_outcome(
+    job: jobs.Job, queue: str, coordinator: str, verdict: slotqueue.Refused
+) -> outcomes.Outcome:
+    """Returns the outcome of a refused slot request."""
+    if job.maybe_run:
+        return uncertain_outcome(job, codes.LOST, "no slot for a retry")
+    return outcomes.NotRun(
+        code=codes.OVERLOADED,
+        detail=f"slot queue {queue} at {coordinator}: "
+        f"expected wait {verdict.expected_wait * 1000:.0f} ms",
+        retry_after=verdict.retry_after,
+    )
+
+
+def classify_error(
+    job: jobs.Job,
+    server: cluster.Server,
+    error: exchanges.ExchangeError,
+) -> jobs.FailedAttempt:
+    """Classifies an exchange without a complete response."""
+    detail = f"server {server.id}: {error}"
+    if not error.maybe_sent:
+        job.sends -= 1
+        job.possible_runs -= 1
+        return jobs.FailedAttempt(
+            failure=retry.Failure.NOT_SENT,
+            code=codes.NO_SERVER,
+            detail=detail,
+            await_snapshot=job.head.key is not None,
+        )
+    code = codes.LOST
+    if error.timed_out:
+        code = codes.TIMED_OUT
+    elif error.response_started:
+        code = codes.BAD_ANSWER
+    return jobs.FailedAttempt(
+        failure=retry.Failure.OUTCOME_UNKNOWN, code=code, detail=detail
+    )
+
+
+def classify_response(
+    job: jobs.Job,
+    server: cluster.Server,
+    response: messages.Response,
+    kind: ports.AnswerKind,
+) -> outcomes.Outcome | jobs.FailedAttempt:
+    """Classifies a complete response of a given kind."""
+    if kind is ports.AnswerKind.ANSWERED:
+        return outcomes.Complete(response=response, server=server.id)
+    detail = f"server {server.id}: {kind.value} {response.status}"
+    if kind in (ports.AnswerKind.REFUSED, ports.AnswerKind.NOT_OWNER):
+        job.possible_runs -= 1
+        return jobs.FailedAttempt(
+            failure=retry.Failure.REFUSED,
+            code=codes.SERVER_REFUSED,
+            detail=detail,
+            await_snapshot=kind is ports.AnswerKind.NOT_OWNER,
+        )
+    if kind is ports.AnswerKind.UNSIGNED:
+        return jobs.FailedAttempt(
+            failure=retry.Failure.OUTCOME_UNKNOWN,
+            code=codes.BAD_ANSWER,
+            detail=detail,
+        )
+    job.failure_response = response
+    return jobs.FailedAttempt(
+        failure=retry.Failure.OUTCOME_UNKNOWN,
+        code=codes.LOST,
+        detail=detail,
+    )
