--- a/bench/router.py
+++ b/bench/router.py
@@ -45,7 +45,8 @@
         self.rate = rate
         self.rng = random.Random(seed)
         address = client.Address(
-            host=f"127.0.0.{ROUTER_NUMBER}", port=platform_system.FRONT_PORT
+            host=f"{platform_system.process_subnet()}.{ROUTER_NUMBER}",
+            port=platform_system.FRONT_PORT,
         )
         self.client = client.Client(address=address)
         self.sent = 0
--- a/standins/platform_system.py
+++ b/standins/platform_system.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import json
+import os
 import pathlib
 import sys
 import tempfile
@@ -19,6 +20,9 @@
 REQUEST_DEADLINE_MS = 2000
 SERVER_SLOTS = 3
 FRONT_PORT = 18641
+FIRST_SUBNET_OCTET = 210  # Those below are the soak test's.
+SUBNET_OCTET_COUNT = 40
+THIRD_OCTET_COUNT = 250
 CONFIG = {
     "version": "00000007",
     "limits": {
@@ -69,6 +73,12 @@
 }
 
 
+def process_subnet() -> str:
+    """Returns a loopback subnet that concurrent processes do not share."""
+    high, low = divmod(os.getpid(), SUBNET_OCTET_COUNT)
+    return f"127.{FIRST_SUBNET_OCTET + low}.{high % THIRD_OCTET_COUNT}"
+
+
 def pool_of(id: str) -> str:
     """Returns the pool of a server, by the first letter of its id."""
     return {"t": "tables", "d": "desk"}[id[0]]
@@ -93,7 +103,8 @@
     """Routers and stand-ins as separate processes on loopback.
 
     Args:
-        subnet: First three octets of the routers' addresses.
+        subnet: First three octets of the routers' addresses; None for those of
+            this process.
         routers: Last octet of each router's address.
         servers: Number of servers, half of them with keys.
         proxied: Whether routers reach the store and servers through proxies.
@@ -111,14 +122,14 @@
     def __init__(
         self,
         *,
-        subnet: str = "127.0.0",
+        subnet: str | None = None,
         routers: tuple[int, ...] = (2, 3),
         servers: int = 4,
         proxied: bool = False,
         journal: Callable[[str, str], None] | None = None,
         interpreter: tuple[str, ...] = (),
     ):
-        self.subnet = subnet
+        self.subnet = subnet or process_subnet()
         self.routers = routers
         self.server_count = servers
         self.proxied = proxied
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -11,7 +11,6 @@
 from oleanderhoist.http import messages
 from standins import platform_system
 
-SUBNET = "127.0.77"
 TIMEOUT_MS = 15_000  # Longer than any stop.
 SETTLE_SECONDS = 0.4
 ROW_SECONDS = 1.0  # For a new configuration to be applied.
@@ -31,9 +30,7 @@
     """What callers get whose requests a stop doesn't leave time for."""
 
     async def asyncSetUp(self) -> None:
-        self.system = platform_system.System(
-            subnet=SUBNET, routers=(2,), servers=2
-        )
+        self.system = platform_system.System(routers=(2,), servers=2)
         self.addAsyncCleanup(self.system.stop)
         await self.system.start()
         await self.system.write_row("op", "config", patient_config())
@@ -44,7 +41,7 @@
     ) -> messages.Response | exchanges.ExchangeError:
         """Sends an order; returns the response, or how it failed."""
         address = client.Address(
-            host=f"{SUBNET}.2", port=platform_system.FRONT_PORT
+            host=f"{self.system.subnet}.2", port=platform_system.FRONT_PORT
         )
         try:
             return await client.Client(address=address).request(
