Split what the leader sends to the members off leader.py

Cause: leader.py had 452 lines and two jobs: deciding what to publish, and packing and sending it. Readers of either had to pass the other. The address that is left out of a message to all is the endpoint's own, as before by the member's record.

--- a/oleanderhoist/node/leader.py
+++ b/oleanderhoist/node/leader.py
@@ -10,14 +10,13 @@
 from oleanderhoist import log
 from oleanderhoist import ports
 from oleanderhoist import program
-from oleanderhoist.node import contractcodec
 from oleanderhoist.node import contractwatch
 from oleanderhoist.node import datagrams
 from oleanderhoist.node import directory
 from oleanderhoist.node import leaderstore
 from oleanderhoist.node import leasemanager
+from oleanderhoist.node import publisher
 from oleanderhoist.node import rebalancer
-from oleanderhoist.node import snapshots
 from oleanderhoist.node import state
 from oleanderhoist.node import wire
 from oleanderhoist.policy import cluster
@@ -94,6 +93,9 @@
             state.snapshot.members or leaderstore.roster_of(rows)
         )
         self.members[own_member.address] = own_member
+        self.publisher = publisher.Publisher(
+            datagrams=datagrams, state=state, members=self.members
+        )
         now = clock.monotonic()
         self.last_report_at = {address: now for address in self.members}
         self.directory = directory.Directory(
@@ -106,9 +108,6 @@
         self.version = 0
         self.announced_version = 0
         self.previous_announced_version = 0
-        self.published_snapshot = state.snapshot
-        self.snapshot_fragments: list[bytes] = []
-        self.contracts_fragments: list[bytes] = []
         self.snapshot_dirty = asyncio.Event()
         self.members_joined = asyncio.Event()
         self.deposed = asyncio.Event()
@@ -128,7 +127,9 @@
                 for pool, key_map in recorded.items():
                     self.add_rebalancer(pool, key_map)
                 self.snapshot_dirty.set()
-                self.state.contract_listeners.append(self.send_contracts_to_all)
+                self.state.contract_listeners.append(
+                    self.publisher.send_contracts_to_all
+                )
                 group.create_task(self.renew_record())
                 group.create_task(self.write_roster_regularly())
                 group.create_task(self.send_heartbeats())
@@ -139,7 +140,9 @@
                 group.create_task(self.contract_watch.follow())
         finally:
             LEADING.set(0)
-            self.state.contract_listeners.remove(self.send_contracts_to_all)
+            self.state.contract_listeners.remove(
+                self.publisher.send_contracts_to_all
+            )
             for pool_rebalancer in self.rebalancers.values():
                 for manager in pool_rebalancer.lease_managers.values():
                     manager.close()
@@ -219,15 +222,9 @@
             message = wire.encode(self.make_heartbeat(now))
             self.previous_announced_version = self.announced_version
             self.announced_version = self.version
-            self.send_all(message)
+            self.publisher.send_all(message)
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
 
-    def send_all(self, message: bytes) -> None:
-        """Sends an encoded message to all other members."""
-        for address in self.members:
-            if address != self.own_member.address:
-                self.datagrams.send_raw(address, message)
-
     def make_heartbeat(self, now: float) -> wire.Heartbeat:
         """Returns the current heartbeat."""
         age = min(MAX_REPORTED_AGE_SECONDS, now - self.directory.read_at)
@@ -318,7 +315,7 @@
                     for pool, pool_rebalancer in self.rebalancers.items()
                 },
             )
-            self.publish_delta(snapshot)
+            self.publisher.publish(snapshot)
             self.state.adopt_snapshot(snapshot, "own")
 
     async def publish_members(self) -> None:
@@ -329,47 +326,6 @@
             self.members_joined.clear()
             self.snapshot_dirty.set()
 
-    def publish_delta(self, snapshot: cluster.Snapshot) -> None:
-        """Sends the changes since the last snapshot to all members.
-
-        A member with another snapshot requests the whole one. Deltas keep
-        the traffic low on slow links.
-        """
-        delta = wire.encode(snapshots.difference(self.state.snapshot, snapshot))
-        self.published_snapshot = snapshot
-        self.snapshot_fragments = []
-        self.send_all(delta)
-
-    def send_snapshot(self, address: str) -> None:
-        """Sends the whole snapshot to a member."""
-        if not self.snapshot_fragments:
-            fragments = snapshots.pack(self.published_snapshot)
-            self.snapshot_fragments = [wire.encode(one) for one in fragments]
-        for fragment in self.snapshot_fragments:
-            self.datagrams.send_raw(address, fragment)
-
-    def send_contracts_to_all(self) -> None:
-        """Sends new contracts to all members.
-
-        Otherwise all members would read them from the store at once.
-        """
-        self.contracts_fragments = []
-        for fragment in self.encoded_contracts():
-            self.send_all(fragment)
-
-    def send_contracts(self, address: str) -> None:
-        """Sends the contracts to one member."""
-        for fragment in self.encoded_contracts():
-            self.datagrams.send_raw(address, fragment)
-
-    def encoded_contracts(self) -> list[bytes]:
-        """Returns the active contracts as datagrams; empty without any."""
-        versioned = self.state.versioned_contracts()
-        if versioned is not None and not self.contracts_fragments:
-            fragments = contractcodec.pack(versioned)
-            self.contracts_fragments = [wire.encode(one) for one in fragments]
-        return self.contracts_fragments
-
     def on_member_report(self, peer: str, message: wire.MemberReport) -> None:
         """Handles a member report."""
         if message.leaving:
@@ -386,9 +342,9 @@
             log.write(events.MEMBER_JOINED, member=peer)
         self.record_load(message.keys, message.service_ms)
         if self.missed_update(message):
-            self.send_snapshot(peer)
+            self.publisher.send_snapshot(peer)
         if message.contracts_revision < self.state.contracts_revision:
-            self.send_contracts(peer)
+            self.publisher.send_contracts(peer)
 
     def missed_update(self, message: wire.MemberReport) -> bool:
         """Returns whether a member has missed an update.
@@ -449,4 +405,4 @@
         except (ports.StoreError, leaderstore.DeposedError) as error:
             log.write(events.LEADERSHIP_FAILED, reason=f"resigning: {error}")
         now = self.clock.monotonic()
-        self.send_all(wire.encode(self.make_heartbeat(now)))
+        self.publisher.send_all(wire.encode(self.make_heartbeat(now)))
--- a/tests/test_store_calls.py
+++ b/tests/test_store_calls.py
@@ -160,7 +160,7 @@
                 for follower in self.world.followers.values()
                 if follower.leadership
             ]
-            leaderships[0].contracts_fragments = []
+            leaderships[0].publisher.contracts_fragments = []
             send = leaderships[0].datagrams.send_raw
 
             def record_receiver(address: str, data: bytes) -> None:
