Show that blanks from a caller hold a router's event loop (known red)

Cause: h11's patterns take quadratic time over a run of blanks in a head or a trailer; only the HTTP client bounds such runs, the server does not.

--- a/tests/test_garbage.py
+++ b/tests/test_garbage.py
@@ -12,6 +12,7 @@
 from oleanderhoist.http import client
 from oleanderhoist.http import exchanges
 from oleanderhoist.http import messages
+from oleanderhoist.http import server as http_server
 from oleanderhoist.node import budgets
 from oleanderhoist.node import forwarder
 from oleanderhoist.node import state
@@ -260,6 +261,41 @@
         self.assertTrue(error.timed_out)
 
 
+class CallerGarbageTest(unittest.IsolatedAsyncioTestCase):
+    """A caller's garbage doesn't hold the other callers."""
+
+    async def expect_little_work(self, request: bytes) -> None:
+        """Sends bytes to a server; expects an end without much work."""
+
+        async def handle(request: messages.Request) -> messages.Response:
+            await request.read()
+            return messages.Response()
+
+        running = http_server.Server(handler=handle, host="127.0.0.1", port=0)
+        await running.start()
+        self.addCleanup(running.listener.close)
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", running.port
+        )
+        self.addCleanup(writer.close)
+        used = time.process_time()
+        writer.write(request)
+        with contextlib.suppress(OSError):
+            self.assertNotIn(b" 200 ", await reader.read())
+        self.assertLess(time.process_time() - used, PROCESSOR_SECONDS)
+
+    async def test_blanks_in_a_callers_head_hold_the_event_loop(self):
+        await self.expect_little_work(
+            b"GET / HTTP/1.1\r\nHost: h\r\nA:" + BLANKS + b"\0\r\n\r\n"
+        )
+
+    async def test_blanks_in_a_callers_trailer_hold_the_event_loop(self):
+        await self.expect_little_work(
+            b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"0\r\nA:" + BLANKS + b"\0\r\n\r\n"
+        )
+
+
 def add_case(name: str, start: bytes, piece: bytes) -> None:
     """Adds a test of an answer without end."""
 
