--- a/tests/entry_stops.py
+++ b/tests/entry_stops.py
@@ -325,6 +325,16 @@
         self.assertEqual({}, self.table.records)
         self.assertEqual([], self.server.heads)
 
+    async def test_an_order_is_not_sent_after_the_time_for_slots(self):
+        self.table.open.clear()
+        asyncio.get_running_loop().call_later(
+            SETTLE_SECONDS + 0.7 * STOP_SECONDS, self.table.open.set
+        )
+        (result,) = await self.stop_during(self.send("/order", key=ORDER_KEY))
+        self.assert_code(codes.STOPPING, result)
+        self.assertEqual({}, self.table.records)
+        self.assertEqual([], self.server.heads)
+
     async def test_an_answer_is_given_though_it_is_not_recorded_yet(self):
         self.server.answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
         put = self.table.put
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -2,12 +2,14 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+import dataclasses
 import types
 import unittest
 
 from oleanderhoist import codes
 from oleanderhoist import outcomes
 from oleanderhoist import ports
+from oleanderhoist.http import exchanges
 from oleanderhoist.http import messages
 from oleanderhoist.node import budgets
 from oleanderhoist.node import forwarder
@@ -23,6 +25,8 @@
 
 STOP_SECONDS = 6.0
 REQUEST_SECONDS = 60.0
+HEDGED_SECONDS = 10.0
+HEDGE_DELAY_SECONDS = HEDGED_SECONDS / 2  # Half of the remaining time.
 MEMBER = cluster.Member(address="10.0.0.1:1", data_center="a", cores=1.0)
 
 
@@ -233,6 +237,147 @@
         raise AssertionError("no stop came")
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Step:
+    """One reply of a scripted peer.
+
+    Attributes:
+        after: When it comes, in seconds.
+        reply: A response, an error, whether a slot is granted, or None for
+            none at all.
+    """
+
+    after: float
+    reply: messages.Response | exchanges.ExchangeError | bool | None
+
+
+class ScriptedSlots(SingleSlotClient):
+    """Grants and refuses slots as a script says."""
+
+    def __init__(self, *steps: Step):
+        super().__init__()
+        self.steps = iter(steps)
+
+    async def acquire(
+        self, queue: str, request: slotqueue.SlotRequest
+    ) -> slotclient.SlotGrant | slotqueue.Refused:
+        """Follows the next step."""
+        step = next(self.steps)
+        await asyncio.sleep(step.after)
+        self.request_count = 0 if step.reply else 1
+        return await super().acquire(queue, request)
+
+
+class ScriptedExchanges(FailingServer):
+    """A client of a server that answers as a script says."""
+
+    def __init__(self, *steps: Step):
+        self.steps = iter(steps)
+
+    async def request(
+        self, *args: object, **kwargs: object
+    ) -> messages.Response:
+        """Follows the next step."""
+        step = next(self.steps)
+        await asyncio.sleep(step.after)
+        if isinstance(step.reply, exchanges.ExchangeError):
+            raise step.reply
+        return step.reply
+
+
+GRANTED = Step(after=0.0, reply=True)
+FAILURE = messages.Response(
+    status=500, headers=[(b"response-signature", b"x")], body=b"broken"
+)
+SUCCESS = messages.Response(
+    status=200, headers=[(b"response-signature", b"x")], body=b"good"
+)
+REFUSAL = messages.Response(status=503, headers=[(b"not-executed", b"1")])
+LOST = exchanges.ExchangeError("reset", maybe_sent=True)
+
+
+class HedgeTest(unittest.TestCase):
+    """The outcome of two attempts that overlap."""
+
+    def serve(
+        self,
+        slots: ScriptedSlots,
+        server: ScriptedExchanges,
+        stop_after: float = HEDGED_SECONDS,
+    ) -> outcomes.Outcome:
+        """Returns the outcome of a request with three attempts.
+
+        Args:
+            slots: Grants and refuses slots.
+            server: Answers; the hedge follows after HEDGE_DELAY_SECONDS.
+            stop_after: Time from the request to a stop, in seconds.
+        """
+        loop = virtual.Loop()
+        request_forwarder = make_forwarder(loop, slots, server)
+        request_forwarder.budget = types.SimpleNamespace(
+            earn=lambda pool: None, spend=lambda pool: True
+        )
+        request = job(arrived=loop.now, objective=0.1)
+        request.work = dataclasses.replace(request.work, attempts=3)
+        request.deadline = loop.now + HEDGED_SECONDS
+        loop.call_later(
+            stop_after,
+            lambda: request_forwarder.stop(
+                slots_due=loop.now + STOP_SECONDS / 2,
+                answers_due=loop.now + STOP_SECONDS,
+            ),
+        )
+        return virtual.run(request_forwarder.serve(request), loop)
+
+    def test_a_hedge_without_a_slot_does_not_cut_a_running_attempt(self):
+        outcome = self.serve(
+            ScriptedSlots(GRANTED, GRANTED, Step(after=0.1, reply=False)),
+            ScriptedExchanges(
+                Step(after=0.1, reply=FAILURE),
+                Step(after=HEDGE_DELAY_SECONDS + 1.0, reply=SUCCESS),
+            ),
+        )
+        self.assertEqual(SUCCESS, outcome.response)
+
+    def test_a_stop_of_a_hedge_does_not_cut_a_running_attempt(self):
+        outcome = self.serve(
+            ScriptedSlots(GRANTED, GRANTED, Step(after=60.0, reply=True)),
+            ScriptedExchanges(
+                Step(after=0.1, reply=FAILURE),
+                Step(
+                    after=HEDGE_DELAY_SECONDS + STOP_SECONDS / 2 + 1.0,
+                    reply=SUCCESS,
+                ),
+            ),
+            stop_after=HEDGE_DELAY_SECONDS + 0.2,
+        )
+        self.assertEqual(SUCCESS, outcome.response)
+
+    def test_a_refused_attempt_does_not_hide_a_hedge_that_may_have_run(self):
+        outcome = self.serve(
+            ScriptedSlots(
+                GRANTED,
+                Step(after=HEDGE_DELAY_SECONDS + 0.5, reply=False),
+                Step(after=1.5, reply=True),
+            ),
+            ScriptedExchanges(
+                Step(after=0.1, reply=REFUSAL),
+                Step(after=0.5, reply=LOST),
+            ),
+        )
+        self.assertIsInstance(outcome, outcomes.Unknown)
+
+    def test_a_failure_is_delivered_if_no_attempt_does_better(self):
+        outcome = self.serve(
+            ScriptedSlots(GRANTED, GRANTED, Step(after=0.1, reply=False)),
+            ScriptedExchanges(
+                Step(after=0.1, reply=FAILURE),
+                Step(after=HEDGE_DELAY_SECONDS + 1.0, reply=LOST),
+            ),
+        )
+        self.assertEqual(FAILURE, outcome.response)
+
+
 class StopTest(unittest.TestCase):
     """What a stop makes of requests that are being forwarded."""
 
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -15,6 +15,7 @@
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 SMALL_BUFFER_BYTES = 4_096
 LARGE_BODY = b"x" * 60_000
+HUGE_BODY = b"x" * 16_000_000
 IDLE_SECONDS = 0.1
 
 
@@ -56,6 +57,11 @@
     return messages.Response(body=LARGE_BODY)
 
 
+async def respond_endlessly(request: messages.Request) -> messages.Response:
+    """Responds with a body that no socket's buffer holds."""
+    return messages.Response(body=HUGE_BODY)
+
+
 async def respond_in_chunks(request: messages.Request) -> messages.Response:
     """Responds with a stream that takes some time."""
 
@@ -108,6 +114,21 @@
         await running.stop(2.0)
         self.assertTrue((await reader.read()).endswith(b"done"))
 
+    async def test_a_caller_that_does_not_read_does_not_outlast_a_stop(self):
+        running = RecordingServer(
+            handler=respond_endlessly, host="127.0.0.1", port=0
+        )
+        await running.start()
+        caller = socket.create_connection(("127.0.0.1", running.port))
+        self.addCleanup(caller.close)
+        caller.sendall(REQUEST)
+        await asyncio.sleep(RESPONSE_SECONDS)
+        (connection,) = running.connections
+        await running.stop(RESPONSE_SECONDS)
+        # A program ends only once its connections' tasks have ended.
+        async with asyncio.timeout(RESPONSE_SECONDS):
+            await connection.closed.wait()
+
     async def test_an_idle_connection_does_not_delay_a_stop(self):
         running = await self.start(server.Server)
         reader, writer = await asyncio.open_connection(
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -4,6 +4,7 @@
 import collections
 import copy
 import signal
+import time
 import unittest
 
 from oleanderhoist.http import client
@@ -13,6 +14,11 @@
 
 TIMEOUT_MS = 15_000  # Longer than any stop.
 SETTLE_SECONDS = 0.4
+GRACE_SECONDS = 6.0  # From the signal to the kill.
+# By status: what has no slot is told so at half of that time, what is at a
+# server in the last sixth.
+EARLIEST_SECONDS = {503: 0.0, 502: GRACE_SECONDS * 5 / 6}
+LATEST_SECONDS = {503: GRACE_SECONDS / 2 + 0.5, 502: GRACE_SECONDS}
 ROW_SECONDS = 1.0  # For a new configuration to be applied.
 
 
@@ -30,6 +36,7 @@
     """What callers get whose requests a stop doesn't leave time for."""
 
     async def asyncSetUp(self) -> None:
+        self.ended_at: dict[str, float] = {}
         self.system = platform_system.System(routers=(2,), servers=2)
         self.addAsyncCleanup(self.system.stop)
         await self.system.start()
@@ -57,6 +64,8 @@
             )
         except exchanges.ExchangeError as error:
             return error
+        finally:
+            self.ended_at[id] = time.monotonic()
 
     async def stop_with_silent_server(self, count: int) -> list:
         """Stops the router while requests wait for a server that is silent.
@@ -70,6 +79,7 @@
             for number in range(count)
         ]
         await asyncio.sleep(SETTLE_SECONDS)
+        self.stopped_at = time.monotonic()
         self.system.signal("r2", signal.SIGTERM)
         results = await asyncio.gather(*tasks)
         await self.system.processes["r2"].wait()
@@ -87,6 +97,10 @@
         refused = [r for r in results if r.status == 503]
         for response in refused:
             self.assertTrue(messages.find(response.headers, b"retry-after"))
+        for number, result in enumerate(results):
+            took = self.ended_at[f"o{number}"] - self.stopped_at
+            self.assertLess(took, LATEST_SECONDS[result.status])
+            self.assertGreater(took, EARLIEST_SECONDS[result.status])
         ran = await self.system.ran("d1")
         self.assertFalse(set(waiting) & set(ran), ran)
 
