End a connection that a stop cuts at once

Change: a connection that is cut is ended at once, by a reset if a response is partly written, since an orderly close ends a body without a length.

--- a/oleanderhoist/http/server.py
+++ b/oleanderhoist/http/server.py
@@ -214,7 +214,10 @@
                 unread_bytes=self.reader.unread,
                 unsent_bytes=unsent_bytes,
             )
-        self.writer.close()
+        if unsent_bytes or self.phase is Phase.WRITING:
+            reset(self.writer)
+        else:
+            self.writer.transport.abort()
 
     async def exchange(self) -> bool:
         """Serves one request.
