Let a hedged attempt end a request only with an answer of its own

Callers saw (probes with stand-ins; three attempts allowed): a server's 500 from an earlier attempt in place of the 200 that was on its way, and the running attempt cut, because the hedge got no slot, or because a stop ended its wait for one; and 503 'not run' although the hedge may have run it. Cause: an attempt without a slot ends with the failure of an earlier one, which counted as an answer and cut the other attempt. An attempt that ended with 'not run' was not asked again after the other may have run the request. Change: the first response that an attempt itself received ends both; otherwise both are awaited, and the result is seen in the light of both.

--- a/oleanderhoist/node/forwarder.py
+++ b/oleanderhoist/node/forwarder.py
@@ -144,7 +144,7 @@
                 events.REQUEST_HEDGED, request=job.head.id, pool=job.pool
             )
             attempts.add(asyncio.create_task(self.attempt(job)))
-            return await first_complete(first, attempts)
+            return await first_answer(job, first, attempts)
         finally:
             for task in attempts:
                 task.cancel()
@@ -340,16 +340,22 @@
         return results.classify_response(job, server, response, kind)
 
 
-async def first_complete(
-    first: asyncio.Task, attempts: set[asyncio.Task]
+async def first_answer(
+    job: jobs.Job, first: asyncio.Task, attempts: set[asyncio.Task]
 ) -> outcomes.Outcome | jobs.FailedAttempt:
-    """Returns the first complete result, else that of the first attempt."""
+    """Returns the first response of a server, else what the attempts add up to.
+
+    Args:
+        job: The request.
+        first: The earlier attempt, whose failure may be retried.
+        attempts: Both attempts.
+    """
     running = set(attempts)
     while running:
         done, running = await asyncio.wait(
             running, return_when=asyncio.FIRST_COMPLETED
         )
         for task in done:
-            if isinstance(task.result(), outcomes.Complete):
+            if results.is_own_answer(job, task.result()):
                 return task.result()
-    return first.result()
+    return results.revised_outcome(job, first.result())
--- a/oleanderhoist/node/results.py
+++ b/oleanderhoist/node/results.py
@@ -41,6 +41,32 @@
     return outcomes.Unknown(code=code, detail=detail)
 
 
+def is_own_answer(
+    job: jobs.Job, result: outcomes.Outcome | jobs.FailedAttempt
+) -> bool:
+    """Returns whether an attempt got a response of its own to forward.
+
+    Without one, it may have ended with an earlier attempt's failure.
+    """
+    return (
+        isinstance(result, outcomes.Complete)
+        and result.response is not job.failure_response
+    )
+
+
+def revised_outcome(
+    job: jobs.Job, result: outcomes.Outcome | jobs.FailedAttempt
+) -> outcomes.Outcome | jobs.FailedAttempt:
+    """Returns an attempt's result in view of all attempts that have ended."""
+    if not isinstance(result, outcomes.NotRun | outcomes.Unknown):
+        return result
+    if job.failure_response is not None:
+        return uncertain_outcome(job, result.code, result.detail)
+    if isinstance(result, outcomes.NotRun) and job.maybe_run:
+        return uncertain_outcome(job, result.code, result.detail)
+    return result
+
+
 def stopped_outcome(
     job: jobs.Job,
 ) -> outcomes.Complete | outcomes.NotRun | outcomes.Unknown:
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -286,6 +286,7 @@
 
 
 GRANTED = Step(after=0.0, reply=True)
+REFUSED = Step(after=0.1, reply=False)
 FAILURE = messages.Response(
     status=500, headers=[(b"response-signature", b"x")], body=b"broken"
 )
@@ -331,7 +332,7 @@
 
     def test_a_hedge_without_a_slot_does_not_cut_a_running_attempt(self):
         outcome = self.serve(
-            ScriptedSlots(GRANTED, GRANTED, Step(after=0.1, reply=False)),
+            ScriptedSlots(GRANTED, GRANTED, REFUSED),
             ScriptedExchanges(
                 Step(after=0.1, reply=FAILURE),
                 Step(after=HEDGE_DELAY_SECONDS + 1.0, reply=SUCCESS),
@@ -369,7 +370,7 @@
 
     def test_a_failure_is_delivered_if_no_attempt_does_better(self):
         outcome = self.serve(
-            ScriptedSlots(GRANTED, GRANTED, Step(after=0.1, reply=False)),
+            ScriptedSlots(GRANTED, GRANTED, REFUSED, REFUSED),
             ScriptedExchanges(
                 Step(after=0.1, reply=FAILURE),
                 Step(after=HEDGE_DELAY_SECONDS + 1.0, reply=LOST),
