Send no order after the time for slots of a stopping entry

Callers saw: an order under an Idempotency-Key was sent to a server 0.1 s before the entry cut it, and ended 4004, unknown, its key claimed for good. Cause: the time for slots bounded the wait for a server and its slot, but not the claim between the slot and the send, which waits for the table. Change: an order whose claim comes later is withdrawn and answered 3009, not run.

--- a/oleanderhoist/deadline.py
+++ b/oleanderhoist/deadline.py
@@ -21,6 +21,13 @@
         self.at: float | None = None
         self.timeouts: set[asyncio.Timeout] = set()
 
+    @property
+    def passed(self) -> bool:
+        """Whether the deadline is set and has passed."""
+        return (
+            self.at is not None and self.at <= asyncio.get_running_loop().time()
+        )
+
     def set(self, at: float) -> None:
         """Sets the deadline, also for the tasks that are already under it."""
         self.at = at
@@ -40,8 +47,7 @@
             PassedError: The deadline passed; the block was cancelled or not
                 begun.
         """
-        loop = asyncio.get_running_loop()
-        if self.at is not None and self.at <= loop.time():
+        if self.passed:
             raise PassedError
         timeout = asyncio.timeout_at(self.at)
         try:
--- a/oleanderhoist/entry/forwarder.py
+++ b/oleanderhoist/entry/forwarder.py
@@ -283,7 +283,11 @@
     async def claim_and_send(
         self, call: calls.Call, target: sending.Target
     ) -> outcomes.Outcome | sending.FailedAttempt:
-        """Sends a call, after claiming its key when it must not run twice."""
+        """Sends a call, after claiming its key when it must not run twice.
+
+        Raises:
+            PassedError: A stop left no time to send it after the claim.
+        """
         if not call.needs_claim:
             return await self.sender.send(call, target)
         claim = await self.claims.claim(
@@ -291,6 +295,9 @@
         )
         if not isinstance(claim, claims.Acquired):
             return sending.outcome_of_claim(claim)
+        if self.slots_due.passed:
+            await self.claims.abandon(claim)
+            raise deadline.PassedError
         result = await self.sender.send(call, target)
         if isinstance(result, outcomes.Complete):
             call.completed = result
