Take other processes' share of the processors off two bounds of time in tests

Cause: beside a load of 30, test_chunks_without_end (1.64 s, bound 1.5 s) and test_a_stop_keeps_its_time (1.15 s, bound 1.05 s) failed once each. Change: both bounds stay; the time in which the test's process was ready and waited for a processor, as the kernel counts it, no longer counts as its own. On an idle machine nothing changes, so the checks are as strict as before.

--- a/tests/entry_stops.py
+++ b/tests/entry_stops.py
@@ -19,11 +19,12 @@
 from oleanderhoist.http import messages
 from oleanderhoist.peers import wire
 from oleanderhoist.policy import topology
+from tests import starvation
 
 HOST = "127.0.78.1"
 CREDENTIAL = "secret"
 STOP_SECONDS = 1.0
-STOP_MARGIN_SECONDS = 0.05  # For timers of a busy machine.
+STOP_MARGIN_SECONDS = 0.05  # For timers.
 SETTLE_SECONDS = 0.15  # For requests to reach the server or the slot queue.
 TIMEOUT_SECONDS = 5.0  # Longer than any stop.
 ANY_PORT = client.Address(host=HOST, port=0)
@@ -217,9 +218,9 @@
         for request in requests:
             tasks.append(asyncio.create_task(request))
             await asyncio.sleep(SETTLE_SECONDS)
-        began = time.monotonic()
+        stopwatch = starvation.Stopwatch()
         await self.entry.stop()
-        self.stop_took = time.monotonic() - began
+        self.stop_took = stopwatch.elapsed()
         return await asyncio.gather(*tasks)
 
     def assert_code(self, code: codes.Code, result: object) -> None:
--- a/tests/test_garbage.py
+++ b/tests/test_garbage.py
@@ -18,10 +18,11 @@
 from oleanderhoist.node import state
 from oleanderhoist.platform import protocol
 from oleanderhoist.policy import cluster
+from tests import starvation
 from tests import test_forwarder
 
 PROCESSOR_SECONDS = 1.0
-ATTEMPT_SECONDS = 1.5  # Well below TIMEOUT_SECONDS, even beside load.
+ATTEMPT_SECONDS = 1.5  # Well below TIMEOUT_SECONDS.
 TIMEOUT_SECONDS = 3.0
 # What the client may take: the largest body and the buffers of both sockets.
 MAX_SENT_BYTES = 12_000_000
@@ -145,10 +146,10 @@
 
     async def expect_no_answer(self, server: Garbage, **options) -> None:
         """Expects that an attempt ends at once, and for the right reason."""
-        started_at = time.monotonic()
+        stopwatch = starvation.Stopwatch()
         used = time.process_time()
         error = await self.failure(server, **options)
-        self.assertLess(time.monotonic() - started_at, ATTEMPT_SECONDS)
+        self.assertLess(stopwatch.elapsed(), ATTEMPT_SECONDS)
         self.assertLess(time.process_time() - used, PROCESSOR_SECONDS)
         self.assertFalse(error.timed_out)
         self.assertLess(server.sent, MAX_SENT_BYTES)
