--- a/oleanderhoist/codes.py
+++ b/oleanderhoist/codes.py
@@ -318,3 +318,10 @@
     "Another customer has the same credential",
     "Give each customer a credential of its own.",
 )
+PLACER_STOPPING = define(
+    5009,
+    503,
+    _NOT_RUN,
+    "This placer is shutting down",
+    "Nothing was changed. Try again in a second, at any placer.",
+)
