--- a/oleanderhoist/adminclient.py
+++ b/oleanderhoist/adminclient.py
@@ -24,6 +24,7 @@
     codes.CONTRACT_UNCONFIRMED.number: exits.ExitStatus.UNKNOWN,
     codes.NO_LEADER.number: exits.ExitStatus.UNAVAILABLE,
     codes.TABLE_UNAVAILABLE.number: exits.ExitStatus.UNAVAILABLE,
+    codes.PLACER_STOPPING.number: exits.ExitStatus.UNAVAILABLE,
 }
 
 
--- a/oleanderhoist/placer/api.py
+++ b/oleanderhoist/placer/api.py
@@ -8,6 +8,7 @@
 
 from oleanderhoist import codes
 from oleanderhoist import contract
+from oleanderhoist import deadline
 from oleanderhoist.clients import contractversions
 from oleanderhoist.clients import table
 from oleanderhoist.http import messages
@@ -57,6 +58,9 @@
         admin_sha256: SHA-256 of the operators' token, in hex.
         current_leader: Returns the running leader of this placer, or
             None.
+
+    Attributes:
+        deadlines: Deadlines of a stop.
     """
 
     def __init__(
@@ -71,11 +75,18 @@
         self.table = table
         self.admin_sha256 = admin_sha256
         self.current_leader = current_leader
+        self.deadlines = contractregistry.Deadlines()
 
     async def handle(self, request: messages.Request) -> messages.Response:
         """Handles one request; converts errors to problem documents."""
         try:
             return await self.dispatch(request)
+        except deadline.PassedError:
+            return messages.problem(
+                codes.PLACER_STOPPING,
+                retry_after=RETRY_AFTER_SECONDS,
+                close=True,
+            )
         except table.TableError as error:
             return messages.problem(
                 codes.TABLE_UNAVAILABLE,
@@ -103,7 +114,10 @@
             ):
                 return self.redirect(request)
             function = getattr(self, name)
-            return await function(request, **match.groupdict())
+            if method == "PUT":  # It knows whether it may have changed a thing.
+                return await function(request, **match.groupdict())
+            async with self.deadlines.answers.limit():
+                return await function(request, **match.groupdict())
         return messages.problem(codes.NOT_FOUND)
 
     def is_authorized(self, request: messages.Request) -> bool:
@@ -132,7 +146,8 @@
         self, request: messages.Request, customer: str
     ) -> messages.Response:
         """Applies a contract; If-Match names the version it is based on."""
-        source = await read_source(request)
+        async with self.deadlines.changes.limit():
+            source = await read_source(request)
         base = (request.header(b"if-match") or '"0"').strip('"')
         if not base.isdigit():
             return invalid_request("If-Match: write the version you start from")
--- a/oleanderhoist/placer/contractregistry.py
+++ b/oleanderhoist/placer/contractregistry.py
@@ -6,6 +6,7 @@
 
 from oleanderhoist import codes
 from oleanderhoist import contract
+from oleanderhoist import deadline
 from oleanderhoist import events
 from oleanderhoist import log
 from oleanderhoist.clients import contractversions
@@ -46,6 +47,36 @@
     current_version: int | None = None
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Prepared:
+    """A contract that is stored and lacks only the write of the head.
+
+    Attributes:
+        proposed: The contract.
+        version: Number of the stored version.
+    """
+
+    proposed: contract.Contract
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Deadlines:
+    """Deadlines that a stop sets.
+
+    Attributes:
+        changes: When changes end whose write of the head has not begun.
+        answers: When every request gets its answer.
+    """
+
+    changes: deadline.SharedDeadline = dataclasses.field(
+        default_factory=deadline.SharedDeadline
+    )
+    answers: deadline.SharedDeadline = dataclasses.field(
+        default_factory=deadline.SharedDeadline
+    )
+
+
 @dataclasses.dataclass(kw_only=True)
 class Head:
     """The record that lists the active contract versions.
@@ -64,10 +95,15 @@
 
     A change is accepted once the conditional write of the head record is known
     to have taken effect.
+
+    Args:
+        table: The table client.
+        deadlines: Deadlines of a stop.
     """
 
-    def __init__(self, *, table: table.TableClient):
+    def __init__(self, *, table: table.TableClient, deadlines: Deadlines):
         self.table = table
+        self.deadlines = deadlines
         self.head = Head()
         self.contracts: dict[tuple[str, int], contract.Contract] = {}
         self.lock = asyncio.Lock()
@@ -151,21 +187,58 @@
         Raises:
             TableError: The table did not answer before the head was written.
         """
-        async with self.lock:
-            if self.head_unresolved:
-                await self.load()
-            checked = self.check(source, servers)
-            if isinstance(checked, Rejection):
-                return self.log_rejection(checked)
-            current = self.head.versions.get(checked.customer, 0)
-            if current != base:
-                return self.log_rejection(
-                    await self.describe_conflict(checked, base, current)
+        try:
+            async with self.deadlines.changes.limit():
+                await self.lock.acquire()
+        except deadline.PassedError:
+            return self.log_rejection(stopping_rejection())
+        try:
+            return await self.apply_next(source, base, servers)
+        finally:
+            self.lock.release()
+
+    async def apply_next(
+        self, source: str, base: int, servers: list[topology.Server]
+    ) -> Accepted | Rejection:
+        """Accepts or rejects a contract while no other change is running.
+
+        Raises:
+            TableError: The table did not answer before the head was written.
+        """
+        try:
+            async with self.deadlines.changes.limit():
+                prepared = await self.prepare(source, base, servers)
+        except deadline.PassedError:
+            return self.log_rejection(stopping_rejection())
+        if isinstance(prepared, Rejection):
+            return self.log_rejection(prepared)
+        self.head_unresolved = True  # Also if the write is cancelled.
+        try:
+            async with self.deadlines.answers.limit():
+                return await self.write_head(
+                    prepared.proposed, prepared.version
                 )
-            version = await self.write_version(
-                checked.customer, source, current
-            )
-            return await self.write_head(checked, version)
+        except deadline.PassedError:
+            return self.log_rejection(unconfirmed_rejection())
+
+    async def prepare(
+        self, source: str, base: int, servers: list[topology.Server]
+    ) -> Prepared | Rejection:
+        """Checks a contract and stores it as a version not yet active.
+
+        Raises:
+            TableError: The table did not answer.
+        """
+        if self.head_unresolved:
+            await self.load()
+        checked = self.check(source, servers)
+        if isinstance(checked, Rejection):
+            return checked
+        current = self.head.versions.get(checked.customer, 0)
+        if current != base:
+            return await self.describe_conflict(checked, base, current)
+        version = await self.write_version(checked.customer, source, current)
+        return Prepared(proposed=checked, version=version)
 
     def log_rejection(self, rejection: Rejection) -> Rejection:
         """Logs a rejection and returns it."""
@@ -248,6 +321,7 @@
             case table.Written(version=revision):
                 self.contracts[(proposed.customer, version)] = proposed
                 self.head = Head(revision=revision, versions=versions)
+                self.head_unresolved = False
                 log.write(
                     events.CONTRACT_ACCEPTED,
                     customer=proposed.customer,
@@ -265,13 +339,23 @@
                 return self.log_rejection(
                     await self.describe_conflict(proposed, version - 1, current)
                 )
-        self.head_unresolved = True
-        return self.log_rejection(
-            Rejection(
-                code=codes.CONTRACT_UNCONFIRMED,
-                details=["the table did not confirm the write of the head"],
-            )
-        )
+        return self.log_rejection(unconfirmed_rejection())
+
+
+def stopping_rejection() -> Rejection:
+    """Returns the rejection of a change that a stop leaves no time for."""
+    return Rejection(
+        code=codes.PLACER_STOPPING,
+        details=["the write of the head had not begun"],
+    )
+
+
+def unconfirmed_rejection() -> Rejection:
+    """Returns the rejection of a change that may be in force."""
+    return Rejection(
+        code=codes.CONTRACT_UNCONFIRMED,
+        details=["the table did not confirm the write of the head"],
+    )
 
 
 def paths_without_key(
--- a/oleanderhoist/placer/core.py
+++ b/oleanderhoist/placer/core.py
@@ -20,7 +20,9 @@
 from oleanderhoist.policy import placement
 
 MAX_EXTENSION_SECONDS = 4 * 3600.0
-DRAIN_SECONDS = 2.0
+# From the stop signal; longer than a write to the table and its check.
+ANSWER_SECONDS = 2.0
+WRITE_SECONDS = 0.5
 HEALTH_DRAIN_SECONDS = 0.1
 ELECTION_TABLE_TIMEOUT_SECONDS = leadership.LEASE_SECONDS / 2
 
@@ -101,6 +103,7 @@
                 lag=self.lag,
                 policy=placement.PLACEMENTS.get(self.settings.placement)(),
                 partitions=self.settings.partitions,
+                deadlines=self.api.deadlines,
             )
             self.leader.start()
 
@@ -133,10 +136,19 @@
         log.write(events.PROGRAM_STARTED, program="placer", id=self.settings.id)
 
     async def stop(self) -> None:
-        """Resigns, waits for running exchanges and closes all sockets."""
+        """Resigns, answers the requests that were read, closes all sockets.
+
+        Changes of contracts whose write of the head has not begun are refused
+        at once.
+        """
+        loop = asyncio.get_running_loop()
+        answers_due = loop.time() + ANSWER_SECONDS
+        self.api.deadlines.changes.set(loop.time())
+        self.api.deadlines.answers.set(answers_due)
         await self.election.resign()
         await self.registration.remove()
-        await self.http_server.stop(DRAIN_SECONDS)
+        remaining_seconds = max(0.0, answers_due - loop.time())
+        await self.http_server.stop(remaining_seconds + WRITE_SECONDS)
         for task in self.tasks:
             task.cancel()
         await self.health.server.stop(HEALTH_DRAIN_SECONDS)
--- a/oleanderhoist/placer/leader.py
+++ b/oleanderhoist/placer/leader.py
@@ -37,6 +37,7 @@
         lag: Event loop lag of this process.
         policy: The placement policy.
         partitions: Number of partitions of a new partition map.
+        deadlines: Deadlines of a stop.
     """
 
     def __init__(
@@ -50,6 +51,7 @@
         lag: program.LoopLag,
         policy: placement_policy.Policy,
         partitions: int,
+        deadlines: contractregistry.Deadlines,
     ):
         self.election = election
         self.table = table
@@ -59,7 +61,9 @@
             election=election, transport=transport, clock=clock, lag=lag
         )
         self.map_store = mapstore.MapStore(table=table, epoch=election.epoch)
-        self.contract_registry = contractregistry.ContractRegistry(table=table)
+        self.contract_registry = contractregistry.ContractRegistry(
+            table=table, deadlines=deadlines
+        )
         self.reconciler = reconciler.Reconciler(
             publisher=self.publisher,
             map_store=self.map_store,
--- a/tests/placer_stops.py
+++ b/tests/placer_stops.py
@@ -145,6 +145,7 @@
             lag=self.placer.lag,
             policy=placement.PLACEMENTS.get(SETTINGS.placement)(),
             partitions=SETTINGS.partitions,
+            deadlines=self.placer.api.deadlines,
         )
         self.leader.publisher.cluster_state.servers = [
             server(pool, number)
