--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,11 +1,13 @@
 """Runs the soak test: ``python -m soak --seed 5 --seconds 60``."""
 
 import asyncio
+import pathlib
 import sys
 
 import click
 
 from oleanderhoist import exits
+from soak import callers
 from soak import faults
 from soak import runner
 
@@ -28,6 +30,17 @@
     default="",
     help="Comma-separated faults to draw from; empty for all.",
 )
+@click.option(
+    "--long",
+    "long_share",
+    default=0.0,
+    help="Share of requests that take up to 4 s, with one slot a server.",
+)
+@click.option(
+    "--logs",
+    type=click.Path(path_type=pathlib.Path),
+    help="Folder in which to keep the routers' logs, by seed.",
+)
 @click.option("--verbose", is_flag=True, help="Print each fault.")
 def main(
     seed: int,
@@ -37,6 +50,8 @@
     servers: int,
     pause: float,
     names: str,
+    long_share: float,
+    logs: pathlib.Path | None,
     verbose: bool,
 ) -> None:
     """Runs the soak test; exits with an error on a violated invariant."""
@@ -47,6 +62,7 @@
         raise click.BadParameter(
             f"--faults: unknown fault {unknown[0]!r}; use {known}"
         )
+    load = callers.long_load(long_share) if long_share else callers.SHORT_LOAD
     failed = []
     for run_seed in range(seed, seed + runs):
         result = asyncio.run(
@@ -57,6 +73,8 @@
                 servers=servers,
                 mean_interval_seconds=pause,
                 fault_names=drawn,
+                load=load,
+                folder=logs / str(run_seed) if logs else None,
             )
         )
         click.echo(result.summary())
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -32,6 +32,9 @@
 POLL_SECONDS = 0.02
 MAX_STOP_SECONDS = 7.0  # A longer graceful stop is a violation.
 SERVER_DRAIN_SECONDS = 2.5  # A draining server still serves.
+MAX_SERIES_GAP_SECONDS = 4.0  # Between stops in series that overlap.
+REPEATED_SIGNAL_SHARE = 0.4  # Of stops in series.
+MAX_REPEATED_SIGNAL_SECONDS = 4.0
 
 Fault = Callable[["Injector"], Awaitable[None]]
 FAULTS: registry.Registry[Fault] = registry.Registry(kind="fault")
@@ -44,6 +47,7 @@
         system: The system.
         checker: Records each fault, since time bounds don't apply near one.
         seed: Seed of all random numbers.
+        max_work_seconds: Longest work of a request.
     """
 
     def __init__(
@@ -52,7 +56,9 @@
         system: platform_system.System,
         checker: invariants.Checker,
         seed: int,
+        max_work_seconds: float,
     ):
+        self.drain_seconds = SERVER_DRAIN_SECONDS + max_work_seconds
         self.system = system
         self.checker = checker
         self.rng = random.Random(seed)
@@ -193,8 +199,46 @@
 async def stop_router(injector: Injector) -> None:
     """Stops a router gracefully and restarts it; planned maintenance."""
     name = injector.pick_process("r")
-    if name is None:
-        return
+    if name is not None:
+        await stop_and_restart(injector, name)
+
+
+@FAULTS.register("stops-in-series")
+async def stop_in_series(injector: Injector) -> None:
+    """Stops all routers, one after the other or overlapping; planned.
+
+    Some get another signal while they stop.
+    """
+    names = [f"r{number}" for number in injector.system.routers]
+    injector.rng.shuffle(names)
+    gap_seconds = injector.rng.choice([None, 0.0, MAX_SERIES_GAP_SECONDS])
+    stops = []
+    for name in names:
+        if name in injector.restarting:
+            continue
+        stop = asyncio.create_task(stop_and_restart(injector, name))
+        stops.append(stop)
+        if injector.rng.random() < REPEATED_SIGNAL_SHARE:
+            stops.append(asyncio.create_task(repeat_signal(injector, name)))
+        if gap_seconds is None:
+            await stop
+        else:
+            await asyncio.sleep(injector.rng.uniform(0.0, gap_seconds))
+    await asyncio.gather(*stops)
+
+
+async def repeat_signal(injector: Injector, name: str) -> None:
+    """Sends a second signal to a stopping router."""
+    process = injector.system.processes[name]
+    number = injector.rng.choice([signal.SIGHUP, signal.SIGTERM])
+    await asyncio.sleep(injector.rng.uniform(0.0, MAX_REPEATED_SIGNAL_SECONDS))
+    if process.returncode is None:
+        injector.log.append(f"{time.monotonic():.2f} {number.name} {name}")
+        process.send_signal(number)
+
+
+async def stop_and_restart(injector: Injector, name: str) -> None:
+    """Stops a router gracefully and restarts it."""
     injector.restarting.add(name)
     began = time.monotonic()
     injector.checker.stops.append((name, began))
@@ -226,6 +270,7 @@
     """Makes a router reload its settings; planned maintenance."""
     name = injector.pick_process("r")
     if name is not None:
+        injector.checker.reloads.append((name, time.monotonic()))
         injector.log.append(f"{time.monotonic():.2f} reload {name}")
         injector.system.signal(name, signal.SIGHUP)
 
@@ -241,7 +286,7 @@
     await injector.system.register_server(name, pool, "draining")
     injector.checker.drained[name] = time.monotonic()
     injector.log.append(f"{time.monotonic():.2f} drain {name}")
-    await asyncio.sleep(SERVER_DRAIN_SECONDS)
+    await asyncio.sleep(injector.drain_seconds)
     await injector.system.write_row("servers", name, None)
     await injector.end_process(name, signal.SIGTERM)
     injector.checker.drained.pop(name)
@@ -255,7 +300,11 @@
     injector.config_version += injector.rng.randint(1, MAX_VERSION_STEP)
     config_version = injector.config_version
     await injector.system.write_row(
-        "op", "config", platform_system.config_with_probe(config_version)
+        "op",
+        "config",
+        platform_system.config_with_probe(
+            config_version, injector.system.config
+        ),
     )
     injector.checker.contract_changes[config_version] = time.monotonic()
     injector.log.append(f"{time.monotonic():.2f} contracts {config_version}")
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -5,6 +5,12 @@
 import json
 
 MAX_ANSWER_SECONDS = 5.0  # From an execution to its caller's answer.
+STOP_EFFECT_SECONDS = 7.0  # Of a graceful stop: its longest time and 1 s more.
+LATE_WORK_SECONDS = 5.0  # Of a stop; work that lasts longer may be broken off.
+LATE_SENT_SECONDS = 3.0  # Of a stop; for requests sent later that is no reason.
+LOSS_SLACK_SECONDS = 0.2  # A close crosses requests that were sent just before.
+RELOAD_EFFECT_SECONDS = 2.0
+RESPONSE_SECONDS = 0.5  # From the end of the work to the caller's answer.
 LEASE_SLACK_SECONDS = 0.02  # Journal lines are timestamped after the event.
 DRAIN_GRACE_SECONDS = 2.0
 MAX_APPLY_SECONDS = 2.0
@@ -29,6 +35,8 @@
         error: Cause of a missing response.
         reached_router: Whether a router may have received a part of the
             request.
+        deadline: When the caller and its route give up, on the same clock.
+        work_seconds: How long a server works on it, in seconds.
     """
 
     id: str
@@ -42,6 +50,8 @@
     reused: bool = False
     error: str = ""
     reached_router: bool = True
+    deadline: float = float("inf")
+    work_seconds: float = 0.0
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -65,6 +75,7 @@
         drained: Start time of the current drain of each server.
         contract_changes: Time of each change of the contracts, by version.
         stops: Router and time of each graceful stop.
+        reloads: Router and time of each reload.
         faults: Begin, end and name of each fault.
     """
 
@@ -78,6 +89,7 @@
         self.drained: dict[str, float] = {}
         self.contract_changes: dict[int, float] = {}
         self.stops: list[tuple[str, float]] = []
+        self.reloads: list[tuple[str, float]] = []
         self.faults: list[tuple[float, float, str]] = []
 
     def is_fault_free(self, begin: float, end: float) -> bool:
@@ -176,28 +188,89 @@
                 self.violations.append(
                     f"not run: {answer.id} got {answer.status}, {executed}"
                 )
-            if executed and answer.status == 0:
-                self.check_stop(answer)
+            self.check_lost(answer)
         return self.violations
 
-    def check_stop(self, answer: Answer) -> None:
-        """Checks that no executed request lost its response in a stop."""
+    def check_lost(self, answer: Answer) -> None:
+        """Checks that planned work cost no request that a router had read.
+
+        A request is lost if its connection ended without a complete answer, or
+        if a stopping router answered while a server was at work on it.
+        """
+        closed = answer.status == 0 and self.was_read(answer)
+        at_work = answer.ended_at < self.work_end(answer)
+        broken_off = answer.status not in (0, 200) and at_work
+        if not (closed or broken_off) or self.ran_out_of_time(answer):
+            return
+        if not self.is_fault_free(answer.sent_at, answer.ended_at):
+            return
+        planned = [("stop", at) for at in self.stops_near(answer)]
+        if closed:
+            planned += [("reload", at) for at in self.reloads_near(answer)]
+        for kind, at in planned[:1]:
+            self.violations.append(
+                f"lost: {answer.id}, sent {answer.sent_at - at:+.2f} s and "
+                f"ended {answer.ended_at - at:+.2f} s after a {kind} of "
+                f"{answer.router}, status {answer.status}, reused "
+                f"{answer.reused}, work {answer.work_seconds:.2f} s, ran "
+                f"{self.executions.get(answer.id, [])}: {answer.error}"
+            )
+
+    def was_read(self, answer: Answer) -> bool:
+        """Returns whether a router read the request before it closed."""
+        waited = answer.ended_at - answer.sent_at
+        return answer.id in self.executions or (
+            answer.reached_router and waited > LOSS_SLACK_SECONDS
+        )
+
+    def work_end(self, answer: Answer) -> float:
+        """Returns when the last server ended its work; 0 if none had begun."""
+        begins = [
+            at
+            for _, at in self.executions.get(answer.id, [])
+            if at < answer.ended_at
+        ]
+        return max(begins) + answer.work_seconds if begins else 0.0
+
+    def ran_out_of_time(self, answer: Answer) -> bool:
+        """Returns whether the work left no time for an answer by the deadline.
+
+        A request that no server got may wait until its deadline.
+        """
+        work_end = self.work_end(answer) or answer.deadline
+        return (
+            answer.ended_at >= answer.deadline
+            and work_end > answer.deadline - RESPONSE_SECONDS
+        )
+
+    def stops_near(self, answer: Answer) -> list[float]:
+        """Returns the stops of the router that the request must survive."""
+        near = []
         for router, at in self.stops:
             if router != answer.router:
                 continue
-            near_stop = (
-                at - MAX_ANSWER_SECONDS
-                < answer.sent_at
-                < at + FAULT_EFFECT_SECONDS
+            sent, ended = answer.sent_at - at, answer.ended_at - at
+            executed = answer.id in self.executions and answer.status == 0
+            before = executed and -MAX_ANSWER_SECONDS < sent < 0
+            during = sent < STOP_EFFECT_SECONDS and ended > 0
+            outlasts = (
+                sent <= LATE_SENT_SECONDS
+                and ended >= LATE_WORK_SECONDS
+                and self.work_end(answer) >= at + LATE_WORK_SECONDS
             )
-            if near_stop and self.is_fault_free(
-                answer.sent_at, answer.ended_at
-            ):
-                self.violations.append(
-                    f"lost: {answer.id}, sent {answer.sent_at - at:+.2f} s and "
-                    f"ended {answer.ended_at - at:+.2f} s after a stop of "
-                    f"{router}, reused {answer.reused}: {answer.error}"
-                )
+            if (before or during) and not outlasts:
+                near.append(at)
+        return near
+
+    def reloads_near(self, answer: Answer) -> list[float]:
+        """Returns the reloads of the router that the request must survive."""
+        return [
+            at
+            for router, at in self.reloads
+            if router == answer.router
+            and answer.sent_at < at + RELOAD_EFFECT_SECONDS
+            and answer.ended_at > at
+        ]
 
     def served_share(self, since: float) -> float:
         """Returns the share of requests since a time that were served.
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import os
+import pathlib
 import signal
 import time
 
@@ -60,6 +61,8 @@
     servers: int,
     mean_interval_seconds: float,
     fault_names: list[str],
+    load: callers.Load = callers.SHORT_LOAD,
+    folder: pathlib.Path | None = None,
 ) -> Result:
     """Runs the soak test once.
 
@@ -70,6 +73,8 @@
         servers: Number of servers, half of them keyed.
         mean_interval_seconds: Mean time between the starts of two faults.
         fault_names: Faults to draw from.
+        load: What callers send.
+        folder: Where to keep the routers' logs; None to drop them.
     """
     checker = invariants.Checker()
     subnet = (
@@ -82,8 +87,20 @@
         servers=servers,
         proxied=True,
         journal=checker.read_journal,
+        config=platform_system.config_with_timeout(
+            round(load.deadline_seconds * 1000)
+        )
+        if load.long_share
+        else platform_system.CONFIG,
+        slots=load.slots,
+        folder=folder,
+    )
+    injector = faults.Injector(
+        system=system,
+        checker=checker,
+        seed=seed,
+        max_work_seconds=load.max_work_seconds,
     )
-    injector = faults.Injector(system=system, checker=checker, seed=seed)
     # On SIGTERM, cancel the run so that it kills its processes.
     asyncio.get_running_loop().add_signal_handler(
         signal.SIGTERM, asyncio.current_task().cancel
@@ -92,7 +109,7 @@
         await system.start()
         caller_tasks = [
             asyncio.create_task(caller.run())
-            for caller in make_callers(system, checker, seed)
+            for caller in make_callers(system, checker, seed, load)
         ]
         await asyncio.sleep(FAULT_FREE_SECONDS)
         await injector.run(seconds, mean_interval_seconds, fault_names)
@@ -114,7 +131,10 @@
 
 
 def make_callers(
-    system: platform_system.System, checker: invariants.Checker, seed: int
+    system: platform_system.System,
+    checker: invariants.Checker,
+    seed: int,
+    load: callers.Load,
 ) -> list[callers.Caller]:
     """Returns the callers of each router."""
     return [
@@ -124,6 +144,7 @@
             system=system,
             checker=checker,
             seed=seed,
+            load=load,
         )
         for router in system.routers
         for index in range(CALLERS_PER_ROUTER)
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -4,7 +4,8 @@
 without a valid lease. ``GET /ran`` returns the ids of executed requests.
 ``PUT /faults`` sets the number of faults still to inject: ``shed`` (rejected
 requests), ``unsigned`` (responses without a signature) and ``truncate``
-(executed requests whose connection is aborted before the response).
+(executed requests whose connection is aborted before the response). A request
+may say in its query how long it takes: ``?work_ms=1500``.
 
 With ``--journal`` it writes a JSON line for each executed request and for each
 lease change at the sampled keys, with times of the monotonic clock.
@@ -13,6 +14,7 @@
 import asyncio
 import json
 import time
+import urllib.parse
 
 import click
 
@@ -151,7 +153,9 @@
             return messages.Response(status=421, headers=not_executed)
         self.ran.append(id.decode())
         self.write_journal(kind="run", id=id.decode(), path=request.path)
-        await asyncio.sleep(self.work_seconds)
+        query = urllib.parse.parse_qs(request.target.partition("?")[2])
+        work_ms = query.get("work_ms", [self.work_seconds * 1000])[0]
+        await asyncio.sleep(float(work_ms) / 1000)
         headers = [(b"request-id", id)]
         if not self.inject("unsigned"):
             headers.append((b"response-signature", b"signed"))
--- a/standins/platform_system.py
+++ b/standins/platform_system.py
@@ -89,9 +89,18 @@
     return f"/probe/{version}/"
 
 
-def config_with_probe(version: int) -> dict:
-    """Returns the configuration with another version and one more route."""
+def config_with_timeout(timeout_ms: int) -> dict:
+    """Returns the configuration with a timeout and objective of all routes."""
     config = json.loads(json.dumps(CONFIG))
+    for rule in config["listeners"][0]["rules"]:
+        rule["action"]["timeout_ms"] = timeout_ms
+        rule["target_latency_ms"] = timeout_ms
+    return config
+
+
+def config_with_probe(version: int, base: dict) -> dict:
+    """Returns a configuration with another version and one more route."""
+    config = json.loads(json.dumps(base))
     config["version"] = f"{version:08x}"
     rules = config["listeners"][0]["rules"]
     match = {"prefix": probe_prefix(version)}
@@ -110,6 +119,10 @@
         proxied: Whether routers reach the store and servers through proxies.
         journal: Called with the id of a server and a line of its journal.
         interpreter: Options of the Python interpreter of routers.
+        config: First configuration.
+        slots: Slots of each server.
+        folder: Folder for settings and logs that is kept; None for a temporary
+            one.
 
     Attributes:
         processes: Processes by name.
@@ -128,6 +141,9 @@
         proxied: bool = False,
         journal: Callable[[str, str], None] | None = None,
         interpreter: tuple[str, ...] = (),
+        config: dict = CONFIG,
+        slots: int = SERVER_SLOTS,
+        folder: pathlib.Path | None = None,
     ):
         self.subnet = subnet or process_subnet()
         self.routers = routers
@@ -138,7 +154,11 @@
         self.proxies = proxy.Proxies()
         self.journal_readers: set[asyncio.Task] = set()
         self.processes: dict[str, asyncio.subprocess.Process] = {}
-        self.folder = tempfile.TemporaryDirectory()
+        self.config = config
+        self.slots = slots
+        self.temporary = tempfile.TemporaryDirectory()
+        self.folder = folder or pathlib.Path(self.temporary.name)
+        self.folder.mkdir(parents=True, exist_ok=True)
         self.store = ""
         self.servers: dict[str, str] = {}
         self.real: dict[str, str] = {}
@@ -165,7 +185,7 @@
             "store", "standins.rowstore", "--listen", "127.0.0.1:0"
         )
         self.store = json.loads(line)[0]
-        await self.write_row("op", "config", CONFIG)
+        await self.write_row("op", "config", self.config)
         for number in range(self.server_count):
             id = f"{'td'[number % 2]}{number // 2 + 1}"
             await self.start_server(id, pool_of(id), id[0] == "t")
@@ -209,7 +229,7 @@
             "service": pool,
             "address": self.servers[id],
             "zone": "z",
-            "slots": SERVER_SLOTS,
+            "slots": self.slots,
             "state": state,
             "sequence": 1,
             "born": self.born[id],
@@ -219,7 +239,7 @@
     async def start_router(self, number: int) -> None:
         """Starts a router on its own loopback address."""
         ip = f"{self.subnet}.{number}"
-        path = pathlib.Path(self.folder.name, f"{number}.json")
+        path = self.folder / f"{number}.json"
         settings = {
             "node": f"r{number}",
             "ip": ip,
@@ -342,4 +362,4 @@
         for reader in self.journal_readers:
             reader.cancel()
         await self.proxies.stop()
-        self.folder.cleanup()
+        self.temporary.cleanup()
