--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -249,19 +249,25 @@
         for router, at in self.stops:
             if router != answer.router:
                 continue
+            if self.outlasts_stop(answer, at):
+                return []
             sent, ended = answer.sent_at - at, answer.ended_at - at
             executed = answer.id in self.executions and answer.status == 0
             before = executed and -MAX_ANSWER_SECONDS < sent < 0
             during = sent < STOP_EFFECT_SECONDS and ended > 0
-            outlasts = (
-                sent <= LATE_SENT_SECONDS
-                and ended >= LATE_WORK_SECONDS
-                and self.work_end(answer) >= at + LATE_WORK_SECONDS
-            )
-            if (before or during) and not outlasts:
+            if before or during:
                 near.append(at)
         return near
 
+    def outlasts_stop(self, answer: Answer, at: float) -> bool:
+        """Returns whether a server's work was too long for the router's stop."""
+        late = at + LATE_WORK_SECONDS
+        return (
+            answer.sent_at <= at + LATE_SENT_SECONDS
+            and answer.ended_at >= late
+            and self.work_end(answer) >= late
+        )
+
     def reloads_near(self, answer: Answer) -> list[float]:
         """Returns the reloads of the router that the request must survive."""
         return [
