--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -260,7 +260,7 @@
         return near
 
     def outlasts_stop(self, answer: Answer, at: float) -> bool:
-        """Returns whether a server's work was too long for the router's stop."""
+        """Returns whether a server's work was too long for a stop."""
         late = at + LATE_WORK_SECONDS
         return (
             answer.sent_at <= at + LATE_SENT_SECONDS
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from soak import callers
 from soak import faults
 from soak import invariants
 from soak import runner
@@ -13,6 +14,7 @@
 # 2, 210: a frozen server with grants in its buffer counted as a second owner.
 # 13 (planned): a reload signal killed a router that had not started up yet.
 # 2, 3, 4 (planned): a stop cut off a request on a newly accepted connection.
+# 432 (long): the check judged a request by its router's stop before the last.
 SEED = 2
 
 
@@ -20,7 +22,10 @@
     """Real routers under random faults."""
 
     def soak(
-        self, fault_names: list[str], mean_interval_seconds: float
+        self,
+        fault_names: list[str],
+        mean_interval_seconds: float,
+        load: callers.Load = callers.SHORT_LOAD,
     ) -> runner.Result:
         """Runs the soak test for a short time."""
         return asyncio.run(
@@ -31,6 +36,7 @@
                 servers=6,
                 mean_interval_seconds=mean_interval_seconds,
                 fault_names=fault_names,
+                load=load,
             )
         )
 
@@ -44,6 +50,12 @@
         self.assertEqual([], result.violations, result.log)
         self.assertGreater(result.served_share, 0.95)
 
+    def test_stops_in_series_lose_no_long_exchange(self):
+        names = ["stops-in-series", "reload-router", "change-contracts"]
+        result = self.soak(names, 3.0, callers.long_load(0.4))
+        self.assertEqual([], result.violations, result.log)
+        self.assertGreater(result.requests, 200)
+
 
 class PromisesTest(unittest.TestCase):
     """Violations that the checker detects."""
@@ -110,6 +122,57 @@
         self.record_answer(status=0)
         self.assertEqual(1, len(self.checker.finish()))
 
+    def lost(self, ran_at: float | None = None, **changes: object) -> int:
+        """Returns the violations by a request that a stop at 10 s affects."""
+        checker = self.checker = invariants.Checker()
+        checker.stops.append(("r2", 10.0))
+        if ran_at is not None:
+            checker.record_execution("a", {"id": "a", "at": ran_at})
+        defaults = {"sent_at": 9.0, "ended_at": 15.2, "status": 0}
+        self.record_answer(**{"deadline": 17.0, **defaults, **changes})
+        return len(checker.finish())
+
+    def test_a_request_closed_while_it_waited_for_a_slot_is_seen(self):
+        self.assertEqual(1, self.lost())
+        self.assertEqual(1, self.lost(sent_at=12.5))
+
+    def test_a_request_that_crossed_the_close_is_no_loss(self):
+        self.assertEqual(0, self.lost(sent_at=15.1))
+        self.assertEqual(0, self.lost(reached_router=False))
+
+    def test_a_request_that_nobody_read_in_time_is_no_loss(self):
+        self.assertEqual(0, self.lost(deadline=15.0))
+
+    def test_a_finished_run_without_an_answer_by_the_deadline_is_seen(self):
+        self.assertEqual(1, self.lost(9.1, deadline=15.0))
+
+    def test_work_that_outlasts_a_stop_may_be_broken_off(self):
+        self.assertEqual(0, self.lost(12.0, work_seconds=4.0))
+        self.assertEqual(0, self.lost(12.0, work_seconds=4.0, status=502))
+
+    def test_work_that_is_broken_off_early_in_a_stop_is_seen(self):
+        early = {"ended_at": 14.9, "work_seconds": 4.0}
+        self.assertEqual(1, self.lost(12.0, **early))
+        self.assertEqual(1, self.lost(12.0, status=502, **early))
+
+    def test_work_sent_late_in_a_stop_is_not_broken_off(self):
+        self.assertEqual(
+            1, self.lost(13.3, sent_at=13.1, work_seconds=4.0, status=502)
+        )
+
+    def test_a_request_is_judged_by_the_stop_that_its_work_outlasts(self):
+        self.checker.stops += [("r2", 6.2), ("r2", 10.0)]
+        self.checker.record_execution("a", {"id": "a", "at": 12.0})
+        self.record_answer(
+            sent_at=10.2, ended_at=15.2, status=502, work_seconds=4.0
+        )
+        self.assertEqual([], self.checker.finish())
+
+    def test_a_request_that_a_reload_closes_is_seen(self):
+        self.checker.reloads.append(("r2", 1.05))
+        self.record_answer(status=0, ended_at=1.5)
+        self.assertEqual(1, len(self.checker.finish()))
+
     def test_old_contracts_are_seen(self):
         self.checker.contract_changes[8] = 1.0
         self.record_answer(
