--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -149,6 +149,16 @@
         await running.stop(2.0)
         self.assertTrue((await reader.read()).endswith(b"two\r\n0\r\n\r\n"))
 
+    async def test_a_stall_over_the_end_of_a_stop_cuts_no_due_response(self):
+        running = await self.start(server.Server)
+        running.cancel_on_disconnect = True
+        reader = await self.send(running)
+        await asyncio.sleep(RESPONSE_SECONDS / 4)
+        loop = asyncio.get_running_loop()
+        loop.call_later(RESPONSE_SECONDS / 4, stall_loop, 2 * RESPONSE_SECONDS)
+        await running.stop(RESPONSE_SECONDS)
+        self.assertTrue((await reader.read()).endswith(b"done"))
+
     async def test_grace_bounds_a_stop(self):
         running = await self.start(server.Server)
         await self.send(running)
