Write the responses that became due while a stopping server stood still

Its router logged nothing from +3.83 s to +5.86 s; then 411 answered, 410 with 4004 and 303 (handling a request) within 0.6 ms: the deadline for answers and the one for writing them had both passed in the stall, and the cut came before the response was written. Before a cut, the loop now runs for 0.05 s.

--- a/oleanderhoist/http/server.py
+++ b/oleanderhoist/http/server.py
@@ -26,6 +26,8 @@
 LISTEN_BACKLOG = 1024  # Connections that wait to be accepted.
 WRITE_TIMEOUT_SECONDS = 10.0
 ARRIVAL_SECONDS = 0.05  # Lets the last accepted connections register.
+# Lets a stop write the responses that became due while the loop stood still.
+DUE_SECONDS = 0.05
 
 Handler = Callable[[messages.Request], Awaitable[messages.Response]]
 
@@ -141,6 +143,8 @@
             await asyncio.wait(tasks, timeout=remaining)
             for task in tasks:
                 task.cancel()
+        if self.connections:
+            await asyncio.sleep(DUE_SECONDS)
         for connection in list(self.connections):
             connection.cut()
 
