--- a/tests/test_resign.py
+++ b/tests/test_resign.py
@@ -50,6 +50,37 @@
 
         self.assertEqual(1, virtual.run(stop(), self.world.loop))
 
+    async def stop_candidate(self) -> tuple[str, list[str]]:
+        """Stops the first router that stands for election, while it does.
+
+        Returns:
+            The stopped router, and the leaders some seconds later.
+        """
+        stopped = []
+
+        def stop_while_elected(address: str) -> None:
+            follower = self.world.followers[address]
+            acquire = follower.acquire_leadership
+
+            async def stop_first(*args: object) -> None:
+                if not stopped:
+                    stopped.append(address)
+                    await follower.stop()
+                await acquire(*args)
+
+            follower.acquire_leadership = stop_first
+
+        for address in self.world.addresses:
+            self.world.start(address)
+            stop_while_elected(address)
+        await asyncio.sleep(5)
+        return stopped[0], self.leaders()
+
+    def test_a_router_that_stops_while_elected_does_not_lead(self):
+        stopped, leaders = virtual.run(self.stop_candidate(), self.world.loop)
+        self.assertEqual(1, len(leaders))
+        self.assertNotIn(stopped, leaders)
+
 
 class AwaitTest(unittest.TestCase):
     """How long a stopping router awaits answers."""
