Split a caller's connection off the HTTP server

A connection reached back into the server for its settings, which the frontend changes while it runs.

Change: serverconnection.ServerConnection serves one connection and knows only the Settings that all connections share; server.Server accepts and stops. The body's error stands with the request that raises it (messages.BodyError). Events 303 and 304 name the new module as their source. No behaviour is changed.

--- a/oleanderhoist/entry/calls.py
+++ b/oleanderhoist/entry/calls.py
@@ -7,7 +7,6 @@
 from oleanderhoist import contract
 from oleanderhoist import outcomes
 from oleanderhoist.http import messages
-from oleanderhoist.http import server
 
 # A larger body is streamed to the server instead of being buffered.
 MAX_BUFFERED_BYTES = 65_536
@@ -85,7 +84,7 @@
             raise BodyTooLargeError
         if self.request.length == 0:
             async for _ in self.request.body:
-                raise server.BodyError("a body without a length")
+                raise messages.BodyError("a body without a length")
             return
         chunks = []
         size = 0
@@ -110,7 +109,7 @@
                 if size > self.work.max_body_bytes:
                     raise BodyTooLargeError
                 yield chunk
-        except (server.BodyError, BodyTooLargeError) as error:
+        except (messages.BodyError, BodyTooLargeError) as error:
             self.body_error = error
             raise ConnectionAbortedError(
                 "reading the request body failed"
--- a/oleanderhoist/entry/frontend.py
+++ b/oleanderhoist/entry/frontend.py
@@ -21,7 +21,6 @@
 from oleanderhoist.entry import ratelimiter
 from oleanderhoist.entry import sending
 from oleanderhoist.http import messages
-from oleanderhoist.http import server
 
 MAX_IN_FLIGHT_REQUESTS = 2_000
 
@@ -180,7 +179,7 @@
             return stopped_body_outcome(call)
         except calls.BodyTooLargeError:
             return outcomes.NotRun(code=codes.BODY_TOO_LARGE)
-        except server.BodyError as error:
+        except messages.BodyError as error:
             return outcomes.NotRun(
                 code=codes.BODY_NOT_RECEIVED, detail=str(error)
             )
--- a/oleanderhoist/events.py
+++ b/oleanderhoist/events.py
@@ -358,12 +358,12 @@
     "stop.request_cut",
     "A stop ran out of time and closed a connection whose request had no "
     "whole response: what the connection was doing.",
-    "oleanderhoist.http.server",
+    "oleanderhoist.http.serverconnection",
 )
 HANDLER_FAILED = define(
     304,
     "request.handler_failed",
     "A program failed while it handled a request; the caller was told that "
     "the outcome is unknown.",
-    "oleanderhoist.http.server",
+    "oleanderhoist.http.serverconnection",
 )
--- a/oleanderhoist/http/messages.py
+++ b/oleanderhoist/http/messages.py
@@ -25,6 +25,10 @@
 Headers = list[tuple[bytes, bytes]]
 
 
+class BodyError(Exception):
+    """A request's body ended early, stalled or was malformed."""
+
+
 @dataclasses.dataclass(kw_only=True)
 class Request:
     """A request whose body is a stream.
@@ -33,7 +37,8 @@
         method: Upper-case method.
         target: Origin-form target, path and query.
         headers: Lower-case names and values, in order.
-        body: Chunks of the body; ends when the body is complete.
+        body: Chunks of the body; ends when the body is complete, or raises a
+            BodyError.
         length: Declared length in bytes, or None when chunked.
     """
 
--- a/oleanderhoist/http/server.py
+++ b/oleanderhoist/http/server.py
@@ -1,53 +1,17 @@
-"""HTTP/1.1 server, based on h11 and asyncio streams."""
+"""HTTP/1.1 server: the listener and its stop."""
 
 import asyncio
-from collections.abc import AsyncIterator
-from collections.abc import Awaitable
-from collections.abc import Callable
-import contextlib
-import enum
-import re
-import socket
-import struct
 
-import h11
-
-from oleanderhoist import codes
 from oleanderhoist import events
 from oleanderhoist import log
-from oleanderhoist.http import exchanges
-from oleanderhoist.http import messages
+from oleanderhoist.http import serverconnection
 from oleanderhoist.http import streams
 
-READ_BYTES = 65_536
-DEFAULT_HEAD_BYTES = 16_384
-HEAD_SECONDS = 5.0
-BODY_STALL_SECONDS = 10.0
-IDLE_SECONDS = 60.0
 LISTEN_BACKLOG = 1024  # Connections that wait to be accepted.
-WRITE_TIMEOUT_SECONDS = 10.0
 ARRIVAL_SECONDS = 0.05  # Lets the last accepted connections register.
 # After a stall, lets responses be written that became due within it.
 LAST_TURN_SECONDS = 0.05
 
-Handler = Callable[[messages.Request], Awaitable[messages.Response]]
-
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER of zero seconds.
-_BARE_LF = re.compile(rb"(?<!\r)\n")
-
-
-class BodyError(Exception):
-    """The caller's body ended early, stalled or was malformed."""
-
-
-class Phase(enum.StrEnum):
-    """What a connection is doing."""
-
-    IDLE = "idle"
-    HEAD = "reading a head"
-    HANDLING = "handling a request"
-    WRITING = "writing a response"
-
 
 class Server:
     """Serves one listening socket.
@@ -61,32 +25,29 @@
             closed the connection.
 
     Attributes:
-        head_bytes: Largest incomplete request head on a new connection, in
-            bytes; `check_head` applies DEFAULT_HEAD_BYTES as well.
-        idle_seconds: Longest idle time between requests, in seconds.
-        close_after_response: Whether each response closes its connection.
+        settings: Settings of all connections; they may change at any time.
         connections: Open connections.
     """
 
     def __init__(
         self,
         *,
-        handler: Handler,
+        handler: serverconnection.Handler,
         host: str,
         port: int,
-        head_seconds: float = HEAD_SECONDS,
+        head_seconds: float = serverconnection.HEAD_SECONDS,
         cancel_on_disconnect: bool = False,
     ):
-        self.handler = handler
         self.host = host
         self.port = port
-        self.head_seconds = head_seconds
-        self.head_bytes = DEFAULT_HEAD_BYTES
-        self.idle_seconds = IDLE_SECONDS
-        self.cancel_on_disconnect = cancel_on_disconnect
-        self.close_after_response = False
+        self.settings = serverconnection.Settings(
+            handler=handler,
+            port=port,
+            head_seconds=head_seconds,
+            cancel_on_disconnect=cancel_on_disconnect,
+        )
         self.listener: asyncio.Server | None = None
-        self.connections: set[Connection] = set()
+        self.connections: set[serverconnection.ServerConnection] = set()
 
     async def start(self) -> None:
         """Binds the socket and sets `port` to the actual port."""
@@ -98,17 +59,20 @@
             backlog=LISTEN_BACKLOG,
         )
         self.port = self.listener.sockets[0].getsockname()[1]
+        self.settings.port = self.port
 
     async def accept(
         self, reader: streams.Reader, writer: asyncio.StreamWriter
     ) -> None:
         """Serves one connection until it closes."""
-        connection = Connection(server=self, reader=reader, writer=writer)
+        connection = serverconnection.ServerConnection(
+            settings=self.settings, reader=reader, writer=writer
+        )
         self.connections.add(connection)
         try:
             await connection.serve()
         except (TimeoutError, OSError):
-            reset(writer)
+            serverconnection.reset(writer)
         finally:
             await connection.close()
             self.connections.discard(connection)
@@ -148,332 +112,3 @@
             await asyncio.sleep(min(grace, LAST_TURN_SECONDS))
         for connection in list(self.connections):
             connection.cut()
-
-
-class Connection:
-    """One caller's connection."""
-
-    def __init__(
-        self,
-        *,
-        server: Server,
-        reader: streams.Reader,
-        writer: asyncio.StreamWriter,
-    ):
-        self.server = server
-        self.reader = reader
-        self.writer = writer
-        self.protocol = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=server.head_bytes
-        )
-        self.phase = Phase.IDLE
-        self.target = ""
-        self.body_left = 0  # Bytes of a body with a length, at most.
-        self.finishing = False
-        self.closed = asyncio.Event()
-
-    @property
-    def unanswered(self) -> bool:
-        """Whether a request has arrived, at least in part, unanswered."""
-        return self.phase is not Phase.IDLE or self.reader.unread > 0
-
-    async def serve(self) -> None:
-        """Serves requests sequentially until the connection ends."""
-        try:
-            while await self.exchange():
-                self.protocol.start_next_cycle()
-        except h11.LocalProtocolError:
-            pass
-
-    async def close(self) -> None:
-        """Closes the connection once the bytes that were written are sent."""
-        self.writer.close()
-        try:
-            async with asyncio.timeout(WRITE_TIMEOUT_SECONDS):
-                await self.writer.wait_closed()
-        except OSError:
-            self.writer.transport.abort()
-        finally:
-            self.closed.set()
-
-    def finish(self) -> None:
-        """Closes the connection after the running exchange, or now if idle."""
-        self.finishing = True
-        if not self.unanswered:
-            self.writer.close()
-
-    def cut(self) -> None:
-        """Closes the connection whatever it is doing; logs a lost request."""
-        unsent_bytes = self.writer.transport.get_write_buffer_size()
-        if self.unanswered or unsent_bytes:
-            log.write_limited(
-                events.REQUEST_CUT,
-                port=self.server.port,
-                path=self.target.partition("?")[0],
-                phase=self.phase.value,
-                unread_bytes=self.reader.unread,
-                unsent_bytes=unsent_bytes,
-            )
-        if unsent_bytes or self.phase is Phase.WRITING:
-            reset(self.writer)
-        else:
-            self.writer.transport.abort()
-
-    async def exchange(self) -> bool:
-        """Serves one request.
-
-        Returns:
-            Whether the connection can serve another.
-        """
-        request = await self.read_head()
-        if request is None:
-            return False
-        self.phase = Phase.HANDLING
-        self.target = request.target
-        response = await self.handle(request)
-        if response is None:
-            return False
-        self.phase = Phase.WRITING
-        close = (
-            response.close or self.finishing or self.server.close_after_response
-        )
-        if self.protocol.their_state is not h11.DONE:
-            close = True
-        await self.write(response, request.method, close)
-        self.phase = Phase.IDLE
-        if self.finishing or close:
-            return False
-        return self.protocol.our_state is h11.DONE
-
-    async def handle(
-        self, request: messages.Request
-    ) -> messages.Response | None:
-        """Returns the response; None when the caller disconnected.
-
-        Raises:
-            ConnectionError: The handler gives up the connection.
-        """
-        try:
-            return await self.run_handler(request)
-        except ConnectionError:
-            raise
-        except Exception as error:
-            log.write_limited(
-                events.HANDLER_FAILED,
-                port=self.server.port,
-                path=request.path,
-                reason=f"{type(error).__name__}: {error}",
-            )
-            return messages.problem(codes.HANDLER_FAILED, close=True)
-
-    async def run_handler(
-        self, request: messages.Request
-    ) -> messages.Response | None:
-        """Runs the handler; returns None when the caller disconnected."""
-        if not self.server.cancel_on_disconnect:
-            return await self.server.handler(request)
-        task = asyncio.ensure_future(self.server.handler(request))
-        self.reader.on_disconnect = task.cancel
-        if self.reader.disconnected:
-            task.cancel()
-        try:
-            return await task
-        except asyncio.CancelledError:
-            if not self.reader.disconnected:
-                raise
-            return None
-        finally:
-            self.reader.on_disconnect = None
-            task.cancel()
-
-    async def read_head(self) -> messages.Request | None:
-        """Returns the next request, or None when the connection ends."""
-        timeout = self.server.idle_seconds
-        received = bytearray(self.protocol.trailing_data[0])
-        while True:
-            error_code = check_head(received)
-            if error_code is not None:
-                await self.send_error(error_code)
-                return None
-            try:
-                head = bytes(received).partition(b"\r\n\r\n")[0]
-                exchanges.check_blanks(head)
-                event = self.protocol.next_event()
-            except h11.RemoteProtocolError as error:
-                too_large = error.error_status_hint == 431
-                code = codes.HEAD_TOO_LARGE if too_large else codes.MALFORMED
-                await self.send_error(code)
-                return None
-            if event is h11.NEED_DATA:
-                if received:
-                    timeout = self.server.head_seconds
-                data = await self.receive(timeout, bool(received))
-                if data is None:
-                    return None
-                received.extend(data)
-                if data:
-                    self.phase = Phase.HEAD
-                self.protocol.receive_data(data)
-                continue
-            if isinstance(event, h11.Request):
-                return self.to_request(event)
-            return None
-
-    async def receive(self, timeout: float, started: bool) -> bytes | None:
-        """Reads bytes, or answers 408 when a started head stalls."""
-        try:
-            return await self.read(timeout, exchanges.FRAMING_READ_BYTES)
-        except TimeoutError:
-            if started:
-                await self.send_error(codes.HEAD_TIMEOUT)
-            return None
-
-    async def read(self, timeout: float, max_bytes: int) -> bytes:
-        """Reads bytes; those that arrived in time count after a stall, too.
-
-        Raises:
-            TimeoutError: None arrived in time.
-        """
-        try:
-            async with asyncio.timeout(timeout):
-                return await self.reader.read(max_bytes)
-        except TimeoutError:
-            if not self.reader.unread:
-                raise
-            return await self.reader.read(max_bytes)
-
-    def to_request(self, event: h11.Request) -> messages.Request:
-        """Converts an h11 request head into a request with a body stream."""
-        headers = list(event.headers)
-        length: int | None = 0
-        if messages.find(headers, b"transfer-encoding"):
-            length = None
-        elif declared := messages.find(headers, b"content-length"):
-            length = int(declared)
-        self.body_left = length or 0
-        return messages.Request(
-            method=event.method.decode("ascii"),
-            target=event.target.decode("ascii"),
-            headers=headers,
-            body=self.read_body(),
-            length=length,
-        )
-
-    async def read_body(self) -> AsyncIterator[bytes]:
-        """Yields the body's chunks.
-
-        Raises:
-            BodyError: The body ended early, stalled or was malformed.
-        """
-        if self.protocol.they_are_waiting_for_100_continue:
-            proceed = h11.InformationalResponse(status_code=100, headers=[])
-            self.writer.write(self.protocol.send(proceed))
-        while True:
-            try:
-                event = self.protocol.next_event()
-                if event is h11.NEED_DATA:
-                    exchanges.check_blanks(self.protocol.trailing_data[0])
-            except h11.RemoteProtocolError as error:
-                raise BodyError(str(error)) from error
-            if event is h11.NEED_DATA:
-                await self.receive_body()
-            elif isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return
-            else:
-                raise BodyError("the connection closed within the body")
-
-    async def receive_body(self) -> None:
-        """Passes the next bytes of a body to h11."""
-        try:
-            data = await self.read(
-                BODY_STALL_SECONDS,
-                min(
-                    READ_BYTES,
-                    max(exchanges.FRAMING_READ_BYTES, self.body_left),
-                ),
-            )
-        except TimeoutError as error:
-            raise BodyError("the body stalled") from error
-        except OSError as error:
-            raise BodyError(str(error)) from error
-        self.body_left -= len(data)
-        self.protocol.receive_data(data)
-
-    async def send_error(self, code: codes.Code) -> None:
-        """Sends an error response to an unreadable request, and closes."""
-        response = messages.problem(code, close=True)
-        with contextlib.suppress(h11.LocalProtocolError, OSError):
-            await self.write(response, "GET", True)
-
-    async def write(
-        self, response: messages.Response, method: str, close: bool
-    ) -> None:
-        """Sends a response; an error of its stream closes the connection."""
-        headers = list(response.headers)
-        if response.stream is None and not messages.find(
-            headers, b"content-length"
-        ):
-            headers.append((b"content-length", b"%d" % len(response.body)))
-        if close:
-            headers.append((b"connection", b"close"))
-        head = h11.Response(status_code=response.status, headers=headers)
-        parts = [self.protocol.send(head)]
-        if response.stream is not None:
-            self.writer.write(parts.pop())
-            async for chunk in response.stream:
-                self.writer.write(self.protocol.send(h11.Data(data=chunk)))
-                await self.drain()
-        elif response.body and method != "HEAD":
-            parts.append(self.protocol.send(h11.Data(data=response.body)))
-        parts.append(self.protocol.send(h11.EndOfMessage()))
-        self.writer.write(b"".join(parts))
-        await self.drain()
-
-    async def drain(self) -> None:
-        """Waits, with a time limit, until the socket accepts more data."""
-        if self.writer.transport.get_write_buffer_size() == 0:
-            return
-        async with asyncio.timeout(WRITE_TIMEOUT_SECONDS):
-            await self.writer.drain()
-
-
-def reset(writer: asyncio.StreamWriter) -> None:
-    """Resets a connection.
-
-    An orderly close would complete a response whose body ends with it.
-    """
-    with contextlib.suppress(OSError):
-        writer.get_extra_info("socket").setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-        )
-    writer.transport.abort()
-
-
-def check_head(data: bytes | bytearray) -> codes.Code | None:
-    """Checks a request head for framing on which parsers disagree.
-
-    Such framing allows request smuggling. An incomplete head larger than
-    DEFAULT_HEAD_BYTES is rejected too, whatever the server's own limit.
-
-    Args:
-        data: The bytes of the head received so far.
-
-    Returns:
-        The code to reject the request with, or None without a fault so far.
-    """
-    head, separator, _ = bytes(data).partition(b"\r\n\r\n")
-    if not separator and len(data) > DEFAULT_HEAD_BYTES:
-        return codes.HEAD_TOO_LARGE
-    if _BARE_LF.search(head):
-        return codes.MALFORMED
-    names = [
-        line.partition(b":")[0].strip().lower()
-        for line in head.split(b"\r\n")[1:]
-    ]
-    lengths = names.count(b"content-length")
-    codings = names.count(b"transfer-encoding")
-    if lengths > 1 or codings > 1 or (lengths and codings):
-        return codes.MALFORMED
-    return None
--- a/oleanderhoist/node/core.py
+++ b/oleanderhoist/node/core.py
@@ -220,7 +220,7 @@
         answers_due = began + drain_seconds(stop_seconds)
         slots_due = began + SLOT_FRACTION * stop_seconds
         self.stopping = True
-        self.frontend.server.close_after_response = True
+        self.frontend.server.settings.close_after_response = True
         self.forwarder.stop(slots_due=slots_due, answers_due=answers_due)
         accept_end = min(began + UNREADY_ACCEPT_SECONDS, slots_due)
         await asyncio.gather(self.resign(), asyncio.sleep(accept_end - began))
--- a/oleanderhoist/node/frontend.py
+++ b/oleanderhoist/node/frontend.py
@@ -170,7 +170,7 @@
             return outcomes.NotRun(
                 code=codes.STOPPING, retry_after=RETRY_AFTER_SECONDS
             )
-        except server.BodyError as error:
+        except messages.BodyError as error:
             return outcomes.NotRun(
                 code=codes.BODY_NOT_RECEIVED, detail=str(error)
             )
@@ -203,6 +203,6 @@
 
     def apply_limits(self, limits: contractset.MessageLimits) -> None:
         """Applies the contracts' limits to the HTTP server."""
-        self.server.head_seconds = limits.head_seconds
-        self.server.head_bytes = limits.head_bytes
-        self.server.idle_seconds = limits.idle_seconds
+        self.server.settings.head_seconds = limits.head_seconds
+        self.server.settings.head_bytes = limits.head_bytes
+        self.server.settings.idle_seconds = limits.idle_seconds
--- a/oleanderhoist/placer/api.py
+++ b/oleanderhoist/placer/api.py
@@ -12,7 +12,6 @@
 from oleanderhoist.clients import contractversions
 from oleanderhoist.clients import table
 from oleanderhoist.http import messages
-from oleanderhoist.http import server
 from oleanderhoist.placer import contractregistry
 from oleanderhoist.placer import election
 from oleanderhoist.placer import leader
@@ -93,7 +92,7 @@
                 detail=str(error),
                 retry_after=RETRY_AFTER_SECONDS,
             )
-        except server.BodyError as error:
+        except messages.BodyError as error:
             return messages.problem(
                 codes.BODY_NOT_RECEIVED, detail=str(error), close=True
             )
@@ -311,7 +310,7 @@
     async for chunk in request.body:
         body.extend(chunk)
         if len(body) > contract.MAX_SOURCE_BYTES:
-            raise server.BodyError("longer than the longest contract")
+            raise messages.BodyError("longer than the longest contract")
     return body.decode("utf-8", "replace")
 
 
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -13,7 +13,6 @@
 import click
 
 from oleanderhoist.http import messages
-from oleanderhoist.http import server
 from standins import base
 from standins import ownership
 from standins import record
@@ -139,7 +138,7 @@
         """Executes a request, or refuses it before execution."""
         try:
             body = await request.read()
-        except server.BodyError:
+        except messages.BodyError:
             return base.text_response(400)
         self.recorder.received(request.path)
         if self.faults["hang"]:
--- a/standins/base.py
+++ b/standins/base.py
@@ -6,11 +6,14 @@
 
 from oleanderhoist.http import messages
 from oleanderhoist.http import server
+from oleanderhoist.http import serverconnection
 
 STOP_GRACE_SECONDS = 0.2
 
 
-async def serve(handlers: list[server.Handler], listen: list[str]) -> None:
+async def serve(
+    handlers: list[serverconnection.Handler], listen: list[str]
+) -> None:
     """Serves one handler on each address until SIGTERM or SIGINT.
 
     Prints the bound addresses as one line of JSON once all servers listen.
--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -9,7 +9,7 @@
 from oleanderhoist import console
 from oleanderhoist import exits
 from oleanderhoist.cli import operator
-from oleanderhoist.http import server
+from oleanderhoist.http import serverconnection
 from standins import fleet
 
 POOLS = [
@@ -85,7 +85,7 @@
         started_at = asyncio.get_running_loop().time()
         await self.expect(2002, GET)
         elapsed = asyncio.get_running_loop().time() - started_at
-        self.assertGreaterEqual(elapsed, server.HEAD_SECONDS * 0.9)
+        self.assertGreaterEqual(elapsed, serverconnection.HEAD_SECONDS * 0.9)
 
     async def test_a_caller_cannot_speak_for_the_system(self):
         forged = b"Oleander-Fence: 99\r\nOleander-Partition: 0\r\n"
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -158,7 +158,7 @@
 
     async def test_a_stop_does_not_truncate_a_response_to_a_slow_caller(self):
         running = await self.start(RecordingServer)
-        running.handler = respond_at_length
+        running.settings.handler = respond_at_length
         running.listener.sockets[0].setsockopt(
             socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES
         )
@@ -180,7 +180,7 @@
 
     async def test_a_stop_does_not_cut_a_streamed_response(self):
         running = await self.start(server.Server)
-        running.handler = respond_in_chunks
+        running.settings.handler = respond_in_chunks
         reader = await self.send(running)
         await asyncio.sleep(RESPONSE_SECONDS / 2)
         await running.stop(2.0)
@@ -215,7 +215,7 @@
         return reader, writer
 
     async def test_a_stall_of_the_loop_does_not_make_a_connection_idle(self):
-        self.server.idle_seconds = IDLE_SECONDS
+        self.server.settings.idle_seconds = IDLE_SECONDS
         reader, writer = await self.connect()
         await asyncio.sleep(IDLE_SECONDS / 2)
         writer.write(REQUEST)
@@ -224,7 +224,7 @@
         self.assertTrue(head.startswith(b"HTTP/1.1 200"))
 
     async def test_a_failed_handler_does_not_close_unanswered(self):
-        self.server.handler = fail
+        self.server.settings.handler = fail
         reader, writer = await self.connect()
         writer.write(REQUEST)
         head, _, body = (await reader.read()).partition(b"\r\n\r\n")
