--- a/tests/test_resign.py
+++ b/tests/test_resign.py
@@ -3,12 +3,15 @@
 import asyncio
 import unittest
 
+from oleanderhoist import ports
 from oleanderhoist.node import core
+from oleanderhoist.node import leaderstore
 from tests import ownership_world
 from tests import virtual
 
 ROUTERS = 4
 SUCCESSION_SECONDS = 0.6
+LATE_WRITE_SEED = 2  # The late write precedes all other elections.
 
 
 class ResignTest(unittest.TestCase):
@@ -82,6 +85,109 @@
         self.assertNotIn(stopped, leaders)
 
 
+class WithdrawTest(unittest.TestCase):
+    """A router that gets its stop signal during a call of its election.
+
+    Attributes:
+        stopped: The router that was stopped; empty before.
+        elections_watched: Whether the next call stops its router.
+        records: Leadership records that were written since then.
+    """
+
+    def start_world(self, seed: int) -> None:
+        """Creates the routers, and records the leadership records."""
+        self.world = ownership_world.World(seed=seed, routers=ROUTERS)
+        self.stopped = ""
+        self.elections_watched = False
+        self.records: list[leaderstore.LeadershipRecord] = []
+        write = self.world.write
+
+        def write_recorded(
+            values: dict[str, bytes], expected: dict[str, int]
+        ) -> ports.Written | ports.Conflict:
+            result = write(values, expected)
+            is_written = isinstance(result, ports.Written)
+            if is_written and leaderstore.LEADER_KEY in values:
+                record = leaderstore.leadership_of(self.world.rows)
+                self.records.append(record)
+            return result
+
+        self.world.write = write_recorded
+
+    def stop_during(self, address: str, call: str, fault: str) -> None:
+        """Stops a router during its first watched call of the store.
+
+        Args:
+            address: Address of the router.
+            call: Name of the call.
+            fault: Fault of that call; empty for none.
+        """
+        follower = self.world.followers[address]
+        original = getattr(follower.platform, call)
+
+        async def stop_meanwhile(*args: dict) -> object:
+            if self.stopped or not self.elections_watched:
+                return await original(*args)
+            self.stopped = address
+            self.world.fault_rates = {fault: 1.0}
+            answer = asyncio.ensure_future(original(*args))
+            await follower.stop()
+            try:
+                return await answer
+            finally:
+                self.world.fault_rates = {}
+
+        setattr(follower.platform, call, stop_meanwhile)
+
+    async def replace_leader(
+        self, call: str, *, fault: str = "", crash: bool = False
+    ) -> None:
+        """Ends the leader, and stops its first successor during a call."""
+        for address in self.world.addresses:
+            self.world.start(address)
+            self.stop_during(address, call, fault)
+        await asyncio.sleep(5)
+        leader = leaderstore.leadership_of(self.world.rows).address
+        if crash:
+            self.world.kill(leader)
+        else:
+            await self.world.followers[leader].stop()
+        self.records.clear()
+        self.elections_watched = True
+        await asyncio.sleep(6)
+
+    def check_vacated(self, *, seed: int = 3, fault: str = "") -> None:
+        """Checks that a stopping router vacates the record that it wrote."""
+        self.start_world(seed)
+        scenario = self.replace_leader("write_rows", fault=fault, crash=True)
+        virtual.run(scenario, self.world.loop)
+        addresses = [record.address for record in self.records]
+        self.assertIn(self.stopped, addresses)
+        own = addresses.index(self.stopped)
+        self.assertEqual("", addresses[own + 1])
+        self.assertEqual(self.records[own].epoch, self.records[own + 1].epoch)
+        self.assertGreater(self.records[own + 1].lapse_ms, 0)
+        self.assertNotIn(self.stopped, addresses[own + 1 :])
+        self.assertNotEqual("", addresses[-1])
+
+    def test_a_record_won_by_a_stopping_router_is_vacated(self):
+        self.check_vacated()
+
+    def test_a_record_whose_write_had_no_reply_is_vacated(self):
+        self.check_vacated(fault="write_reply_lost")
+
+    def test_a_record_that_is_written_late_is_vacated(self):
+        self.check_vacated(seed=LATE_WRITE_SEED, fault="write_late")
+
+    def test_a_stopping_router_does_not_stand_for_election(self):
+        self.start_world(3)
+        scenario = self.replace_leader("read_rows")
+        virtual.run(scenario, self.world.loop)
+        addresses = [record.address for record in self.records]
+        self.assertNotIn(self.stopped, addresses)
+        self.assertNotEqual("", addresses[-1])
+
+
 class AwaitTest(unittest.TestCase):
     """How long a stopping router awaits answers."""
 
