Give up an election when the stop signal comes during it

Cause: an election is three calls of the store (read, write, read). Follower checked `stopping` before the first only. `stop()` looked at `leadership`, which is set after the last: it found nothing to resign and returned.

Why this works: `stopping` is checked after each of the calls, and nothing is awaited between the last check and `leadership` being set, from when on `stop()` resigns. A record that was or may have been written is kept as a `Candidacy` until this router leads. While it stops, the follower's loop vacates it, at once after the call and then each 0.1 s until that is settled: with the epoch, and with the expiry of the earlier leaders' grants, as a resignation records it; the candidate has granted nothing itself. This holds as well for a write whose reply was lost, for one that is applied after the signal, and for a stop that comes after an election that failed like that. A record that another router replaced is left alone, and a late write is not blocked by a write of our own, which could depose a leader that lives.

Evidence: tests.test_resign: 5 tests failed before, all 8 pass. No soak was run.

--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -11,6 +11,7 @@
 from oleanderhoist.node import coordinator
 from oleanderhoist.node import datagrams
 from oleanderhoist.node import directory
+from oleanderhoist.node import election
 from oleanderhoist.node import forwarder
 from oleanderhoist.node import leader
 from oleanderhoist.node import leaderstore
@@ -99,6 +100,9 @@
             + fraction * STORE_READ_JITTER_SECONDS,
         )
         self.ineligible_until = 0.0
+        self.election = election.Election(
+            platform=platform, clock=clock, own_address=own_member.address
+        )
         self.leadership: leader.Leader | None = None
         self.stopping = False
         self.store_reader = storereader.StoreReader(
@@ -139,6 +143,8 @@
         try:
             while True:
                 await self.step()
+                if self.stopping:
+                    await self.election.withdraw()
                 await asyncio.sleep(TICK_SECONDS)
         finally:
             report_task.cancel()
@@ -226,40 +232,27 @@
         rows: dict[str, ports.Row],
         predecessor: leaderstore.LeadershipRecord,
     ) -> None:
-        """Tries to acquire the leadership."""
-        epoch = predecessor.epoch + 1
-        record = leaderstore.LeadershipRecord(
-            epoch=epoch, address=self.own_member.address
-        )
+        """Tries to acquire the leadership, unless this router stops."""
+        if self.stopping:
+            return
         row = rows.get(leaderstore.LEADER_KEY)
+        candidacy = election.Candidacy(
+            predecessor=predecessor,
+            replaced_revision=row.revision if row else 0,
+            max_lease_seconds=self.max_lease_seconds,
+        )
         try:
-            result = await self.platform.write_rows(
-                {leaderstore.LEADER_KEY: leaderstore.encode_leadership(record)},
-                {leaderstore.LEADER_KEY: row.revision if row else 0},
-            )
-            if isinstance(result, ports.Conflict):
-                log.write(events.LEADERSHIP_FAILED, reason="conflict")
+            if not await self.election.stand(candidacy) or self.stopping:
                 return
             sent_at = self.clock.boottime()
             rows = await self.platform.read_rows()
         except ports.StoreError as error:
             log.write(events.LEADERSHIP_FAILED, reason=str(error))
             return
-        if leaderstore.leadership_of(rows).epoch != epoch:
-            return
-        leader_lease = leaderlease.LeaderLease(
-            epoch=epoch,
-            confirmed_at=sent_at,
-            began_at=self.clock.boottime(),
-            max_lease_seconds=self.max_lease_seconds,
-        )
-        if predecessor.lapse_ms:
-            now = self.clock.boottime()
-            wait_seconds = self.platform.store_clock.seconds_until(
-                predecessor.lapse_ms, now
-            )
-            leader_lease.recorded_grants_expire_at = now + wait_seconds
-        await self.lead(rows, leader_lease)
+        is_won = leaderstore.leadership_of(rows).epoch == candidacy.epoch
+        if is_won and not self.stopping:
+            leader_lease = self.election.leader_lease(candidacy, sent_at)
+            await self.lead(rows, leader_lease)
 
     async def lead(
         self, rows: dict[str, ports.Row], leader_lease: leaderlease.LeaderLease
@@ -271,6 +264,7 @@
             members=len(self.state.snapshot.members),
         )
         self.epoch = leader_lease.epoch
+        self.election.candidacy = None
         self.leader_resigned = False
         self.leadership = leader.Leader(
             platform=self.platform,
