Show that a stall replaces an answer that has arrived (KNOWN-RED)

Evidence: tests.test_stalls plays a server that answers just before the loop stands still over the deadline of a stop; it fails in four of four cases (blocked loop and frozen process, with and without a possible hedge). Cause: the timer of the deadline runs in the turn in which the bytes are read, or, after a freeze, before they are polled; the task that would read them runs in a later turn and finds itself cancelled.

--- /dev/null
+++ b/tests/test_stalls.py
@@ -0,0 +1,134 @@
+"""What an event loop makes of bytes that arrive while it stands still.
+
+After a stall, timers and sockets become due in the same turn of the loop. After
+a freeze of the process, timers come first: an interrupted poll reports nothing.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import dataclasses
+import selectors
+import time
+import unittest
+
+from oleanderhoist import clock
+from oleanderhoist import outcomes
+from oleanderhoist.http import client
+from oleanderhoist.http import streams
+from tests import scripted
+from tests import test_forwarder
+
+TIMEOUT_SECONDS = 0.1
+STALL_SECONDS = 0.2  # Outlasts the timeout.
+LIMIT_SECONDS = 5.0
+CLOSE_SECONDS = 0.01
+
+
+class FreezingSelector(selectors.DefaultSelector):
+    """A selector that sleeps on request and then reports nothing, once.
+
+    Attributes:
+        freeze_seconds: How long the next poll sleeps.
+    """
+
+    freeze_seconds = 0.0
+
+    def select(self, timeout: float | None = None) -> list:
+        """Polls the sockets, or sleeps."""
+        if not self.freeze_seconds:
+            return super().select(timeout)
+        time.sleep(self.freeze_seconds)
+        self.freeze_seconds = 0.0
+        return []
+
+
+class StallTestCase(unittest.TestCase):
+    """A test with a server that answers just before a stall or a freeze."""
+
+    def setUp(self):
+        self.selector = FreezingSelector()
+        self.loop = asyncio.SelectorEventLoop(self.selector)
+        self.addCleanup(self.close_loop)
+        self.peer = scripted.Peer(self.answer_and_pause)
+
+    def close_loop(self) -> None:
+        """Closes the connections, ends the tasks and closes the loop."""
+        streams.close_opened()
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.loop.run_until_complete(asyncio.sleep(CLOSE_SECONDS))
+        self.loop.close()
+
+    async def answer_and_pause(
+        self, peer: scripted.Peer, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answers; then nothing runs until the timeout has passed."""
+        writer.write(scripted.answer("r"))
+        self.pause()
+
+    def stall(self) -> None:
+        """Blocks the event loop."""
+        time.sleep(STALL_SECONDS)
+
+    def freeze(self) -> None:
+        """Freezes the process while it polls."""
+        self.selector.freeze_seconds = STALL_SECONDS
+
+    def check_pauses(self, play: Callable[[], Coroutine]) -> None:
+        """Plays something with a stall and with a freeze."""
+        for pause in (self.stall, self.freeze):
+            self.pause = pause
+            self.loop.run_until_complete(self.play_in_time(play))
+
+    async def play_in_time(self, play: Callable[[], Coroutine]) -> None:
+        """Plays something with a fresh connection to the server."""
+        await self.peer.start(self)
+        async with asyncio.timeout(LIMIT_SECONDS):
+            await play()
+
+
+class ServerClients:
+    """Clients of one server, whatever its address."""
+
+    def __init__(self, address: str):
+        self.client = client.Client(address=client.Address.parse(address))
+
+    def get(self, address: str) -> client.Client:
+        """Returns the client of the server."""
+        return self.client
+
+
+class StopTest(StallTestCase):
+    """Answers that arrive before a stop gives up on them."""
+
+    async def serve(self, attempts: int) -> outcomes.Outcome:
+        """Returns the outcome of a request that is served in a stop."""
+        request_forwarder = test_forwarder.make_forwarder(
+            None,
+            test_forwarder.SingleSlotClient(),
+            ServerClients(self.peer.address),
+        )
+        request_forwarder.clock = clock.Clock()
+        now = self.loop.time()
+        request_forwarder.stop(
+            slots_due=now + TIMEOUT_SECONDS, answers_due=now + TIMEOUT_SECONDS
+        )
+        request = test_forwarder.job(arrived=now, objective=LIMIT_SECONDS)
+        request.work = dataclasses.replace(request.work, attempts=attempts)
+        request.deadline = now + LIMIT_SECONDS
+        return await request_forwarder.serve(request)
+
+    async def check_answer(self, attempts: int) -> None:
+        """Checks that the answer is delivered."""
+        outcome = await self.serve(attempts)
+        self.assertIsInstance(outcome, outcomes.Complete, self.pause.__name__)
+        self.assertEqual(b"done", outcome.response.body)
+
+    def test_an_answer_that_arrived_in_time_is_not_replaced(self):
+        self.check_pauses(lambda: self.check_answer(attempts=1))
+        self.check_pauses(lambda: self.check_answer(attempts=2))  # Hedgeable.
+
+
+if __name__ == "__main__":
+    unittest.main()
