Show the same fault in the client's own timeouts (KNOWN-RED)

A stall over the timeout of an exchange discards an answer that has arrived; one over the time for connecting discards a connection that the peer has accepted. Both tests fail, each with a blocked loop and so before the frozen process is tried.

--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -130,5 +130,34 @@
         self.check_pauses(lambda: self.check_answer(attempts=2))  # Hedgeable.
 
 
+class ClientTest(StallTestCase):
+    """Answers that arrive before a request of a client times out."""
+
+    async def request(self) -> None:
+        """Checks that a request gets its answer."""
+        server_client = client.Client(
+            address=client.Address.parse(self.peer.address)
+        )
+        response = await server_client.request(
+            "GET", "/", timeout=TIMEOUT_SECONDS
+        )
+        self.assertEqual(b"done", response.body)
+
+    def test_an_answer_that_arrived_in_time_is_not_a_timeout(self):
+        self.check_pauses(self.request)
+
+    async def open_and_pause(self, pause: Callable[[], None]) -> None:
+        """Checks that a connection opens though nothing runs for a while."""
+        server_client = client.Client(
+            address=client.Address.parse(self.peer.address),
+            connect_seconds=TIMEOUT_SECONDS,
+        )
+        self.loop.call_soon(pause)
+        await server_client.prepare(LIMIT_SECONDS, reuse_only=False)
+
+    def test_a_connection_that_was_accepted_in_time_is_used(self):
+        self.check_pauses(lambda: self.open_and_pause(self.pause))
+
+
 if __name__ == "__main__":
     unittest.main()
