Read what has arrived before the client's timeout ends an exchange

What callers saw: an unknown outcome ("no answer in time") though the answer lay in the socket's buffer or in the reader; the same for the store's answers (table, leases, contracts) in all three programs. Change: the exchange runs under deadline.CatchUpTimeout. Its end is taken from the event loop's clock alone; there were two clocks for one time. Evidence: ClientTest.test_an_answer_that_arrived_in_time_is_not_a_timeout failed before (blocked loop), passes now with a blocked loop and a frozen process.

--- a/oleanderhoist/http/client.py
+++ b/oleanderhoist/http/client.py
@@ -8,6 +8,7 @@
 
 import h11
 
+from oleanderhoist import deadline
 from oleanderhoist.http import exchanges
 from oleanderhoist.http import messages
 from oleanderhoist.http import streams
@@ -99,7 +100,8 @@
         Raises:
             ExchangeError: No complete response was received.
         """
-        deadline = time.monotonic() + timeout
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout
         connection = self.take_idle(idle_seconds)
         if connection is None and reuse_only:
             raise exchanges.ExchangeError(
@@ -118,9 +120,7 @@
             accept=accept,
         )
         try:
-            async with asyncio.timeout_at(
-                asyncio.get_running_loop().time() + deadline - time.monotonic()
-            ):
+            async with deadline.CatchUpTimeout(end):
                 return await running.run(
                     method, target, headers or [], body, stream
                 )
