Use a connection that was accepted before a stall of the event loop

What callers saw: "cannot connect in time" for servers, the store and peers that had accepted; the attempt counted as not sent and the server as suspect. Change: connecting runs under deadline.CatchUpTimeout as well. What becomes ready after the end of the whole exchange isn't used for it: the error says that nothing was sent, and the connection stays for the next request. Evidence: ClientTest.test_a_connection_that_was_accepted_in_time_is_used failed before, passes now; test_nothing_is_sent_once_the_time_for_an_answer_is_over fails (trial) without the check of the end.

--- a/oleanderhoist/http/client.py
+++ b/oleanderhoist/http/client.py
@@ -112,6 +112,11 @@
             connection = None
         if connection is None:
             connection = await self.open(timeout)
+        if loop.time() >= end:
+            self.add_idle(connection)
+            raise exchanges.ExchangeError(
+                "no time left to send", maybe_sent=False, timed_out=True
+            )
         running = exchanges.Exchange(
             connection=connection,
             host=host or str(self.address).encode(),
@@ -179,7 +184,10 @@
             ExchangeError: The peer cannot be reached.
         """
         try:
-            async with asyncio.timeout(min(timeout, self.connect_seconds)):
+            async with deadline.CatchUpTimeout(
+                asyncio.get_running_loop().time()
+                + min(timeout, self.connect_seconds)
+            ):
                 reader, writer = await streams.connect(
                     self.address.host, self.address.port
                 )
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -15,6 +15,7 @@
 from oleanderhoist import clock
 from oleanderhoist import outcomes
 from oleanderhoist.http import client
+from oleanderhoist.http import exchanges
 from oleanderhoist.http import streams
 from tests import scripted
 from tests import test_forwarder
@@ -158,6 +159,21 @@
     def test_a_connection_that_was_accepted_in_time_is_used(self):
         self.check_pauses(lambda: self.open_and_pause(self.pause))
 
+    async def send_late(self) -> None:
+        """Checks that nothing is sent after a pause beyond the timeout."""
+        server_client = client.Client(
+            address=client.Address.parse(self.peer.address)
+        )
+        self.loop.call_soon(self.pause)
+        with self.assertRaises(exchanges.ExchangeError) as caught:
+            await server_client.request("GET", "/", timeout=TIMEOUT_SECONDS)
+        self.assertFalse(caught.exception.maybe_sent)
+        await asyncio.sleep(CLOSE_SECONDS)
+        self.assertEqual(0, self.peer.requests)
+
+    def test_nothing_is_sent_once_the_time_for_an_answer_is_over(self):
+        self.check_pauses(self.send_late)
+
 
 if __name__ == "__main__":
     unittest.main()
