--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -13,12 +13,16 @@
 import unittest
 
 from oleanderhoist import clock
+from oleanderhoist import deadline
 from oleanderhoist import outcomes
 from oleanderhoist.http import client
 from oleanderhoist.http import exchanges
+from oleanderhoist.http import messages
 from oleanderhoist.http import streams
+from oleanderhoist.node import slotclient
 from tests import scripted
 from tests import test_forwarder
+from tests import virtual
 
 TIMEOUT_SECONDS = 0.1
 STALL_SECONDS = 0.2  # Outlasts the timeout.
@@ -131,6 +135,77 @@
         self.check_pauses(lambda: self.check_answer(attempts=2))  # Hedgeable.
 
 
+class RecordingSlotClient(test_forwarder.SingleSlotClient):
+    """Grants one slot.
+
+    Attributes:
+        answered: Whether the server had answered when the slot was released.
+    """
+
+    answered = False
+
+    def release(self, grant: slotclient.SlotGrant, **kwargs: object) -> None:
+        """Records whether the server has answered."""
+        self.answered = kwargs["seconds"] is not None
+
+
+class LateServer(test_forwarder.FailingServer):
+    """A client of a server that answers some turns after a deadline.
+
+    Args:
+        due: Time of the deadline, in seconds on the event loop's clock.
+        turns: Number of turns of the event loop.
+    """
+
+    def __init__(self, *, due: float, turns: int):
+        self.due = due
+        self.turns = turns
+
+    async def request(
+        self, *args: object, **kwargs: object
+    ) -> messages.Response:
+        """Returns a success."""
+        await asyncio.sleep(self.due - asyncio.get_running_loop().time())
+        for _ in range(self.turns):
+            await asyncio.sleep(0)
+        return test_forwarder.SUCCESS
+
+
+class TieTest(unittest.TestCase):
+    """Answers that come just as a stop gives up on them."""
+
+    def serve(self, *, attempts: int, turns: int) -> tuple[bool, bool]:
+        """Returns whether the server answered and whether the caller knows.
+
+        Args:
+            attempts: Number of attempts that the request may have.
+            turns: Turns of the event loop from the deadline to the answer.
+        """
+        loop = virtual.Loop()
+        slots = RecordingSlotClient()
+        due = loop.now + TIMEOUT_SECONDS
+        request_forwarder = test_forwarder.make_forwarder(
+            loop, slots, LateServer(due=due, turns=turns)
+        )
+        request_forwarder.stop(slots_due=due, answers_due=due)
+        request = test_forwarder.job(arrived=loop.now, objective=LIMIT_SECONDS)
+        request.work = dataclasses.replace(request.work, attempts=attempts)
+        request.deadline = loop.now + LIMIT_SECONDS
+        outcome = virtual.run(request_forwarder.serve(request), loop)
+        return slots.answered, isinstance(outcome, outcomes.Complete)
+
+    def test_what_is_logged_as_answered_is_delivered(self):
+        for attempts in (1, 2):
+            results = [
+                self.serve(attempts=attempts, turns=turns)
+                for turns in range(2 * deadline.CATCH_UP_TURNS)
+            ]
+            self.assertIn((True, True), results)
+            self.assertIn((False, False), results)
+            self.assertNotIn((True, False), results)
+            self.assertNotIn((False, True), results)
+
+
 class ClientTest(StallTestCase):
     """Answers that arrive before a request of a client times out."""
 
