Deliver an answer of an attempt although the stop ends its request

What callers saw: 502 (4004), while 411 of the same request says answered. Cause: a hedgeable request awaits its attempts as tasks of their own. Its deadline may cancel it between the end of an attempt and the turn in which it learns of it. Change: a job keeps its completed outcome, as the entry's call does, and the outcome of a stopped request is that one if there is one.

--- a/oleanderhoist/node/jobs.py
+++ b/oleanderhoist/node/jobs.py
@@ -4,6 +4,7 @@
 import random
 
 from oleanderhoist import codes
+from oleanderhoist import outcomes
 from oleanderhoist import ports
 from oleanderhoist.http import messages
 from oleanderhoist.policy import contractset
@@ -32,6 +33,7 @@
         tried_servers: Ids of the servers that an exchange was started with.
         possible_runs: Number of exchanges, running or ended, in which a server
             may have run it.
+        completed: Its outcome once a server has answered; None before.
         failure_response: The latest response in which a server reported a
             failure; None without one.
     """
@@ -48,6 +50,7 @@
     unsent_attempts: int = 0
     tried_servers: set[str] = dataclasses.field(default_factory=set)
     possible_runs: int = 0
+    completed: outcomes.Complete | None = None
     failure_response: messages.Response | None = None
 
     @property
--- a/oleanderhoist/node/results.py
+++ b/oleanderhoist/node/results.py
@@ -71,6 +71,8 @@
     job: jobs.Job,
 ) -> outcomes.Complete | outcomes.NotRun | outcomes.Unknown:
     """Returns the outcome of a request that a stop leaves no time for."""
+    if job.completed is not None:
+        return job.completed
     if job.failure_response is not None:
         return outcomes.Complete(response=job.failure_response, server="")
     if job.maybe_run:
@@ -141,7 +143,8 @@
 ) -> outcomes.Outcome | jobs.FailedAttempt:
     """Classifies a complete response of a given kind."""
     if kind is ports.AnswerKind.ANSWERED:
-        return outcomes.Complete(response=response, server=server.id)
+        job.completed = outcomes.Complete(response=response, server=server.id)
+        return job.completed
     detail = f"server {server.id}: {kind.value} {response.status}"
     if kind in (ports.AnswerKind.REFUSED, ports.AnswerKind.NOT_OWNER):
         job.possible_runs -= 1
