Show two losses of the HTTP server after a pause (KNOWN-RED)

After a freeze, a kept connection is closed as idle though a request had arrived: the poll reported nothing, so the reader had no unread bytes. At the end of a stop, a second stall over the last 0.05 s cuts a response that tasks still pass on.

--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -18,6 +18,7 @@
 from oleanderhoist.http import client
 from oleanderhoist.http import exchanges
 from oleanderhoist.http import messages
+from oleanderhoist.http import server
 from oleanderhoist.http import streams
 from oleanderhoist.node import slotclient
 from tests import scripted
@@ -28,6 +29,14 @@
 STALL_SECONDS = 0.2  # Outlasts the timeout.
 LIMIT_SECONDS = 5.0
 CLOSE_SECONDS = 0.01
+REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+async def respond(request: messages.Request) -> messages.Response:
+    """Responds once the body is read, so that the connection is kept."""
+    async for _ in request.body:
+        pass
+    return messages.Response(body=b"done")
 
 
 class FreezingSelector(selectors.DefaultSelector):
@@ -250,5 +259,61 @@
         self.check_pauses(self.send_late)
 
 
+class ServerTest(StallTestCase):
+    """Requests and responses of callers around a pause."""
+
+    async def serve(self, handler: server.Handler) -> server.Server:
+        """Starts a server."""
+        running = server.Server(
+            handler=handler, host="127.0.0.1", port=0, cancel_on_disconnect=True
+        )
+        await running.start()
+        return running
+
+    async def send(
+        self, running: server.Server
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Sends a request to a server."""
+        reader, writer = await streams.connect("127.0.0.1", running.port)
+        writer.write(REQUEST)
+        return reader, writer
+
+    async def reuse(self) -> None:
+        """Checks that a kept connection serves what arrived before a pause."""
+        running = await self.serve(respond)
+        running.idle_seconds = TIMEOUT_SECONDS
+        reader, writer = await self.send(running)
+        await reader.readuntil(b"done")
+        writer.write(REQUEST)
+        self.pause()
+        await reader.readuntil(b"done")
+        await running.stop(0.0)
+
+    def test_a_request_that_arrived_in_time_is_served(self):
+        self.check_pauses(self.reuse)
+
+    async def stop_in_two_stalls(self) -> None:
+        """Checks that a response is written though a stop stalls twice."""
+
+        async def respond_after_stalls(
+            request: messages.Request,
+        ) -> messages.Response:
+            await asyncio.sleep(TIMEOUT_SECONDS)
+            for turn in range(2 * deadline.CATCH_UP_TURNS):
+                await asyncio.sleep(0)
+                if turn == deadline.CATCH_UP_TURNS:
+                    self.stall()
+            return messages.Response(body=b"done")
+
+        running = await self.serve(respond_after_stalls)
+        reader, _ = await self.send(running)
+        self.loop.call_later(TIMEOUT_SECONDS / 2, self.stall)
+        await running.stop(1.5 * TIMEOUT_SECONDS)
+        self.assertTrue((await reader.read()).endswith(b"done"))
+
+    def test_a_second_stall_does_not_cut_a_response_that_is_under_way(self):
+        self.loop.run_until_complete(self.play_in_time(self.stop_in_two_stalls))
+
+
 if __name__ == "__main__":
     unittest.main()
