Serve a request that arrived before the process was frozen

What callers saw: a kept connection reset although a request had been sent well within its idle time; the same for the rest of a head (408) and of a body. Cause: an interrupted poll reports nothing, so after a freeze the idle timeout runs before the bytes are polled. Looking at the reader's unread bytes covered a blocked loop only. Change: bytes are awaited under deadline.CatchUpTimeout, which covers both.

--- a/oleanderhoist/http/server.py
+++ b/oleanderhoist/http/server.py
@@ -13,6 +13,7 @@
 import h11
 
 from oleanderhoist import codes
+from oleanderhoist import deadline
 from oleanderhoist import events
 from oleanderhoist import log
 from oleanderhoist.http import exchanges
@@ -334,12 +335,8 @@
         Raises:
             TimeoutError: None arrived in time.
         """
-        try:
-            async with asyncio.timeout(timeout):
-                return await self.reader.read(max_bytes)
-        except TimeoutError:
-            if not self.reader.unread:
-                raise
+        end = asyncio.get_running_loop().time() + timeout
+        async with deadline.CatchUpTimeout(end):
             return await self.reader.read(max_bytes)
 
     def to_request(self, event: h11.Request) -> messages.Request:
