Write a response that is under way though a stop stalls twice

What callers saw: a connection closed with no answer at the end of a stop. Cause: the last turn of a stop was a time alone (0.05 s, or none if the stop's time is over already), and a second stall used it up while tasks still passed on the response. Evidence: ServerTest.test_a_second_stall_does_not_cut_a_response_that_is_under_way failed before, passes now. Turns wait for no event, so the stop's end is as bounded as before.

--- a/oleanderhoist/http/server.py
+++ b/oleanderhoist/http/server.py
@@ -28,8 +28,10 @@
 LISTEN_BACKLOG = 1024  # Connections that wait to be accepted.
 WRITE_TIMEOUT_SECONDS = 10.0
 ARRIVAL_SECONDS = 0.05  # Lets the last accepted connections register.
-# After a stall, lets responses be written that became due within it.
+# After a stall, lets responses be written that became due within it; the turns
+# of the event loop allow for another stall meanwhile.
 LAST_TURN_SECONDS = 0.05
+LAST_TURNS = 2 * deadline.CATCH_UP_TURNS
 
 Handler = Callable[[messages.Request], Awaitable[messages.Response]]
 
@@ -147,6 +149,8 @@
                 task.cancel()
         if self.connections:
             await asyncio.sleep(min(grace, LAST_TURN_SECONDS))
+            for _ in range(LAST_TURNS):
+                await asyncio.sleep(0)
         for connection in list(self.connections):
             connection.cut()
 
