Show the same fault in entry and placer (KNOWN-RED)

The entry gives 4004 in place of an answer that came before a stall over the end of its stop; the placer 5003 for a change that the table confirmed within a stall.

--- a/tests/entry_stops.py
+++ b/tests/entry_stops.py
@@ -77,6 +77,11 @@
 )
 
 
+def stall_loop(seconds: float) -> None:
+    """Blocks the event loop."""
+    time.sleep(seconds)
+
+
 class MemoryTable:
     """A table in memory, whose replies can be held.
 
@@ -136,9 +141,13 @@
         """Reads until the peer closes."""
         while data := await reader.read(65_536):
             self.heads.append(data)
-            writer.write(self.answer)
+            await self.answer_after_read(writer)
         writer.close()
 
+    async def answer_after_read(self, writer) -> None:
+        """Sends the answer."""
+        writer.write(self.answer)
+
 
 class RunningEntryTest(unittest.IsolatedAsyncioTestCase):
     """A test with an entry, one slot of one server, and a table in memory."""
@@ -291,6 +300,19 @@
         (result,) = await self.stop_during(self.send("/lookup"))
         self.assertIsInstance(result, exchanges.ExchangeError)
 
+    async def test_an_answer_before_a_stall_is_delivered(self):
+        self.server.answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+        serve = self.server.answer_after_read
+
+        async def answer_and_stall(writer) -> None:
+            await asyncio.sleep(SETTLE_SECONDS + 0.7 * STOP_SECONDS)
+            await serve(writer)
+            stall_loop(STOP_SECONDS)  # Until after the stop's end.
+
+        self.server.answer_after_read = answer_and_stall
+        (result,) = await self.stop_during(self.send("/order"))
+        self.assert_code(codes.OK, result)
+
 
 class ClaimsTest(RunningEntryTest):
     """What a stop says and leaves behind under an Idempotency-Key."""
--- a/tests/placer_stops.py
+++ b/tests/placer_stops.py
@@ -274,7 +274,14 @@
         self.assertEqual(int(written), statuses.count(200), statuses)
         self.assertEqual(503, statuses[-1])
 
-    async def test_a_change_that_is_confirmed_in_time_is_accepted(self):
+    async def check_accepted(self, confirm_after: float, stall: float) -> None:
+        """Checks that a change is accepted whose head is written in a stop.
+
+        Args:
+            confirm_after: Time until the table confirms it, in seconds.
+            stall: How long the event loop is blocked shortly before, in
+                seconds.
+        """
         confirm = asyncio.Event()
 
         async def reply(key: str) -> None:
@@ -283,12 +290,19 @@
 
         self.table.reply = reply
         loop = asyncio.get_running_loop()
-        loop.call_later(1.0, confirm.set)
+        loop.call_later(confirm_after - SETTLE_SECONDS, time.sleep, stall)
+        loop.call_later(confirm_after, confirm.set)
         (result,) = await self.stop_during(self.apply())
         self.assertIsInstance(result, messages.Response, str(result))
         self.assertEqual(200, result.status, result.body)
         self.assertEqual(1, json.loads(result.body)["version"])
 
+    async def test_a_change_that_is_confirmed_in_time_is_accepted(self):
+        await self.check_accepted(1.0, stall=0.0)
+
+    async def test_a_change_that_is_confirmed_within_a_stall_is_accepted(self):
+        await self.check_accepted(core.ANSWER_SECONDS, stall=1.0)
+
 
 class StopTimeTest(RunningPlacerTest):
     """A stop ends in time, whatever the table does."""
