Report a change that was confirmed within a stall over the end of a stop

What operators saw: 5003 (unknown) for a change that the table had confirmed in time; reads ended as 5009 although the table had answered. Change: the deadline for answers lets the event loop catch up. That for changes ends them at once, as before: their head isn't being written, so nothing has changed. Evidence: placer_stops, test_a_change_that_is_confirmed_within_a_stall_is_accepted failed before, passes now with the other nine.

--- a/oleanderhoist/placer/contractregistry.py
+++ b/oleanderhoist/placer/contractregistry.py
@@ -73,7 +73,7 @@
         default_factory=deadline.SharedDeadline
     )
     answers: deadline.SharedDeadline = dataclasses.field(
-        default_factory=deadline.SharedDeadline
+        default_factory=lambda: deadline.SharedDeadline(catch_up=True)
     )
 
 
