--- a/oleanderhoist/http/client.py
+++ b/oleanderhoist/http/client.py
@@ -8,6 +8,7 @@
 
 import h11
 
+from oleanderhoist import deadline
 from oleanderhoist.http import exchanges
 from oleanderhoist.http import messages
 from oleanderhoist.http import streams
@@ -99,7 +100,8 @@
         Raises:
             ExchangeError: No complete response was received.
         """
-        deadline = time.monotonic() + timeout
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout
         connection = self.take_idle(idle_seconds)
         if connection is None and reuse_only:
             raise exchanges.ExchangeError(
@@ -110,6 +112,11 @@
             connection = None
         if connection is None:
             connection = await self.open(timeout)
+        if loop.time() >= end:
+            self.add_idle(connection)
+            raise exchanges.ExchangeError(
+                "no time left to send", maybe_sent=False, timed_out=True
+            )
         running = exchanges.Exchange(
             connection=connection,
             host=host or str(self.address).encode(),
@@ -118,9 +125,7 @@
             accept=accept,
         )
         try:
-            async with asyncio.timeout_at(
-                asyncio.get_running_loop().time() + deadline - time.monotonic()
-            ):
+            async with deadline.CatchUpTimeout(end):
                 return await running.run(
                     method, target, headers or [], body, stream
                 )
@@ -179,7 +184,10 @@
             ExchangeError: The peer cannot be reached.
         """
         try:
-            async with asyncio.timeout(min(timeout, self.connect_seconds)):
+            async with deadline.CatchUpTimeout(
+                asyncio.get_running_loop().time()
+                + min(timeout, self.connect_seconds)
+            ):
                 reader, writer = await streams.connect(
                     self.address.host, self.address.port
                 )
--- a/oleanderhoist/http/server.py
+++ b/oleanderhoist/http/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from oleanderhoist import deadline
 from oleanderhoist import events
 from oleanderhoist import log
 from oleanderhoist.http import serverconnection
@@ -9,8 +10,10 @@
 
 LISTEN_BACKLOG = 1024  # Connections that wait to be accepted.
 ARRIVAL_SECONDS = 0.05  # Lets the last accepted connections register.
-# After a stall, lets responses be written that became due within it.
+# After a stall, lets responses be written that became due within it; the turns
+# of the event loop allow for another stall meanwhile.
 LAST_TURN_SECONDS = 0.05
+LAST_TURNS = 2 * deadline.CATCH_UP_TURNS
 
 
 class Server:
@@ -110,5 +113,7 @@
                 task.cancel()
         if self.connections:
             await asyncio.sleep(min(grace, LAST_TURN_SECONDS))
+            for _ in range(LAST_TURNS):
+                await asyncio.sleep(0)
         for connection in list(self.connections):
             connection.cut()
