--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -78,6 +78,33 @@
         for whole in (framed, chunked, heads, closing, line_feeds):
             await self.cut_everywhere(whole, len(whole))
 
+    async def test_a_cut_answer_of_an_older_server_is_no_answer(self):
+        for framing in (
+            b"Content-Length: 4\r\n\r\nbody",
+            b"Content-Length: 4\r\nContent-Length: 4\r\n\r\nbody",
+            b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        ):
+            whole = OK_HEAD.replace(b"1.1", b"1.0", 1) + framing
+            await self.cut_everywhere(whole, len(whole))
+
+    async def test_an_answer_with_two_lengths_is_passed_on(self):
+        chunks = b"\r\n4\r\nbody\r\n0\r\n\r\n"
+        chunked = b"Transfer-Encoding: chunked\r\n"
+        for rest in (
+            b"Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody!",
+            b"Content-Length: 4, 5\r\n\r\nbody!",
+            b"Content-Length: +4\r\n\r\nbody",
+            b"Transfer-Encoding: gzip, chunked\r\n" + chunks,
+            b"Transfer-Encoding: gzip\r\n\r\nbody",
+            chunked + chunked + chunks,
+            b"Content-Length: 9\r\n" + chunked + chunks,
+            chunked + b"Content-Length: 4\r\n" + chunks,
+        ):
+            script = scripted.write_and_end(OK_HEAD + rest, reset=False)
+            peer = scripted.Peer(script)
+            await peer.start(self)
+            self.assertIsNone(await get(peer), rest)
+
     async def test_a_cut_head_of_an_answer_without_a_body_is_no_answer(self):
         whole = OK_HEAD + b"Content-Length: 5\r\n\r\n"
         await self.cut_everywhere(whole, len(whole), "HEAD")
@@ -270,6 +297,27 @@
         )
         self.assertIsInstance(await self.forward("r"), outcomes.NotRun)
 
+    async def test_an_answer_glued_to_a_cut_refusal_is_no_promise(self):
+        stray = scripted.refusal("earlier")
+        for end in range(1, len(stray)):
+            outcome = await self.outcome_after(
+                stray[:end] + scripted.answer("r")
+            )
+            if isinstance(outcome, outcomes.Complete):
+                self.assertEqual(200, outcome.response.status, stray[:end])
+            else:
+                self.assertIsInstance(outcome, outcomes.Unknown, stray[:end])
+
+    async def test_a_promise_is_made_for_a_server_that_made_none(self):
+        for status in (408, 429, 503):
+            data = b"HTTP/1.1 %d X\r\n%bContent-Length: 0\r\n\r\n" % (
+                status,
+                SIGNED,
+            )
+            await self.router(scripted.write_and_end(data, reset=False))
+            outcome = await self.forward("r")
+            self.assertIsInstance(outcome, outcomes.Unknown, status)
+
     async def test_an_answer_glued_to_a_cut_head_is_no_promise(self):
         whole = scripted.answer("r")
         for end in range(1, len(whole) - len(b"done")):
--- a/tests/test_garbage.py
+++ b/tests/test_garbage.py
@@ -231,11 +231,23 @@
         await response.stream.aclose()
         self.assertGreater(size, MAX_SENT_BYTES)
 
-    async def test_garbage_leaves_a_server_of_a_router_unjudged(self):
-        address = str((await self.connect(Garbage(b"", LINE))).address)
+    async def start_attempt(
+        self, garbage: Garbage, seconds: float
+    ) -> asyncio.Task:
+        """Starts an attempt of a router at a server that sends garbage.
+
+        Args:
+            garbage: The server.
+            seconds: Time until the deadline of the request, in seconds.
+
+        Returns:
+            The attempt; `released` then says how it used its slot, and `job`
+            is the request.
+        """
+        address = str((await self.connect(garbage)).address)
         grants = test_forwarder.SingleSlotClient()
-        released = []
-        grants.release = lambda grant, **kwargs: released.append(kwargs)
+        self.released = []
+        grants.release = lambda grant, **kwargs: self.released.append(kwargs)
         server = cluster.Server(
             id="s", pool="pool", address=address, data_center="a", slots=1
         )
@@ -249,12 +261,30 @@
             budget=budgets.Budgets(ratio=1.0, extra=9, state=router_state),
             data_center="a",
         )
-        job = test_forwarder.job(arrived=time.monotonic(), objective=1.0)
+        self.job = test_forwarder.job(arrived=time.monotonic(), objective=1.0)
+        self.job.deadline = self.job.arrived + seconds
         verdict = await grants.acquire("pool", types.SimpleNamespace(id=1))
-        result = await router.send(job, server, verdict)
+        return asyncio.create_task(router.send(self.job, server, verdict))
+
+    async def test_garbage_leaves_a_server_of_a_router_unjudged(self):
+        result = await (await self.start_attempt(Garbage(b"", LINE), 4.0))
         self.assertEqual(codes.BAD_ANSWER, result.code)
-        self.assertTrue(job.maybe_run)
-        self.assertEqual([{"seconds": None, "failed": True}], released)
+        self.assertTrue(self.job.maybe_run)
+        self.assertEqual([{"seconds": None, "failed": True}], self.released)
+
+    async def test_a_server_is_unjudged_if_its_caller_leaves_at_the_deadline(
+        self,
+    ):
+        for leaves_after, failed in ((0.3, True), (0.1, False)):
+            garbage = Garbage(OK + b"A: ", b"b", TRICKLE_SECONDS)
+            attempt = await self.start_attempt(garbage, 0.3)
+            await asyncio.sleep(leaves_after)
+            attempt.cancel()
+            await asyncio.wait([attempt])
+            await asyncio.wait_for(garbage.closed.wait(), ATTEMPT_SECONDS)
+            self.assertEqual(
+                [{"seconds": None, "failed": failed}], self.released
+            )
 
     async def test_a_trickled_head_outlasts_the_deadline(self):
         server = Garbage(OK + b"A: ", b"b", TRICKLE_SECONDS)
--- a/tests/test_lanes.py
+++ b/tests/test_lanes.py
@@ -185,6 +185,14 @@
         blocked = sum(s.blocked_until > 10.0 for s in queue.servers.values())
         self.assertEqual(1, blocked)
 
+    def test_an_attempt_that_its_caller_gave_up_redeems_a_failing_server(self):
+        known = slot_queue(server("s")).servers["s"]
+        known.failure_rate = 0.9
+        known.record_attempt(0.1, None, False)
+        self.assertEqual(0.9, known.failure_rate)
+        known.record_attempt(0.1, 0.1, False)
+        self.assertLess(known.failure_rate, 0.9)
+
     def test_a_cancelled_ticket_frees_its_slot(self):
         queue = slot_queue(server("s"))
         queue.submit(slot_request(1), 10.0)
