Reject an answer's head that runs into the next head

Callers saw 'not run, try again' for a request that its server had run, or the server's answer under the status of an earlier one.

Cause: a server cuts an earlier refusal within its head and goes on with the answer. Up to the cut, the status or Not-Executed is the refusal's; the rest of the line swallows the answer's status line, and what follows names the request. The request's id was found, so the head was believed.

A cut head always leaves the whole next status line in its reason or in a header's value, so a status line there means two heads. Such an answer is none; the outcome stays unknown. Both routers' and entries' attempts, and calls to the store, pass through this check.

--- a/oleanderhoist/http/exchanges.py
+++ b/oleanderhoist/http/exchanges.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import dataclasses
+import re
 
 import h11
 
@@ -31,6 +32,8 @@
 
 BODILESS_STATUSES = (204, 304)
 
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+
 ResponseFilter = Callable[[messages.Headers], messages.Match]
 
 
@@ -342,6 +345,8 @@
             await asyncio.sleep(0)
         if event is h11.PAUSED:
             raise h11.RemoteProtocolError("the protocol was switched")
+        if isinstance(event, h11.Response | h11.InformationalResponse):
+            check_single_head(event)
         if isinstance(event, h11.InformationalResponse):
             self.informational_responses += 1
         if self.informational_responses > MAX_INFORMATIONAL_RESPONSES:
@@ -371,6 +376,17 @@
         raise h11.RemoteProtocolError("too many blanks in a line")
 
 
+def check_single_head(head: h11.Response | h11.InformationalResponse) -> None:
+    """Checks that a head is not a truncated one that runs into the next.
+
+    Raises:
+        h11.RemoteProtocolError: It has a second status line.
+    """
+    texts = [head.reason, *(value for _, value in head.headers)]
+    if any(_STATUS_LINE.search(text) for text in texts):
+        raise h11.RemoteProtocolError("two heads in one")
+
+
 def check_length(response: messages.Response) -> None:
     """Checks the announced length of a body that is not streamed.
 
