Promise 'not run' only where the server did

Callers saw 408, 429 or 503 of a server, which promise that a request never runs, for a request that may have run.

Cause: only Not-Executed and 421 say that a server didn't run a request, but an answer with such a status and without the header was passed on as the server's own: 408 and 429 as any answer below 500, 503 as a reported failure. A garbled refusal, or an old one without its header, is enough.

Evidence: test_a_promise_is_made_for_a_server_that_made_none, red before for all three statuses.

Such an answer now leaves the outcome unknown, like a success without its signature: work that may not run twice ends with 502, other work is retried.

--- a/oleanderhoist/node/results.py
+++ b/oleanderhoist/node/results.py
@@ -151,7 +151,7 @@
             detail=detail,
             await_snapshot=kind is ports.AnswerKind.NOT_OWNER,
         )
-    if kind is ports.AnswerKind.UNSIGNED:
+    if kind in (ports.AnswerKind.UNSIGNED, ports.AnswerKind.UNFOUNDED):
         return jobs.FailedAttempt(
             failure=retry.Failure.OUTCOME_UNKNOWN,
             code=codes.BAD_ANSWER,
--- a/oleanderhoist/platform/protocol.py
+++ b/oleanderhoist/platform/protocol.py
@@ -16,6 +16,8 @@
     codes.OVER_LIMIT: 429,
     codes.OUTSIDE_CONTRACT: 404,
 }
+# To callers, these statuses promise that the request never runs.
+NOT_RUN_STATUSES = (408, 429, 503)
 
 
 def parse_request(request: messages.Request) -> ports.RequestHead:
@@ -61,6 +63,8 @@
         return ports.AnswerKind.NOT_OWNER
     if messages.find(response.headers, headers.NOT_EXECUTED) is not None:
         return ports.AnswerKind.REFUSED
+    if response.status in NOT_RUN_STATUSES:
+        return ports.AnswerKind.UNFOUNDED
     if response.status < 300:
         signed = messages.find(response.headers, headers.SIGNATURE)
         return (
--- a/oleanderhoist/ports.py
+++ b/oleanderhoist/ports.py
@@ -148,6 +148,7 @@
     REFUSED = "refused"
     NOT_OWNER = "not-mine"
     UNSIGNED = "unsigned"  # A success without the server's signature.
+    UNFOUNDED = "unfounded"  # A status for "not run" without its header.
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
