Reject an answer with both a length and chunks

Callers saw a connection that closed without an answer, though their server had run the request and answered.

Cause: the HTTP client reads such a body by its chunks. The header with the length goes to the caller as the server sent it; where the two differ, our own server can't send the answer and closes. The attempt counts as answered, so the server is never judged.

Evidence: test_an_answer_with_two_lengths_is_passed_on, red before for both orders of the headers (two lengths that differ, other codings and repeated codings were refused already). Our HTTP server, given a body of 4 bytes and a length of 9, wrote no byte and closed.

An answer with both is none: the outcome is unknown (502) and counts against the server.

--- a/oleanderhoist/http/exchanges.py
+++ b/oleanderhoist/http/exchanges.py
@@ -175,6 +175,7 @@
         response = messages.Response(
             status=head.status_code, headers=list(head.headers)
         )
+        check_framing(response)
         if not stream and method != "HEAD":
             check_length(response)
         if not messages.find(response.headers, b"transfer-encoding"):
@@ -387,6 +388,19 @@
         raise h11.RemoteProtocolError("two heads in one")
 
 
+def check_framing(response: messages.Response) -> None:
+    """Checks that a response does not have both a length and chunks.
+
+    Its body has the size of the chunks, which may differ from the length.
+
+    Raises:
+        h11.RemoteProtocolError: It has both.
+    """
+    names = {name for name, _ in response.headers}
+    if {b"content-length", b"transfer-encoding"} <= names:
+        raise h11.RemoteProtocolError("an answer with a length and chunks")
+
+
 def check_length(response: messages.Response) -> None:
     """Checks the announced length of a body that is not streamed.
 
