End a stream when its caller has closed

Callers saw nothing, having left; but an entry went on reading a body without end, and its server went on sending, until the server closed.

Cause: the HTTP server writes a stream chunk by chunk. On a closed connection, asyncio drops what is written and keeps no bytes, and drain() took an empty write buffer for a caller that reads fast. The stream itself was dropped, not closed, when a write did fail, so that its connection to the server stayed open until the garbage was collected.

Evidence: test_a_stream_goes_on_after_its_caller_has_closed: the server saw no close within 1.5 s; with the first half of the fix alone, neither.

drain() now raises on a closed connection, the stream is closed on every way out, and closing it aborts the connection to the server.

--- a/oleanderhoist/http/exchanges.py
+++ b/oleanderhoist/http/exchanges.py
@@ -1,6 +1,7 @@
 """One HTTP/1.1 exchange on a connection, based on h11."""
 
 import asyncio
+from collections.abc import AsyncGenerator
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import dataclasses
@@ -355,7 +356,7 @@
 
     async def stream_body(
         self, response: messages.Response, start: bytes
-    ) -> AsyncIterator[bytes]:
+    ) -> AsyncGenerator[bytes, None]:
         """Yields the part already read, then the remaining chunks."""
         try:
             yield start
@@ -364,6 +365,9 @@
         except (OSError, h11.ProtocolError) as error:
             self.abort()
             raise ConnectionAbortedError("the answer was cut short") from error
+        except BaseException:
+            self.abort()
+            raise
         self.finish(response)
 
 
--- a/oleanderhoist/http/messages.py
+++ b/oleanderhoist/http/messages.py
@@ -1,5 +1,6 @@
 """HTTP requests and responses as data classes."""
 
+from collections.abc import AsyncGenerator
 from collections.abc import AsyncIterator
 import dataclasses
 import enum
@@ -72,7 +73,7 @@
     status: int = 200
     headers: Headers = dataclasses.field(default_factory=list)
     body: bytes = b""
-    stream: AsyncIterator[bytes] | None = None
+    stream: AsyncGenerator[bytes, None] | None = None
     close: bool = False
 
 
--- a/oleanderhoist/http/server.py
+++ b/oleanderhoist/http/server.py
@@ -422,9 +422,10 @@
         parts = [self.protocol.send(head)]
         if response.stream is not None:
             self.writer.write(parts.pop())
-            async for chunk in response.stream:
-                self.writer.write(self.protocol.send(h11.Data(data=chunk)))
-                await self.drain()
+            async with contextlib.aclosing(response.stream) as chunks:
+                async for chunk in chunks:
+                    self.writer.write(self.protocol.send(h11.Data(data=chunk)))
+                    await self.drain()
         elif response.body and method != "HEAD":
             parts.append(self.protocol.send(h11.Data(data=response.body)))
         parts.append(self.protocol.send(h11.EndOfMessage()))
@@ -432,7 +433,13 @@
         await self.drain()
 
     async def drain(self) -> None:
-        """Waits, with a time limit, until the socket accepts more data."""
+        """Waits, with a time limit, until the socket accepts more data.
+
+        Raises:
+            ConnectionResetError: The connection is closed.
+        """
+        if self.writer.transport.is_closing():
+            raise ConnectionResetError("the caller has closed")
         if self.writer.transport.get_write_buffer_size() == 0:
             return
         async with asyncio.timeout(WRITE_TIMEOUT_SECONDS):
