End a stream at the deadline of its request

Callers saw an answer that began and then stood still, or never ended.

Cause: an exchange's timeout covers the head and the first 256 kB. Once the rest had become a stream, nothing bounded the waits for its chunks, though deadline_ms is the time for the whole request.

Evidence: test_a_stream_outlasts_its_deadline, red before for a server that falls silent and for one that sends without end.

Each chunk is now awaited until the time at which the whole exchange is due. The caller's connection is then reset, so that the answer can't look complete.

--- a/oleanderhoist/http/client.py
+++ b/oleanderhoist/http/client.py
@@ -80,7 +80,8 @@
         Args:
             method: HTTP method.
             target: Origin-form target.
-            timeout: Time allowed for the whole exchange, in seconds.
+            timeout: Time allowed for the whole exchange, a stream included, in
+                seconds.
             headers: Additional headers.
             body: The body, whole or as chunks.
             stream: Whether a large response may be returned as a stream.
@@ -110,17 +111,17 @@
             connection = None
         if connection is None:
             connection = await self.open(timeout)
+        due = asyncio.get_running_loop().time() + deadline - time.monotonic()
         running = exchanges.Exchange(
             connection=connection,
             host=host or str(self.address).encode(),
             memory=self.memory,
             release=self.put_idle,
+            due=due,
             accept=accept,
         )
         try:
-            async with asyncio.timeout_at(
-                asyncio.get_running_loop().time() + deadline - time.monotonic()
-            ):
+            async with asyncio.timeout_at(due):
                 return await running.run(
                     method, target, headers or [], body, stream
                 )
--- a/oleanderhoist/http/exchanges.py
+++ b/oleanderhoist/http/exchanges.py
@@ -115,6 +115,7 @@
         host: Value of the Host header.
         memory: Counts the bodies of all exchanges.
         release: Takes the connection back after a complete exchange.
+        due: When the whole response is due, on the event loop's clock.
         accept: Returns which request a response names.
     """
 
@@ -125,6 +126,7 @@
         host: bytes,
         memory: BodyMemory,
         release: Callable[[Connection], None],
+        due: float,
         accept: ResponseFilter | None = None,
     ):
         self.connection = connection
@@ -132,6 +134,7 @@
         self.memory = memory
         self.release = release
         self.accept = accept
+        self.due = due
         self.foreign_responses = 0
         self.informational_responses = 0
         self.events = 0
@@ -304,6 +307,15 @@
             return bytes(event.data)
         return None
 
+    async def read_due_chunk(self) -> bytes | None:
+        """Returns the next chunk of a streamed body.
+
+        Raises:
+            TimeoutError: The whole body was due.
+        """
+        async with asyncio.timeout_at(self.due):
+            return await self.read_chunk()
+
     async def read_bounded_chunk(self) -> bytes | None:
         """Returns the next chunk of a body that is not streamed.
 
@@ -360,7 +372,7 @@
         """Yields the part already read, then the remaining chunks."""
         try:
             yield start
-            while (chunk := await self.read_chunk()) is not None:
+            while (chunk := await self.read_due_chunk()) is not None:
                 yield chunk
         except (OSError, h11.ProtocolError) as error:
             self.abort()
--- a/tests/test_endless_streams.py
+++ b/tests/test_endless_streams.py
@@ -66,7 +66,7 @@
 
     async def test_a_stream_outlasts_its_deadline(self):
         for piece in (b"", test_garbage.LINE):
-            peer = test_garbage.Garbage(HEAD + PART, piece, 0.001)
+            peer = test_garbage.Garbage(HEAD + PART, piece)
             response = await self.stream(peer, DEADLINE_SECONDS)
             with self.assertRaises(ConnectionAbortedError):
                 async with asyncio.timeout(END_SECONDS):
