Don't count an attempt that was given up as a success

Callers were sent to a server that fails, sooner than its failures allow.

Cause: an attempt that ends because its caller left, or because the other one of two hedged attempts was faster, is released without a service time and without a failure. The failure rate took that for a success: each one lowered it by 15%, though the server had answered nothing.

Only attempts that completed or failed now change the failure rate; the time for which a slot was held still counts for all.

--- a/oleanderhoist/policy/serverslots.py
+++ b/oleanderhoist/policy/serverslots.py
@@ -76,7 +76,10 @@
     def record_attempt(
         self, occupied: float, seconds: float | None, failed: bool
     ) -> None:
-        """Updates the statistics with a completed attempt.
+        """Updates the statistics with an attempt that has ended.
+
+        One that neither completed nor failed, as its caller left, says nothing
+        about failures.
 
         Args:
             occupied: Time that it held a slot, in seconds.
@@ -90,9 +93,10 @@
             self.service_seconds += (
                 seconds - self.service_seconds
             ) * SERVICE_SMOOTHING
-        self.failure_rate += (
-            float(failed) - self.failure_rate
-        ) * FAILURE_SMOOTHING
+        if failed or seconds is not None:
+            self.failure_rate += (
+                float(failed) - self.failure_rate
+            ) * FAILURE_SMOOTHING
 
 
 @dataclasses.dataclass(kw_only=True)
