Judge a server whose caller leaves at the deadline

Callers were sent again and again to a server that begins an answer and never ends it.

Cause: an attempt is given up, as timed out and failed, 80 ms after the request's deadline. The caller measures the same time and closes first, so that the attempt was cancelled and released without a failure. A server that held every request until its caller closed was never judged.

Evidence: test_a_server_is_unjudged_if_its_caller_leaves_at_the_deadline, red before: a head trickled until the deadline was released with failed=False.

An attempt that is cancelled when its request's time is up, or within the same 80 ms before, now counts as failed, like one that timed out. One whose caller leaves sooner still says nothing about the server.

--- a/oleanderhoist/node/forwarder.py
+++ b/oleanderhoist/node/forwarder.py
@@ -273,7 +273,9 @@
         finally:
             elapsed = time.monotonic() - started_at
             answered = isinstance(result, outcomes.Complete)
-            failed = isinstance(result, jobs.FailedAttempt)
+            failed = isinstance(result, jobs.FailedAttempt) or (
+                result is None and self.is_overdue(job)
+            )
             self.slot_client.release(
                 grant, seconds=elapsed if answered else None, failed=failed
             )
@@ -299,6 +301,14 @@
                 else "",
             )
 
+    def is_overdue(self, job: jobs.Job) -> bool:
+        """Returns whether a request's time is up, or nearly so.
+
+        Its caller measures the same time and leaves a little sooner.
+        """
+        remaining = job.deadline - self.clock.monotonic()
+        return remaining <= RESPONSE_SLACK_SECONDS
+
     async def exchange(
         self, job: jobs.Job, server: cluster.Server
     ) -> outcomes.Outcome | jobs.FailedAttempt:
