--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -10,7 +10,7 @@
 
 
 class EntryTest(unittest.TestCase):
-    """The tests in `tests.entry_tries` and `tests.entry_answers`."""
+    """The tests in the modules `tests.entry_*`."""
 
     def run_module(self, name: str, count: int) -> None:
         """Runs the tests of a module and expects that all pass."""
@@ -29,6 +29,9 @@
     def test_an_earlier_refusal_is_not_taken_for_a_later_one(self):
         self.run_module("tests.entry_answers", 3)
 
+    def test_garbage_or_an_earlier_answer_is_not_taken_for_a_leases(self):
+        self.run_module("tests.entry_leases", 2)
+
 
 if __name__ == "__main__":
     unittest.main()
