Take only an answer to a lease as its acknowledgement

Callers got refusals of a server whose lease had run out, as long as the same entry coordinated it; or a partition could count as taken over by a server that had never heard of it.

Cause: the body of a server's answer was read as JSON without a check. Garbage raised an error that ended the task of the renewals, which is never started again. And an answer with 200 acknowledged whatever had been sent last, though it names its own epoch and version: an earlier one that is written once more on the kept connection acknowledged the next.

Evidence: tests.entry_leases, both tests red before.

The body is now a validated model. Garbage counts as a missing response; an answer that names another epoch or version acknowledges nothing.

--- a/oleanderhoist/entry/renewer.py
+++ b/oleanderhoist/entry/renewer.py
@@ -4,6 +4,8 @@
 import dataclasses
 import json
 
+import pydantic
+
 from oleanderhoist import clock
 from oleanderhoist import events
 from oleanderhoist import log
@@ -35,6 +37,20 @@
 LEAVING = "leaving"
 
 
+class LeaseAnswer(pydantic.BaseModel):
+    """A server's answer to a lease or an assignment.
+
+    Attributes:
+        epoch: Epoch that it answers; None if it names none.
+        version: Version that it answers; None if it names none.
+        draining: Whether the server is leaving.
+    """
+
+    epoch: int | None = None
+    version: int | None = None
+    draining: bool = False
+
+
 @dataclasses.dataclass(kw_only=True)
 class Renewal:
     """State of the lease renewal of one server.
@@ -222,17 +238,21 @@
         response: messages.Response,
         acked: tuple[int, int],
     ) -> None:
-        """Records a server's response."""
+        """Records a server's response; garbage counts as none."""
+        try:
+            answer = LeaseAnswer.model_validate_json(response.body)
+        except pydantic.ValidationError:
+            self.record_failure(server, renewal)
+            return
         renewal.failures = 0
-        if response.status == 200:
+        if response.status == 200 and acknowledges(answer, acked):
             renewal.acked = acked
         if renewal.state in (LOST, UNKNOWN):
             renewal.up_since = self.clock.monotonic()
             log.write(
                 events.SERVER_BACK, server=server.id, before=renewal.state
             )
-        draining = json.loads(response.body).get("draining", False)
-        renewal.state = LEAVING if draining else UP
+        renewal.state = LEAVING if answer.draining else UP
 
     def reports(self) -> list[wire.ServerReport]:
         """Returns the server reports for the leader."""
@@ -261,3 +281,14 @@
                 )
             )
         return reports
+
+
+def acknowledges(answer: LeaseAnswer, sent: tuple[int, int]) -> bool:
+    """Returns whether an answer isn't one to an earlier lease.
+
+    Args:
+        answer: The answer.
+        sent: Epoch and version of the lease that was sent.
+    """
+    epoch, version = sent
+    return answer.epoch in (None, epoch) and answer.version in (None, version)
