Count a store's answer that cannot be read as lost

Callers met routers that followed no more changes of the contracts or the servers, or that ended by themselves.

Cause: readers of the store expect StoreError. An answer that was JSON of another shape, or nested deeply, raised TypeError, ValueError or RecursionError from within, and a row whose key is no text failed later, as the key of a dict. Garbage was looked for in the bytes alone.

Evidence: tests.test_store_answers, two tests red before: deep nesting, rows that are no list, a revision that is no number, a key that is a list. That an endless answer ends in time was so before (third test).

The body is now a validated model at the border, and any other body is a StoreError, after which a write counts as possibly applied. Paging goes on from the last row that can be read.

--- a/oleanderhoist/platform/store.py
+++ b/oleanderhoist/platform/store.py
@@ -5,6 +5,8 @@
 import json
 import urllib.parse
 
+import pydantic
+
 from oleanderhoist import clock
 from oleanderhoist import ports
 from oleanderhoist.http import client
@@ -19,6 +21,22 @@
 MAX_REVISION = 1 << 62
 
 
+class Payload(pydantic.BaseModel):
+    """Body of an answer; which fields it has depends on the call.
+
+    Attributes:
+        rows: Rows, which may be malformed.
+        revision: Revision of the store.
+        has_more: Whether another page follows.
+        now_ms: The store's time, in milliseconds, if it is a whole number.
+    """
+
+    rows: list[object] = []
+    revision: int = 0
+    has_more: bool = False
+    now_ms: object = None
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class TableRows:
     """Rows of a table.
@@ -91,7 +109,7 @@
         """Records the store's time if the response has it."""
         if response.status != 200:
             return
-        now_ms = decode(response).get("now_ms")
+        now_ms = decode(response).now_ms
         if isinstance(now_ms, int):
             self.store_clock.observe(now_ms, sent_at, self.clock.boottime())
 
@@ -114,12 +132,13 @@
             payload = decode(
                 await self.call("GET", request_target("rows-get", query))
             )
-            page = [to_row(item) for item in payload.get("rows", [])]
-            collected.extend(row for row in page if row is not None)
-            revision = min(revision, int(payload.get("revision", 0)))
-            if not payload.get("has_more") or not page:
+            page = [to_row(item) for item in payload.rows]
+            valid = [row for row in page if row is not None]
+            collected.extend(valid)
+            revision = min(revision, payload.revision)
+            if not payload.has_more or not valid:
                 break
-            start_key = payload["rows"][-1]["key"] + "\0"
+            start_key = valid[-1].key + "\0"
         return TableRows(rows=collected, revision=revision)
 
     async def write(
@@ -152,7 +171,7 @@
         )
         if response.status == 412:
             return ports.Conflict()
-        return ports.Written(revision=decode(response).get("revision", 0))
+        return ports.Written(revision=decode(response).revision)
 
     async def wait_for_change(
         self, table: str, after: int, seconds: float
@@ -177,8 +196,8 @@
             return ports.WatchResult(changed=True, seen_revision=after)
         payload = decode(response)
         return ports.WatchResult(
-            changed=bool(payload.get("rows")),
-            seen_revision=int(payload.get("revision", after)),
+            changed=bool(payload.rows),
+            seen_revision=max(after, payload.revision),
         )
 
 
@@ -187,28 +206,23 @@
     return f"/{call}?{urllib.parse.urlencode(query)}"
 
 
-def decode(response: messages.Response) -> dict:
+def decode(response: messages.Response) -> Payload:
     """Decodes a response's body.
 
     Raises:
-        ports.StoreError: The body is not a JSON object.
+        ports.StoreError: The body is malformed.
     """
     try:
-        value = json.loads(response.body)
-    except ValueError as error:
+        return Payload.model_validate_json(response.body)
+    except pydantic.ValidationError as error:
         raise ports.StoreError(
-            "response is not JSON", maybe_applied=True
+            "response is malformed", maybe_applied=True
         ) from error
-    if not isinstance(value, dict):
-        raise ports.StoreError(
-            "response is not a JSON object", maybe_applied=True
-        )
-    return value
 
 
 def to_row(item: object) -> ports.Row | None:
     """Converts a row; returns None if it is malformed."""
-    if not isinstance(item, dict):
+    if not isinstance(item, dict) or not isinstance(item.get("key"), str):
         return None
     try:
         return ports.Row(
--- a/tests/test_store_answers.py
+++ b/tests/test_store_answers.py
@@ -36,11 +36,13 @@
         )
         peer = scripted.Peer(scripted.write_and_end(data, reset=False))
         await peer.start(self)
-        return store.Store(
+        caller = store.Store(
             address=client.Address.parse(peer.address),
             clock=clock.Clock(),
             store_clock=storeclock.StoreClock(),
         )
+        self.addCleanup(caller.client.drop_idle)
+        return caller
 
     async def test_garbage_from_the_store_ends_the_task_that_reads_it(self):
         for body in BODIES:
