--- a/tests/entry_answers.py
+++ b/tests/entry_answers.py
@@ -98,6 +98,20 @@
         self.assertEqual(body, b"".join(received))
         self.assertFalse(sender.clients.get(peer.address).idle)
 
+    async def test_a_server_that_breaks_streams_off_is_unjudged(self):
+        data = scripted.answer(
+            "r", b"x" * 2 * exchanges.MAX_BUFFERED_BODY_BYTES
+        )
+        peer = scripted.Peer(scripted.write_and_end(data[:-1], reset=False))
+        await peer.start(self)
+        sender = self.sender()
+        outcome = await sender.send(self.call("r"), self.target(peer))
+        self.assertFalse(sender.is_suspected("s"))
+        with self.assertRaises(ConnectionAbortedError):
+            async for _ in outcome.response.stream:
+                pass
+        self.assertTrue(sender.is_suspected("s"))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -308,6 +308,18 @@
             else:
                 self.assertIsInstance(outcome, outcomes.Unknown, stray[:end])
 
+    async def test_a_foreign_first_answer_or_a_hint_is_no_promise(self):
+        hint = b"HTTP/1.1 103 X\r\nNot-Executed: 1\r\nRequest-Id: r\r\n\r\n"
+        for stray in (scripted.refusal("earlier"), hint):
+            for rest in (b"", scripted.answer("r")):
+                await self.router(
+                    scripted.write_and_end(stray + rest, reset=False)
+                )
+                outcome = await self.forward("r")
+                kind = outcomes.Complete if rest else outcomes.Unknown
+                with self.subTest(stray=stray, rest=rest):
+                    self.assertIsInstance(outcome, kind)
+
     async def test_a_promise_is_made_for_a_server_that_made_none(self):
         for status in (408, 429, 503):
             data = b"HTTP/1.1 %d X\r\n%bContent-Length: 0\r\n\r\n" % (
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -27,7 +27,7 @@
         self.run_module("tests.entry_tries", 4)
 
     def test_an_earlier_refusal_is_not_taken_for_a_later_one(self):
-        self.run_module("tests.entry_answers", 3)
+        self.run_module("tests.entry_answers", 4)
 
     def test_garbage_or_an_earlier_answer_is_not_taken_for_a_leases(self):
         self.run_module("tests.entry_leases", 2)
