Judge a server that breaks an entry's stream off

Callers were sent again at once to a server that cuts its large answers.

Cause: an answer over 256 kB counts as complete once its head and first part are there; what happened to the rest was told to nobody.

A stream that its server breaks off now excludes the server for a second, like an answer that is cut sooner.

--- a/oleanderhoist/entry/sending.py
+++ b/oleanderhoist/entry/sending.py
@@ -1,6 +1,8 @@
 """Sends one attempt of a call to a server and interprets the result."""
 
 import asyncio
+from collections.abc import AsyncGenerator
+import contextlib
 import dataclasses
 
 from oleanderhoist import clock
@@ -181,6 +183,10 @@
         if messages.find(response.headers, b"oleander-draining"):
             self.suspect(target.server.id)
         if not messages.find(response.headers, REFUSED_HEADER):
+            if response.stream is not None:
+                response.stream = self.judge_stream(
+                    target.server.id, response.stream
+                )
             return outcomes.Complete(response=response, server=target.server.id)
         if response.status == 504:
             return outcomes.NotRun(code=codes.TOO_LATE)
@@ -194,6 +200,18 @@
             ),
         )
 
+    async def judge_stream(
+        self, server: str, stream: AsyncGenerator[bytes, None]
+    ) -> AsyncGenerator[bytes, None]:
+        """Yields a stream; excludes its server if that breaks off."""
+        async with contextlib.aclosing(stream):
+            try:
+                async for chunk in stream:
+                    yield chunk
+            except ConnectionAbortedError:
+                self.suspect(server)
+                raise
+
     def record_load(self, server: str, response: messages.Response) -> None:
         """Records the load that a server reports in its response, if any."""
         reported = messages.find(response.headers, LOAD_HEADER) or ""
--- a/oleanderhoist/http/exchanges.py
+++ b/oleanderhoist/http/exchanges.py
@@ -369,11 +369,19 @@
     async def stream_body(
         self, response: messages.Response, start: bytes
     ) -> AsyncGenerator[bytes, None]:
-        """Yields the part already read, then the remaining chunks."""
+        """Yields the part already read, then the remaining chunks.
+
+        Raises:
+            ConnectionAbortedError: The server broke off.
+            TimeoutError: The body was due; the server or the receiver is slow.
+        """
         try:
             yield start
             while (chunk := await self.read_due_chunk()) is not None:
                 yield chunk
+        except TimeoutError:
+            self.abort()
+            raise
         except (OSError, h11.ProtocolError) as error:
             self.abort()
             raise ConnectionAbortedError("the answer was cut short") from error
