--- a/oleanderhoist/http/client.py
+++ b/oleanderhoist/http/client.py
@@ -81,7 +81,8 @@
         Args:
             method: HTTP method.
             target: Origin-form target.
-            timeout: Time allowed for the whole exchange, in seconds.
+            timeout: Time allowed for the whole exchange, a stream included, in
+                seconds.
             headers: Additional headers.
             body: The body, whole or as chunks.
             stream: Whether a large response may be returned as a stream.
@@ -122,6 +123,7 @@
             host=host or str(self.address).encode(),
             memory=self.memory,
             release=self.put_idle,
+            due=end,
             accept=accept,
         )
         try:
--- a/oleanderhoist/http/exchanges.py
+++ b/oleanderhoist/http/exchanges.py
@@ -1,12 +1,15 @@
 """One HTTP/1.1 exchange on a connection, based on h11."""
 
 import asyncio
+from collections.abc import AsyncGenerator
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import dataclasses
+import re
 
 import h11
 
+from oleanderhoist import deadline
 from oleanderhoist.http import messages
 from oleanderhoist.http import streams
 
@@ -31,6 +34,8 @@
 
 BODILESS_STATUSES = (204, 304)
 
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+
 ResponseFilter = Callable[[messages.Headers], messages.Match]
 
 
@@ -111,6 +116,7 @@
         host: Value of the Host header.
         memory: Counts the bodies of all exchanges.
         release: Takes the connection back after a complete exchange.
+        due: When the whole response is due, on the event loop's clock.
         accept: Returns which request a response names.
     """
 
@@ -121,6 +127,7 @@
         host: bytes,
         memory: BodyMemory,
         release: Callable[[Connection], None],
+        due: float,
         accept: ResponseFilter | None = None,
     ):
         self.connection = connection
@@ -128,6 +135,7 @@
         self.memory = memory
         self.release = release
         self.accept = accept
+        self.due = due
         self.foreign_responses = 0
         self.informational_responses = 0
         self.events = 0
@@ -172,6 +180,7 @@
         response = messages.Response(
             status=head.status_code, headers=list(head.headers)
         )
+        check_framing(response)
         if not stream and method != "HEAD":
             check_length(response)
         if not messages.find(response.headers, b"transfer-encoding"):
@@ -299,6 +308,17 @@
             return bytes(event.data)
         return None
 
+    async def read_due_chunk(self) -> bytes | None:
+        """Returns the next chunk of a streamed body.
+
+        Raises:
+            TimeoutError: The whole body was due.
+        """
+        if asyncio.get_running_loop().time() >= self.due:
+            raise TimeoutError
+        async with deadline.CatchUpTimeout(self.due):
+            return await self.read_chunk()
+
     async def read_bounded_chunk(self) -> bytes | None:
         """Returns the next chunk of a body that is not streamed.
 
@@ -342,6 +362,8 @@
             await asyncio.sleep(0)
         if event is h11.PAUSED:
             raise h11.RemoteProtocolError("the protocol was switched")
+        if isinstance(event, h11.Response | h11.InformationalResponse):
+            check_single_head(event)
         if isinstance(event, h11.InformationalResponse):
             self.informational_responses += 1
         if self.informational_responses > MAX_INFORMATIONAL_RESPONSES:
@@ -349,15 +371,26 @@
 
     async def stream_body(
         self, response: messages.Response, start: bytes
-    ) -> AsyncIterator[bytes]:
-        """Yields the part already read, then the remaining chunks."""
+    ) -> AsyncGenerator[bytes, None]:
+        """Yields the part already read, then the remaining chunks.
+
+        Raises:
+            ConnectionAbortedError: The server broke off.
+            TimeoutError: The body was due; the server or the receiver is slow.
+        """
         try:
             yield start
-            while (chunk := await self.read_chunk()) is not None:
+            while (chunk := await self.read_due_chunk()) is not None:
                 yield chunk
+        except TimeoutError:
+            self.abort()
+            raise
         except (OSError, h11.ProtocolError) as error:
             self.abort()
             raise ConnectionAbortedError("the answer was cut short") from error
+        except BaseException:
+            self.abort()
+            raise
         self.finish(response)
 
 
@@ -371,6 +404,30 @@
         raise h11.RemoteProtocolError("too many blanks in a line")
 
 
+def check_single_head(head: h11.Response | h11.InformationalResponse) -> None:
+    """Checks that a head is not a truncated one that runs into the next.
+
+    Raises:
+        h11.RemoteProtocolError: It has a second status line.
+    """
+    texts = [head.reason, *(value for _, value in head.headers)]
+    if any(_STATUS_LINE.search(text) for text in texts):
+        raise h11.RemoteProtocolError("two heads in one")
+
+
+def check_framing(response: messages.Response) -> None:
+    """Checks that a response does not have both a length and chunks.
+
+    Its body has the size of the chunks, which may differ from the length.
+
+    Raises:
+        h11.RemoteProtocolError: It has both.
+    """
+    names = {name for name, _ in response.headers}
+    if {b"content-length", b"transfer-encoding"} <= names:
+        raise h11.RemoteProtocolError("an answer with a length and chunks")
+
+
 def check_length(response: messages.Response) -> None:
     """Checks the announced length of a body that is not streamed.
 
