Hedge only after reading what has arrived

What servers saw: a second copy of a repeatable request whose answer had arrived, as many at once as waited when the stall ended; it is taken from the retry budget. Cause: the time of the hedge ran in the turn in which the bytes are polled. Change: that wait runs under deadline.CatchUpTimeout. Evidence: HedgeTest failed before (two slot requests), passes now (one).

--- a/oleanderhoist/node/forwarder.py
+++ b/oleanderhoist/node/forwarder.py
@@ -1,6 +1,7 @@
 """Forwards a request to a server, retrying and hedging where allowed."""
 
 import asyncio
+import contextlib
 import itertools
 import time
 
@@ -137,7 +138,10 @@
         attempts = {asyncio.create_task(self.attempt(job))}
         first = next(iter(attempts))
         try:
-            await asyncio.wait(attempts, timeout=self.hedge_delay(job))
+            hedge_at = asyncio.get_running_loop().time() + self.hedge_delay(job)
+            with contextlib.suppress(TimeoutError):
+                async with deadline.CatchUpTimeout(hedge_at):
+                    await asyncio.wait(attempts)
             if first.done() or not self.may_hedge(job):
                 return await first
             log.write_limited(
