--- a/tests/entry_stops.py
+++ b/tests/entry_stops.py
@@ -412,6 +412,31 @@
         releases = [type(message) for message in recording.sent[1:]]
         self.assertEqual([wire.Release, wire.Release], releases)
 
+    async def test_a_slot_that_is_granted_within_a_stall_is_used(self):
+        recording = RecordingTransport()
+        slots = self.entry.slot_client
+        slots.transport = recording
+        slots.coordinator_of = lambda server: "coordinator"
+        slot_request = slotclient.SlotRequest(
+            server="s", rank=2, worth=1.0, expected_seconds=0.1
+        )
+        end = time.monotonic() + TIMEOUT_SECONDS
+        task = asyncio.create_task(slots.acquire(slot_request, end))
+        await asyncio.sleep(0)
+        granted = wire.SlotReply(
+            request=recording.sent[0].request,
+            server="s",
+            state=slotclient.GRANTED,
+            code=0,
+            depth=0,
+        )
+        wait = slotclient.COORDINATOR_TIMEOUT_SECONDS
+        loop = asyncio.get_running_loop()
+        loop.call_later(wait / 2, stall_loop, wait)
+        loop.call_later(wait * 3 / 4, slots.receive, granted)
+        grant = await task
+        self.assertEqual("coordinator", grant.coordinator)
+
     async def test_a_cancelled_claim_is_withdrawn(self):
         self.table.open.clear()
         task = asyncio.create_task(self.entry.claims.claim("c", "k", "print"))
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -21,6 +21,7 @@
 from oleanderhoist.http import server
 from oleanderhoist.http import streams
 from oleanderhoist.node import slotclient
+from oleanderhoist.node import state
 from oleanderhoist.node import wire
 from tests import scripted
 from tests import test_forwarder
@@ -212,6 +213,26 @@
         self.assertIsInstance(datagrams.sent[-1], wire.CancelAcquire)
 
 
+class StateTest(unittest.TestCase):
+    """Snapshots that come within a stall over a wait for them."""
+
+    def test_a_snapshot_that_came_in_time_counts(self):
+        loop = virtual.Loop()
+        router_state = state.State()
+
+        def stall() -> None:
+            loop.now += STALL_SECONDS
+
+        loop.call_later(TIMEOUT_SECONDS / 2, stall)
+        loop.call_later(
+            TIMEOUT_SECONDS * 3 / 4, router_state.snapshot_changed.set
+        )
+        came = virtual.run(
+            router_state.wait_for_snapshot(TIMEOUT_SECONDS), loop
+        )
+        self.assertTrue(came)
+
+
 class RecordingSlotClient(test_forwarder.SingleSlotClient):
     """Grants one slot.
 
