--- a/oleanderhoist/node/state.py
+++ b/oleanderhoist/node/state.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from oleanderhoist import deadline
 from oleanderhoist import events
 from oleanderhoist import log
 from oleanderhoist import ports
@@ -103,7 +104,9 @@
     async def wait_for_contracts(self, revision: int, seconds: float) -> bool:
         """Waits until a revision was seen; returns whether it was."""
         try:
-            async with asyncio.timeout(seconds):
+            async with deadline.CatchUpTimeout(
+                asyncio.get_running_loop().time() + seconds
+            ):
                 while self.contracts_revision < revision:
                     await self.contracts_changed.wait()
         except TimeoutError:
@@ -124,7 +127,9 @@
         """Waits for the next snapshot; returns whether one came."""
         changed = self.snapshot_changed
         try:
-            async with asyncio.timeout(seconds):
+            async with deadline.CatchUpTimeout(
+                asyncio.get_running_loop().time() + seconds
+            ):
                 await changed.wait()
         except TimeoutError:
             return False
