Test that a program ends soon after its last line (fails)

All 20 stops had done their work, the log's last line and the atexit handlers included, 2.7 to 5.23 s after the signal. The processes ended 0.06 to 1.75 s after that, the last one 6.93 s after the signal: the users kill at 6 s.

/proc/PID/schedstat of r11 over that span: 0.12 s on the processor and 1.4 s waiting for one. The processor time is the interpreter's: with nothing but the imports of the router it was 0.11 to 0.16 s in five trials, 0.012 to 0.022 s with gc.freeze() before the end, 0.003 s with os._exit.

The test measures processor time, which a busy machine doesn't stretch much. It measured 0.115 s; the bound is 0.05 s: ten routers that stop together on one processor then end in the half second that is left of the reserved sixth.

--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -11,6 +11,9 @@
 LINES = 60_000
 PUT_SECONDS = 10.0  # For all lines, on a slow and busy machine.
 EXIT_SECONDS = 20.0
+# Processor time from the program's end to its process's end. Ten routers that
+# stop together on one processor then end within the time reserved for it.
+EXIT_PROCESSOR_SECONDS = 0.05
 
 FLOOD = """
 from oleanderhoist import events, log
@@ -26,6 +29,17 @@
 options.run(work(), "-")
 """
 
+ROUTER = """
+from oleanderhoist.cli import options
+from oleanderhoist.cli import routercommand
+import time
+
+async def work():
+    print(time.process_time(), flush=True)
+
+options.run(work(), "-")
+"""
+
 
 class PipeTest(unittest.TestCase):
     """A full pipe without a reader blocks neither requests nor the exit."""
@@ -53,6 +67,18 @@
             process.wait()
             process.stdout.close()
 
+    def test_a_program_ends_soon_after_its_last_line(self):
+        process = subprocess.Popen(
+            [sys.executable, "-c", ROUTER], stdout=subprocess.PIPE
+        )
+        self.addCleanup(process.stdout.close)
+        ended_work = float(process.stdout.readline())
+        _, status, usage = os.wait4(process.pid, 0)
+        process.returncode = os.waitstatus_to_exitcode(status)
+        self.assertEqual(0, process.returncode)
+        processor_seconds = usage.ru_utime + usage.ru_stime
+        self.assertLess(processor_seconds - ended_work, EXIT_PROCESSOR_SECONDS)
+
     def test_a_flood_of_one_event_is_thinned_and_says_so(self):
         limiter = log.RateLimiter()
         accepted = sum(limiter.try_acquire() for _ in range(LINES))
