End programs without freeing their objects one by one

Callers saw nothing; a router's process outlived its last line by 0.06 to 1.75 s on a busy machine, one till 6.93 s after SIGTERM, when the users kill at 6 s.

Cause: at its end the interpreter searches all objects for cycles to free, 0.11 to 0.16 s of processor time, for which a stopping router competes with all others that stop.

gc.freeze() moves the objects out of what is searched; exit handlers, flushes and the exit code stay as they are (os._exit would skip them).

--- a/oleanderhoist/cli/options.py
+++ b/oleanderhoist/cli/options.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 import functools
+import gc
 import signal
 import sys
 
@@ -114,6 +115,9 @@
         sys.exit(exits.ExitStatus.ERROR)
     finally:
         writer.stop()
+        # The interpreter would otherwise search all objects for cycles to free,
+        # which delays the end of the process.
+        gc.freeze()
 
 
 async def run_and_close(program: Coroutine[None, None, None]) -> None:
