--- a/tests/test_resign.py
+++ b/tests/test_resign.py
@@ -1,17 +1,23 @@
 """A leader that stops does not lead again."""
 
 import asyncio
+from collections.abc import Callable
 import unittest
 
 from oleanderhoist import ports
 from oleanderhoist.node import core
+from oleanderhoist.node import follower
 from oleanderhoist.node import leaderstore
+from oleanderhoist.node import wire
 from tests import ownership_world
 from tests import virtual
 
 ROUTERS = 4
 SUCCESSION_SECONDS = 0.6
 LATE_WRITE_SEED = 2  # The late write precedes all other elections.
+POLL_SECONDS = 0.01
+NOTICE_SECONDS = 0.1  # For a heartbeat and the report that it leads to.
+LEAVE_SEEDS = (3, 4)
 
 
 class ResignTest(unittest.TestCase):
@@ -188,6 +194,111 @@
         self.assertNotEqual("", addresses[-1])
 
 
+class LeaveTest(unittest.TestCase):
+    """A follower that has said that it leaves stays no member.
+
+    Attributes:
+        leader: The first leader.
+        leaver: The follower that stops.
+    """
+
+    async def start_world(self) -> None:
+        """Starts the routers, and picks the one that leaves."""
+        for address in self.world.addresses:
+            self.world.start(address)
+        await asyncio.sleep(5)
+        self.leader = leaderstore.leadership_of(self.world.rows).address
+        self.leaver = next(a for a in self.world.addresses if a != self.leader)
+
+    def run_scenario(self, seed: int, scenario: Callable) -> object:
+        """Runs a scenario in a new world."""
+        self.world = ownership_world.World(seed=seed, routers=ROUTERS)
+
+        async def play() -> object:
+            await self.start_world()
+            return await scenario()
+
+        return virtual.run(play(), self.world.loop)
+
+    def is_member(self) -> bool:
+        """Returns whether the leader counts on the leaver."""
+        leadership = self.world.followers[self.leader].leadership
+        return self.leaver in leadership.members
+
+    async def watch_successor(self, seconds: float) -> float:
+        """Returns for how long a successor counted on the leaver."""
+        counted = 0.0
+        for _ in range(round(seconds / POLL_SECONDS)):
+            await asyncio.sleep(POLL_SECONDS)
+            counted += POLL_SECONDS * any(
+                f.leadership is not None and self.leaver in f.leadership.members
+                for address, f in self.world.followers.items()
+                if address not in (self.leader, self.leaver)
+            )
+        return counted
+
+    def check_successions(self, first: str, second: str) -> None:
+        """Checks that no successor counts on the leaver for long."""
+        counted = {}
+        for seed in LEAVE_SEEDS:
+            for gap_seconds in (0.0, 0.3, 1.0):
+
+                async def stop_both(gap_seconds: float = gap_seconds) -> float:
+                    await self.world.followers[getattr(self, first)].stop()
+                    await asyncio.sleep(gap_seconds)
+                    await self.world.followers[getattr(self, second)].stop()
+                    return await self.watch_successor(4.0)
+
+                seconds = self.run_scenario(seed, stop_both)
+                if seconds > NOTICE_SECONDS:
+                    counted[seed, gap_seconds] = round(seconds, 2)
+        self.assertEqual({}, counted)
+
+    def test_a_follower_that_leaves_does_not_rejoin_at_the_successor(self):
+        self.check_successions("leaver", "leader")
+
+    def test_a_follower_that_leaves_after_its_leader_does_not_rejoin(self):
+        self.check_successions("leader", "leaver")
+
+    def test_a_lost_notice_of_leaving_is_given_again(self):
+        async def lose_notice() -> list[bool]:
+            self.world.fault_rates = {"datagram_lost": 1.0}
+            await self.world.followers[self.leaver].stop()
+            await asyncio.sleep(2 * ownership_world.DATAGRAM_SECONDS)
+            self.world.fault_rates = {}
+            await asyncio.sleep(
+                follower.MEMBER_REPORT_INTERVAL_SECONDS + NOTICE_SECONDS
+            )
+            counted = []
+            for _ in range(200):
+                counted.append(self.is_member())
+                await asyncio.sleep(POLL_SECONDS)
+            return counted
+
+        self.assertEqual(
+            {False}, set(self.run_scenario(LEAVE_SEEDS[0], lose_notice))
+        )
+
+    def test_a_late_notice_does_not_keep_a_new_process_out(self):
+        async def deliver_late() -> tuple[bool, bool]:
+            before = self.world.followers[self.leaver]
+            await before.stop()
+            self.world.kill(self.leaver)
+            await asyncio.sleep(NOTICE_SECONDS)
+            self.world.start(self.leaver)
+            await asyncio.sleep(1.0)
+            joined = self.is_member()
+            notice = wire.encode(before.member_report())
+            self.world.deliver(self.leaver, self.leader, notice)
+            await asyncio.sleep(
+                follower.MEMBER_REPORT_INTERVAL_SECONDS + NOTICE_SECONDS
+            )
+            return joined, self.is_member()
+
+        result = self.run_scenario(LEAVE_SEEDS[0], deliver_late)
+        self.assertEqual((True, True), result)
+
+
 class AwaitTest(unittest.TestCase):
     """How long a stopping router awaits answers."""
 
