Let a router that stops say so in each of its member reports

What callers saw: not measured at callers. A router that has said it leaves becomes a member again when the leader changes, for up to 1.6 s after that; as a member it is made coordinator of slot queues shortly before its process ends. Routers that are replaced in series change the leader in just that time.

Cause: only stop() sent a report that says `leaving`. The first heartbeat of a new leader (on_heartbeat), the record in the store (follow_recorded_leader) and a missed update each send an ordinary report without asking `stopping`; the leader adds its sender. Related: the notice is one datagram, and send_member_reports ended with the stop; a lost notice left the router a member until the leader's timeout. A leader that stops said nothing to its successor before its second heartbeat.

Why this works: member_report() itself takes `leaving` from `stopping`, so that no sender can forget it, and the interval goes on while the router stops, which repeats the notice each 0.5 s. A resigned leader answers the successor's first heartbeat with it. For the leader a repeated notice is harmless: remove_member does and logs nothing for an address that is no member. A notice that arrives late, after the address has started again, removes the new process until its next report, 0.5 s at most, and costs one line each of leaving and joining; repeats end with the process that sends them, before a new one can bind its port, so only a datagram still on its way can do that.

--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -303,9 +303,7 @@
         if self.leadership is not None:
             await self.leadership.resign()
         elif self.leader_address:
-            self.datagrams.send(
-                self.leader_address, self.member_report(leaving=True)
-            )
+            self.send_report(self.leader_address)
 
     def follow_recorded_leader(
         self, record: leaderstore.LeadershipRecord
@@ -326,8 +324,12 @@
         """Sends a member report to a peer."""
         self.datagrams.send(peer, self.member_report())
 
-    def member_report(self, *, leaving: bool = False) -> wire.MemberReport:
-        """Returns a member report; clears the requested keys."""
+    def member_report(self) -> wire.MemberReport:
+        """Returns a member report; clears the requested keys.
+
+        Each report of a router that stops says so: to a new leader, an ordinary
+        one would make it a member again, and the first may be lost.
+        """
         requested_keys = self.forwarder.seen_keys
         self.forwarder.seen_keys = {}
         return wire.MemberReport(
@@ -337,7 +339,7 @@
             version=self.state.snapshot.version,
             keys=requested_keys,
             service_ms=self.coordinator.service_times_ms(),
-            leaving=leaving,
+            leaving=self.stopping,
             contracts_revision=self.state.contracts_revision,
         )
 
@@ -345,8 +347,6 @@
         """Reports to the leader at regular intervals."""
         while True:
             await asyncio.sleep(MEMBER_REPORT_INTERVAL_SECONDS)
-            if self.stopping:
-                return
             if self.leadership is not None:
                 report = self.member_report()
                 self.leadership.record_load(report.keys, report.service_ms)
@@ -363,6 +363,8 @@
         if self.leadership is not None:
             if message.epoch > self.epoch:
                 self.leadership.deposed.set()
+                if self.stopping:
+                    self.send_report(peer)
             return
         if message.epoch < self.epoch:
             return
