--- a/tests/test_resign.py
+++ b/tests/test_resign.py
@@ -3,15 +3,22 @@
 import asyncio
 import unittest
 
+from oleanderhoist import clock
 from oleanderhoist import ports
 from oleanderhoist.node import core
 from oleanderhoist.node import leaderstore
+from oleanderhoist.node import leasemanager
+from oleanderhoist.policy import cluster
+from oleanderhoist.policy import keys
+from oleanderhoist.policy import leaderlease
 from tests import ownership_world
 from tests import virtual
 
 ROUTERS = 4
 SUCCESSION_SECONDS = 0.6
 LATE_WRITE_SEED = 2  # The late write precedes all other elections.
+RANGE = keys.Range(start=0, end=99, owner="s0")
+OTHER_RANGE = keys.Range(start=200, end=299, owner="s0")
 
 
 class ResignTest(unittest.TestCase):
@@ -188,6 +195,90 @@
         self.assertNotEqual("", addresses[-1])
 
 
+class ResigningChannel:
+    """A lease channel whose calls take until the leader has resigned.
+
+    Attributes:
+        sent: Names of the calls that were sent.
+    """
+
+    def __init__(self, *, leader_lease: leaderlease.LeaderLease, call: str):
+        self.leader_lease = leader_lease
+        self.call = call
+        self.sent: list[str] = []
+
+    def lease_channel(self, server: cluster.Server) -> "ResigningChannel":
+        """Returns the channel to a server."""
+        return self
+
+    def record(self, call: str) -> None:
+        """Records a call; the leader resigns during one of them."""
+        self.sent.append(call)
+        if call == self.call:
+            self.leader_lease.resigned = True
+
+    async def connect(self, *, allow_new: bool) -> int:
+        """Ensures a connection."""
+        self.record("connect")
+        return 1
+
+    async def grant(self, lease_grant: ports.LeaseGrant) -> bool:
+        """Accepts a grant."""
+        self.record("grant")
+        return True
+
+    async def release(self, start: int, end: int, fence: int) -> str:
+        """Releases keys."""
+        self.record("release")
+        return "token"
+
+
+class GrantTest(unittest.IsolatedAsyncioTestCase):
+    """A leader that has resigned sends no further grants."""
+
+    def manage(self, call: str) -> leasemanager.LeaseManager:
+        """Returns a lease manager whose leader resigns during a call."""
+        time_source = clock.Clock()
+        now = time_source.boottime()
+        leader_lease = leaderlease.LeaderLease(
+            epoch=1, confirmed_at=now, began_at=now, max_lease_seconds=10.0
+        )
+        self.channel = ResigningChannel(leader_lease=leader_lease, call=call)
+        return leasemanager.LeaseManager(
+            server=ownership_world.World(seed=1).server_entry("s0"),
+            platform=self.channel,
+            fences=leasemanager.FencingTokens(epoch=1),
+            leader_lease=leader_lease,
+            clock=time_source,
+            ranges=lambda: [RANGE, OTHER_RANGE],
+            leases_expire_at=0.0,
+        )
+
+    async def test_no_lease_is_granted_on_a_connection_that_took_long(self):
+        manager = self.manage("connect")
+        self.assertFalse(await manager.renew())
+        self.assertEqual(["connect"], self.channel.sent)
+        self.assertEqual(0.0, manager.leases_expire_at)
+        self.assertIsNone(manager.failing_since)
+
+    async def test_no_further_range_is_granted(self):
+        manager = self.manage("grant")
+        self.assertFalse(await manager.renew())
+        self.assertEqual(["connect", "grant"], self.channel.sent)
+
+    async def test_no_fence_is_raised(self):
+        manager = self.manage("connect")
+        self.assertIsNone(await manager.revoke(RANGE, 1))
+        self.assertEqual(["connect"], self.channel.sent)
+
+    async def test_moved_keys_are_not_granted(self):
+        manager = self.manage("connect")
+        await manager.connect()
+        with self.assertRaises(ports.OrderError):
+            await manager.grant(RANGE)
+        self.assertEqual(["connect"], self.channel.sent)
+
+
 class AwaitTest(unittest.TestCase):
     """How long a stopping router awaits answers."""
 
