Check the authority to grant immediately before each grant

At risk is exclusive ownership: a leader that resigns records when all its leases have lapsed, counting grants that are in flight for half a second. A grant sent later than that outlasts the record, and the successor may give the keys of a server that it can't reach to another server while the first still holds them. That has been derived, not seen.

Cause: LeaseManager checked `may_grant` before it waited for its lock, for a connection and for one answer per range (up to 0.4 s each); the hand-over of moved keys, which waits for a write, did not check. A stop, or the end of the leader lease while the store is unavailable, in one of these waits changed nothing.

Why this works: every grant passes `send_grant`, which checks in the same turn of the event loop in which the channel starts to send. All callers hold the manager's lock, so the channel's own lock is free then. A grant that is not sent doesn't extend `leases_expire_at`, and it says nothing about the server, so it isn't recorded as a failure, from which the leader would judge the server unreachable.

Evidence: 4 tests of tests.test_resign.GrantTest failed before and pass; test_tree, test_ownership, test_node, test_flap and test_mutations pass. No soak was run.

--- a/oleanderhoist/node/leasemanager.py
+++ b/oleanderhoist/node/leasemanager.py
@@ -183,7 +183,14 @@
         return lease_seconds
 
     async def send_grant(self, lease_grant: ports.LeaseGrant) -> bool:
-        """Sends a grant, and records when it expires at the latest."""
+        """Sends a grant, and records when it expires at the latest.
+
+        Raises:
+            ports.OrderError: The leader may no longer grant, or the server did
+                not answer.
+        """
+        if not self.leader_lease.may_grant(self.clock.boottime()):
+            raise ports.OrderError("the leader may no longer grant")
         try:
             return await self.channel.grant(lease_grant)
         finally:
@@ -194,8 +201,9 @@
             )
 
     def record_failure(self, reason: str) -> None:
-        """Records that a renewal failed."""
-        if self.failing_since is not None:
+        """Records that a renewal failed, unless the leader may not grant."""
+        may_grant = self.leader_lease.may_grant(self.clock.boottime())
+        if self.failing_since is not None or not may_grant:
             return
         self.failing_since = self.clock.boottime()
         log.write(
