--- a/tests/placer_stops.py
+++ b/tests/placer_stops.py
@@ -11,6 +11,7 @@
 from oleanderhoist import codes
 from oleanderhoist import contract
 from oleanderhoist import settings
+from oleanderhoist.clients import registration
 from oleanderhoist.clients import table
 from oleanderhoist.http import client
 from oleanderhoist.http import exchanges
@@ -18,6 +19,7 @@
 from oleanderhoist.http import server as http_server
 from oleanderhoist.placer import contractregistry
 from oleanderhoist.placer import core
+from oleanderhoist.placer import election
 from oleanderhoist.placer import leader
 from oleanderhoist.policy import leadership
 from oleanderhoist.policy import placement
@@ -36,6 +38,7 @@
 ANY_PORT = client.Address(host=HOST, port=0)
 PATH = "/v1/contracts/guild"
 SOURCE = pathlib.Path("examples/guild.toml").read_bytes()
+ELECTION_KEYS = (election.LEADER_KEY, registration.PLACERS_PREFIX)
 SETTINGS = settings.PlacerSettings(
     id="p",
     data_center="dc",
@@ -290,6 +293,87 @@
         self.assertEqual(1, json.loads(result.body)["version"])
 
 
+class LeaseTest(RunningPlacerTest):
+    """A placer that stops during a call of its election holds no lease."""
+
+    def lead(self) -> None:
+        """Lets the placer stand for election as soon as it runs."""
+        elected = self.placer.election
+        elected.promises = leadership.Promises(started_at=0.0)
+
+    def run_election(self) -> None:
+        """Starts the election."""
+        run = self.placer.election.run()
+        self.placer.tasks.append(asyncio.create_task(run))
+
+    async def stop_during_call(
+        self, call: str, *requests, lost: bool = False
+    ) -> None:
+        """Stops the placer while it awaits the next answer of the table.
+
+        Args:
+            call: Name of the call.
+            *requests: Requests that the placer answers while it stops.
+            lost: Whether the answer is lost.
+        """
+        original = getattr(self.table, call)
+        called = asyncio.Event()
+        answered = asyncio.Event()
+
+        async def answer_late(key: str, *args, **kwargs) -> object:
+            result = await original(key, *args, **kwargs)
+            if key not in ELECTION_KEYS or answered.is_set():
+                return result
+            called.set()
+            await answered.wait()
+            return table.Unresolved(token="") if lost else result
+
+        setattr(self.table, call, answer_late)
+        if not self.placer.tasks:
+            self.run_election()
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            await called.wait()
+        loop = asyncio.get_running_loop()
+        loop.call_later(SETTLE_SECONDS * (1 + len(requests)), answered.set)
+        await self.stop_during(*requests)
+
+    def assert_released(self) -> None:
+        """Checks that the placer does not lead and holds no lease."""
+        self.assertFalse(self.placer.election.leading)
+        expires_at = self.table.records[election.LEADER_KEY].value["expires_at"]
+        self.assertLess(expires_at, time.time())
+
+    async def wait_until_leading(self) -> None:
+        """Starts the election and waits until the placer leads."""
+        self.run_election()
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            while not self.placer.election.leading:
+                await asyncio.sleep(0.01)
+
+    async def test_no_lease_is_acquired_after_the_signal(self):
+        self.table.held = (contractregistry.HEAD_KEY,)
+        await self.stop_during_call("scan", self.send("GET", PATH))
+        self.assertNotIn(election.LEADER_KEY, self.table.reached)
+
+    async def test_a_lease_acquired_during_a_stop_is_released(self):
+        await self.stop_during_call("put")
+        self.assert_released()
+
+    async def test_a_lease_whose_acquisition_had_no_answer_is_released(self):
+        await self.stop_during_call("put", lost=True)
+        self.assert_released()
+
+    async def test_a_lease_renewed_during_a_stop_is_released(self):
+        await self.wait_until_leading()
+        await self.stop_during_call("put")
+        self.assert_released()
+
+    async def test_a_lease_whose_renewal_had_no_answer_is_released(self):
+        await self.wait_until_leading()
+        await self.stop_during_call("put", lost=True)
+        self.assert_released()
+
+
 class StopTimeTest(RunningPlacerTest):
     """A stop ends in time, whatever the table does."""
 
--- a/tests/test_stop_placer.py
+++ b/tests/test_stop_placer.py
@@ -24,7 +24,7 @@
             timeout=TIMEOUT_SECONDS,
         )
         self.assertEqual(0, result.returncode, result.stderr)
-        self.assertRegex(result.stderr, re.compile(r"^Ran 9 tests", re.M))
+        self.assertRegex(result.stderr, re.compile(r"^Ran 14 tests", re.M))
 
 
 if __name__ == "__main__":
