Release the placer's lease also when a write of it is under way at the stop

The next placer could take over only after the lease (0.8 s) and the clock difference, instead of at once.

Cause: `resign()` released the lease only if the placer led already, and at the version of its last answered write. (1) `acquire_lease` did not look at `stopping` after it had read the voters, nor after its write: the placer acquired the lease after the signal, and renewed it until its tasks were cancelled. (2) A renewal and the release are conditional on the same version, so if the renewal came first, the release failed and nothing repeated it. (3) After a write whose answer was lost the version was outdated, so the release failed as well.

Why this works: steps of the election and the release hold a lock, so that the release begins after the last write has been answered or given up. It reads the record and expires it if it is of this process's latest leadership, whatever was known of the last write. The placer stops leading at once, before it waits for the lock. The wait is for one step of the election, whose calls of the table time out after 0.4 s each. What remains: a write that reaches the table after the read can't be released; its lease expires by itself.

Passed: test_resign, test_ownership, test_node, test_tree, test_policy, test_mutations, test_hangup and the scenarios two-leaders, leader-frozen, leader-cut, map-reply-lost, outage-owners-keep and all-replaced. Not run: the other scenarios on this commit, the mutations, the soak.

--- a/oleanderhoist/placer/election.py
+++ b/oleanderhoist/placer/election.py
@@ -81,6 +81,7 @@
         self.heard_at: dict[str, float] = {}
         self.standby_until = 0.0
         self.stopping = False
+        self.lock = asyncio.Lock()  # For writes of the lease.
 
     @property
     def epoch(self) -> int:
@@ -115,18 +116,32 @@
         """Acquires and renews the leader lease until cancelled."""
         while True:
             try:
-                if self.leading and self.on_standby():
-                    await self.release_lease("no entry answers")
-                elif self.leading:
-                    await self.renew_lease()
-                    await asyncio.sleep(leadership.RENEW_SECONDS)
-                else:
-                    await self.try_takeover()
-                    await asyncio.sleep(POLL_INTERVAL_SECONDS)
+                async with self.lock:
+                    delay = await self.step()
+                await asyncio.sleep(delay)
             except table.TableError:
                 TABLE_UP.set(0)
                 await asyncio.sleep(POLL_INTERVAL_SECONDS)
 
+    async def step(self) -> float:
+        """Acquires, renews or gives up the lease as is due now.
+
+        Returns:
+            Delay until the next step, in seconds.
+
+        Raises:
+            TableError: The table did not answer.
+        """
+        if not self.leading:
+            await self.try_takeover()
+            return POLL_INTERVAL_SECONDS
+        if self.on_standby():
+            self.step_down("no entry answers")
+            await self.expire_lease()
+            return 0.0
+        await self.renew_lease()
+        return leadership.RENEW_SECONDS
+
     async def watch_expiry(self) -> None:
         """Ends leadership as soon as the lease and its extension expire."""
         while True:
@@ -215,6 +230,8 @@
             TableError: The table did not answer.
         """
         await self.read_voters()
+        if self.stopping:
+            return
         record = leadership.LeaderRecord(
             epoch=previous.epoch + 1 if previous else 1,
             holder=self.own_id,
@@ -224,7 +241,7 @@
             lent_until=previous.lent_until if previous else 0.0,
             roster=self.voters,
         )
-        if not await self.write_record(record):
+        if not await self.write_record(record) or self.stopping:
             return
         self.leading = True
         self.extension = None
@@ -336,9 +353,16 @@
         self.on_change(False)
 
     async def resign(self) -> None:
-        """Releases the lease for a graceful stop."""
+        """Releases the lease for a graceful stop.
+
+        Awaits a write of the lease that is under way, which might otherwise
+        take effect after the release.
+        """
         self.stopping = True
-        await self.release_lease("stopping")
+        if self.leading:
+            self.step_down("stopping")
+        async with self.lock:
+            await self.expire_lease()
 
     def enter_standby(self) -> None:
         """Requests the release of the lease and leaves it to others.
@@ -347,21 +371,35 @@
         """
         self.standby_until = self.clock.monotonic() + STANDBY_SECONDS
 
-    async def release_lease(self, reason: str) -> None:
-        """Stops leading and expires the lease in the table."""
-        if not self.leading:
-            return
-        self.step_down(reason)
-        record = dataclasses.replace(
-            self.record,
-            expires_at=self.clock.wall() - self.max_skew,
-            lent_until=max(self.delegated_until, self.record.lent_until),
-        )
+    async def expire_lease(self) -> None:
+        """Expires the lease in the table if this placer holds it.
+
+        Reads the record first, since the answer to an earlier write of it may
+        have been lost.
+        """
         try:
+            found = await self.table.get(LEADER_KEY)
+            held = parse_record(found.value) if found else None
+            if held is None or not self.has_written(held):
+                return
+            self.version = found.version
+            record = dataclasses.replace(
+                held,
+                expires_at=self.clock.wall() - self.max_skew,
+                lent_until=max(self.delegated_until, held.lent_until),
+            )
             await self.write_record(record)
         except table.TableError:
             pass
 
+    def has_written(self, record: leadership.LeaderRecord) -> bool:
+        """Returns whether a record is of this process's latest leadership."""
+        own = self.attempted_record
+        return own is not None and (own.holder, own.epoch) == (
+            record.holder,
+            record.epoch,
+        )
+
     def receive(self, sender: str, message: wire.Message) -> None:
         """Handles the leadership messages of other placers."""
         now = self.clock.wall()
