--- a/tests/test_resign.py
+++ b/tests/test_resign.py
@@ -16,6 +16,7 @@
 
 ROUTERS = 4
 SUCCESSION_SECONDS = 0.6
+NEXT_LEADER_SECONDS = 2.0  # Shorter than the timeout of a silent member.
 LATE_WRITE_SEED = 2  # The late write precedes all other elections.
 RANGE = keys.Range(start=0, end=99, owner="s0")
 OTHER_RANGE = keys.Range(start=200, end=299, owner="s0")
@@ -92,6 +93,39 @@
         self.assertNotIn(stopped, leaders)
 
 
+class MemberTest(unittest.TestCase):
+    """A stopping router under a new leader."""
+
+    def setUp(self):
+        self.world = ownership_world.World(seed=3, routers=ROUTERS)
+
+    async def stop_member_and_leader(self) -> tuple[str, set[str]]:
+        """Stops a member, and the leader before it has handled the report.
+
+        Returns:
+            The stopped member, and the members of the next leader.
+        """
+        for address in self.world.addresses:
+            self.world.start(address)
+        await asyncio.sleep(5)
+        leader = leaderstore.leadership_of(self.world.rows).address
+        stopped = next(a for a in self.world.addresses if a != leader)
+        self.world.kill(leader)
+        await self.world.followers[stopped].stop()
+        await asyncio.sleep(NEXT_LEADER_SECONDS)
+        (successor,) = [
+            follower.leadership
+            for address, follower in self.world.followers.items()
+            if follower.leadership is not None and address != leader
+        ]
+        return stopped, set(successor.members)
+
+    def test_a_new_leader_hears_that_a_member_stops(self):
+        scenario = self.stop_member_and_leader()
+        stopped, members = virtual.run(scenario, self.world.loop)
+        self.assertNotIn(stopped, members)
+
+
 class WithdrawTest(unittest.TestCase):
     """A router that gets its stop signal during a call of its election.
 
