Report to every leader that a stopping router leaves

Derived: the next leader counted the router among its members until its reports had timed out (1.6 s), so that others could ask a router that had ended for slots of its servers.

Cause: `stop()` sent one report with `leaving`, to the leader known then. What is sent later (on the first heartbeat of a new leader, on its record, on a missed update) said that the router stays, and the leader added it again.

Why this works: `leaving` is whether the router stops, in every report.

Evidence: tests.test_resign.MemberTest failed before and passes; passed also: test_tree, test_ownership, test_node, test_flap, test_mutations, test_outer_names, test_stop. No soak was run.

--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -303,9 +303,7 @@
         if self.leadership is not None:
             await self.leadership.resign()
         elif self.leader_address:
-            self.datagrams.send(
-                self.leader_address, self.member_report(leaving=True)
-            )
+            self.send_report(self.leader_address)
 
     def follow_recorded_leader(
         self, record: leaderstore.LeadershipRecord
@@ -326,7 +324,7 @@
         """Sends a member report to a peer."""
         self.datagrams.send(peer, self.member_report())
 
-    def member_report(self, *, leaving: bool = False) -> wire.MemberReport:
+    def member_report(self) -> wire.MemberReport:
         """Returns a member report; clears the requested keys."""
         requested_keys = self.forwarder.seen_keys
         self.forwarder.seen_keys = {}
@@ -337,7 +335,7 @@
             version=self.state.snapshot.version,
             keys=requested_keys,
             service_ms=self.coordinator.service_times_ms(),
-            leaving=leaving,
+            leaving=self.stopping,
             contracts_revision=self.state.contracts_revision,
         )
 
