Test that a stop is judged by when its process ended (fails)

The 1.2 s of the test stand for the bound; a stall of 2 s made a stop of 0.5 s count as 2.3 s.

A router that had ended before its stop was restarted without a word.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,7 +1,11 @@
 """Short soak tests of the real programs with fixed seeds, and their checks."""
 
 import asyncio
+import sys
+import time
+import types
 import unittest
+from unittest import mock
 
 from soak import callers
 from soak import faults
@@ -60,6 +64,70 @@
         self.assertGreater(result.requests, 200)
 
 
+STOPPING = """
+import signal, time
+signal.signal(signal.SIGTERM, lambda *_: exit(time.sleep({work_seconds})))
+print(flush=True)
+signal.pause()
+"""
+
+
+class StopTest(unittest.TestCase):
+    """How long a router's stop takes, on a soak test that stalls."""
+
+    def stop(self, *, work_seconds: float, stall_seconds: float) -> list[str]:
+        """Returns the violations of a stop that may take 1.2 s."""
+        return asyncio.run(self.stop_and_stall(work_seconds, stall_seconds))
+
+    async def stop_and_stall(
+        self, work_seconds: float, stall_seconds: float
+    ) -> list[str]:
+        """Stops a process and stalls the event loop after 0.3 s."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-c",
+            STOPPING.format(work_seconds=work_seconds),
+            stdout=asyncio.subprocess.PIPE,
+        )
+        await process.stdout.readline()
+        checker = invariants.Checker()
+        injector = faults.Injector(
+            system=types.SimpleNamespace(
+                processes={"r2": process},
+                signal=lambda _, number: process.send_signal(number),
+            ),
+            checker=checker,
+            seed=SEED,
+            max_work_seconds=0.0,
+        )
+        injector.restart_router = mock.AsyncMock()
+        asyncio.get_running_loop().call_later(0.3, time.sleep, stall_seconds)
+        with mock.patch.object(faults, "MAX_STOP_SECONDS", 1.2):
+            await faults.stop_and_restart(injector, "r2")
+        return checker.violations
+
+    def test_a_late_stop_is_seen(self):
+        self.assertEqual(1, len(self.stop(work_seconds=1.5, stall_seconds=0.0)))
+        self.assertEqual(1, len(self.stop(work_seconds=1.5, stall_seconds=2.0)))
+
+    def test_a_stop_is_not_late_because_the_soak_stalls(self):
+        violations = self.stop(work_seconds=0.5, stall_seconds=2.0)
+        self.assertEqual([], violations)
+
+    def test_a_router_that_ended_before_its_stop_is_seen(self):
+        process = types.SimpleNamespace(returncode=1)
+        checker = invariants.Checker()
+        injector = faults.Injector(
+            system=types.SimpleNamespace(processes={"r2": process}),
+            checker=checker,
+            seed=SEED,
+            max_work_seconds=0.0,
+        )
+        injector.restart_router = mock.AsyncMock()
+        asyncio.run(faults.stop_and_restart(injector, "r2"))
+        self.assertEqual(1, len(checker.violations))
+
+
 class PromisesTest(unittest.TestCase):
     """Violations that the checker detects."""
 
