Judge a stop by when its process ended, not when the soak learns of it

The event loop of the soak carries all callers and proxies and lags on a busy machine. A process of its own now polls a pidfd of the stopping router and prints the time of the end; since both can only read the clock after the end, the earlier reading is the closer one, and never before the end. The pidfd is opened before the signal, so that an end at once is seen too.

One check more: a router that had ended by itself when its stop was due is a violation; until now it was restarted without a word.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,6 +10,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
+import os
 import pathlib
 import random
 import re
@@ -17,6 +18,7 @@
 import time
 
 from oleanderhoist.policy import registry
+from soak import exits
 from soak import invariants
 from standins import platform_system
 from standins import proxy
@@ -240,17 +242,31 @@
 async def stop_and_restart(injector: Injector, name: str) -> None:
     """Stops a router gracefully and restarts it."""
     injector.restarting.add(name)
+    process = injector.system.processes[name]
+    if process.returncode is None:
+        await stop(injector, name, process)
+    else:
+        injector.checker.violations.append(
+            f"stop: {name} had ended by itself with {process.returncode}"
+        )
+    await injector.restart_router(name)
+    injector.restarting.discard(name)
+
+
+async def stop(
+    injector: Injector, name: str, process: asyncio.subprocess.Process
+) -> None:
+    """Stops a router gracefully; checks how long its process takes to end."""
+    pidfd = os.pidfd_open(process.pid)
     began = time.monotonic()
     injector.checker.stops.append((name, began))
     injector.log.append(f"{began:.2f} stop {name}")
-    await injector.end_process(name, signal.SIGTERM)
-    stop_seconds = time.monotonic() - began
+    injector.system.signal(name, signal.SIGTERM)
+    stop_seconds = await exits.wait(process, pidfd) - began
     if stop_seconds > MAX_STOP_SECONDS:
         injector.checker.violations.append(
             f"stop: {name} took {stop_seconds:.1f} s"
         )
-    await injector.restart_router(name)
-    injector.restarting.discard(name)
 
 
 @FAULTS.register("pause-process")
