Send waiting slot requests to the new coordinator when a queue moves

What callers saw: a router stops while it coordinates a slot queue, and another router's requests wait in it. Those that it had not granted by its end waited until about their deadline (7.7 of 8 s) and got 503 or 504, while the server stood idle and newer requests were served through the new coordinator.

Cause: SlotClient.wait_for_verdict waits for the verdict, or twice the expected wait, and did not look whether the router it waits for still coordinates the queue.

The request is cancelled at the old coordinator, then sent to the new one, which may be this router, as may the old one. The waits end in the order in which they began, so a router's requests keep their order; that between routers is lost. The new coordinator decides afresh whether a request can be served in time, with the same deadline and objective. Each round waits at least for a reply, none begins after the deadline, and the caller's limits (`slots_due`, `answers_due`) are around all of them.

Replies count only from the router that was asked last: the request keeps its id, and a late grant of the old coordinator would be released at the new one. Such a grant is given back to the router that sent it, also if the cancellation was lost. A request that returns to an earlier coordinator is marked as retransmitted, which drops an earlier copy there.

Also passed on this tree: test_permits, test_forwarder, test_node, test_lanes, test_tree, test_platform, test_stop, test_outer_names.

--- a/oleanderhoist/node/slotclient.py
+++ b/oleanderhoist/node/slotclient.py
@@ -12,6 +12,7 @@
 from oleanderhoist.node import datagrams
 from oleanderhoist.node import state
 from oleanderhoist.node import wire
+from oleanderhoist.policy import cluster
 from oleanderhoist.policy import slotqueue
 
 REPLY_TIMEOUT_SECONDS = 0.06
@@ -50,12 +51,17 @@
     """A slot request without a verdict.
 
     Attributes:
-        future: Receives the verdict.
+        queue: Slot queue of the slot.
+        coordinator: Address of the router that was asked; others' replies to
+            the request are late ones.
+        future: Receives the verdict; None if the coordinator has changed.
         expected_wait: Expected wait in seconds; None until the coordinator
             reports that it has queued the slot request.
     """
 
-    future: asyncio.Future
+    queue: str
+    coordinator: str
+    future: asyncio.Future[slotqueue.Verdict | None]
     expected_wait: float | None = None
 
 
@@ -76,6 +82,8 @@
         self.clock = clock
         self.pending: dict[int, PendingSlotRequest] = {}
         self.suspected_until: dict[str, float] = {}
+        self.cores_by_member: dict[str, float] = {}
+        state.snapshot_listeners.append(self.end_moved_waits)
         datagrams.handlers[wire.AcquireSlot] = self.on_acquire_slot
         datagrams.handlers[wire.SlotQueued] = self.on_slot_queued
         datagrams.handlers[wire.SlotGranted] = self.on_slot_granted
@@ -89,24 +97,60 @@
         """Acquires a slot.
 
         A coordinator that does not reply is suspected for a while. The slot is
-        then chosen locally, without knowledge of other routers' requests.
+        then chosen locally, without knowledge of other routers' requests. When
+        the coordinator changes, the request waits at the new one instead.
 
         Returns:
             The grant, or a refusal.
         """
-        coordinator_address = self.state.snapshot.coordinator(queue)
-        now = self.clock.monotonic()
-        if (
-            not coordinator_address
-            or self.suspected_until.get(coordinator_address, 0.0) > now
-        ):
-            return self.bypass(queue, request)
+        moved = False
+        while not (moved and self.clock.monotonic() >= request.deadline):
+            coordinator_address = self.state.snapshot.coordinator(queue)
+            now = self.clock.monotonic()
+            if (
+                not coordinator_address
+                or self.suspected_until.get(coordinator_address, 0.0) > now
+            ):
+                break
+            result = await self.request_slot(
+                coordinator_address, queue, request, retransmitted=moved
+            )
+            if result is not None:
+                return result
+            moved = True
+        return self.bypass(queue, request)
+
+    async def request_slot(
+        self,
+        coordinator_address: str,
+        queue: str,
+        request: slotqueue.SlotRequest,
+        *,
+        retransmitted: bool,
+    ) -> SlotGrant | slotqueue.Refused | None:
+        """Requests a slot from one coordinator.
+
+        Args:
+            coordinator_address: Address of the coordinator.
+            queue: Slot queue of the slot.
+            request: The slot request.
+            retransmitted: Whether the coordinator may hold an earlier copy, if
+                its cancellation was lost.
+
+        Returns:
+            The grant or a refusal; None if the coordinator has changed. The
+            request is then cancelled there.
+        """
         pending = PendingSlotRequest(
-            future=asyncio.get_running_loop().create_future()
+            queue=queue,
+            coordinator=coordinator_address,
+            future=asyncio.get_running_loop().create_future(),
         )
         self.pending[request.id] = pending
         try:
-            self.send(coordinator_address, queue, request)
+            self.send(
+                coordinator_address, queue, request, retransmitted=retransmitted
+            )
             return await self.wait_for_verdict(
                 coordinator_address, queue, request, pending
             )
@@ -116,6 +160,26 @@
         finally:
             self.pending.pop(request.id, None)
 
+    def end_moved_waits(self, snapshot: cluster.Snapshot) -> None:
+        """Ends the waits at routers that no longer coordinate the queue.
+
+        They could last until the deadline: such a router has stopped, or does
+        not learn of the slots that the new coordinator's requests use or free.
+        The waits end in the order in which they began, so the requests reach
+        the new coordinator in this order. Other waits are not woken up.
+        """
+        if snapshot.cores_by_member == self.cores_by_member:
+            return  # The members alone determine the coordinators.
+        self.cores_by_member = snapshot.cores_by_member
+        for pending in self.pending.values():
+            coordinator_address = snapshot.coordinator(pending.queue)
+            if (
+                coordinator_address
+                and coordinator_address != pending.coordinator
+                and not pending.future.done()
+            ):
+                pending.future.set_result(None)
+
     def send(
         self,
         coordinator_address: str,
@@ -126,7 +190,11 @@
     ) -> None:
         """Sends a slot request, or submits it locally."""
         if coordinator_address == self.datagrams.address:
-            self.coordinator.submit(queue, request, self.resolve)
+            self.coordinator.submit(
+                queue,
+                request,
+                lambda verdict: self.resolve(coordinator_address, verdict),
+            )
             return
         now = self.clock.monotonic()
         self.datagrams.send(
@@ -167,8 +235,12 @@
         queue: str,
         request: slotqueue.SlotRequest,
         pending: PendingSlotRequest,
-    ) -> SlotGrant | slotqueue.Refused:
-        """Waits for the verdict of a slot request."""
+    ) -> SlotGrant | slotqueue.Refused | None:
+        """Waits for the verdict of a slot request.
+
+        Returns:
+            The grant or a refusal; None if the coordinator has changed.
+        """
         future = pending.future
         local = coordinator_address == self.datagrams.address
         if not local:
@@ -190,6 +262,9 @@
                 self.suspect(coordinator_address, queue)
             return self.bypass(queue, request)
         verdict = future.result()
+        if verdict is None:
+            self.cancel(coordinator_address, queue, request.id)
+            return None
         if isinstance(verdict, slotqueue.Refused):
             return verdict
         return SlotGrant(
@@ -277,10 +352,22 @@
                 coordinator_address, wire.CancelAcquire(queue=queue, id=id)
             )
 
-    def resolve(self, verdict: slotqueue.Verdict) -> None:
-        """Delivers a verdict to the slot request, if it is still pending."""
-        pending = self.pending.get(verdict.request.id)
-        if pending is not None and not pending.future.done():
+    def resolve(
+        self, coordinator_address: str, verdict: slotqueue.Verdict
+    ) -> None:
+        """Delivers a coordinator's verdict to the pending slot request.
+
+        A grant for a request that has moved to another coordinator is late: the
+        slot is given back.
+        """
+        id = verdict.request.id
+        pending = self.pending.get(id)
+        if pending is None:
+            return
+        if pending.coordinator != coordinator_address:
+            if isinstance(verdict, slotqueue.Granted):
+                self.cancel(coordinator_address, pending.queue, id)
+        elif not pending.future.done():
             pending.future.set_result(verdict)
 
     def on_acquire_slot(self, peer: str, message: wire.AcquireSlot) -> None:
@@ -330,25 +417,27 @@
     def on_slot_queued(self, peer: str, message: wire.SlotQueued) -> None:
         """Records that a slot request is queued."""
         pending = self.pending.get(message.id)
-        if pending is not None:
+        if pending is not None and pending.coordinator == peer:
             pending.expected_wait = message.wait_ms / 1000
 
     def on_slot_granted(self, peer: str, message: wire.SlotGranted) -> None:
         """Handles a slot grant."""
         self.resolve(
+            peer,
             slotqueue.Granted(
                 request=request_stub(message.id), server=message.server
-            )
+            ),
         )
 
     def on_slot_refused(self, peer: str, message: wire.SlotRefused) -> None:
         """Handles the refusal of a slot request."""
         self.resolve(
+            peer,
             slotqueue.Refused(
                 request=request_stub(message.id),
                 retry_after=message.retry_ms / 1000,
                 expected_wait=message.wait_ms / 1000,
-            )
+            ),
         )
 
     def on_release_slot(self, peer: str, message: wire.ReleaseSlot) -> None:
--- a/tests/test_coordinator_moves.py
+++ b/tests/test_coordinator_moves.py
@@ -144,12 +144,15 @@
         return task
 
     def held(self, name: str) -> set[tuple[str, int]]:
-        """Returns the requester's slot requests that a coordinator knows."""
+        """Returns the requester's slot requests that a coordinator knows.
+
+        Those of `fill` have negative ids and don't count.
+        """
         queue = self.coordinators[name].get(QUEUE).queue
         keys = {key for s in queue.servers.values() for key in s.running}
         for waiting in [*queue.queues.values(), queue.overdue]:
             keys |= {(request.requester, request.id) for request in waiting}
-        return {key for key in keys if key[0] == REQUESTER}
+        return {key for key in keys if key[0] == REQUESTER and key[1] > 0}
 
 
 class MoveTest(unittest.TestCase):
