--- a/oleanderhoist/entry/renewer.py
+++ b/oleanderhoist/entry/renewer.py
@@ -138,16 +138,22 @@
         return (1.0 - periods % 1.0) * period
 
     async def renew(self, id: str, renewal: Renewal) -> None:
-        """Renews a lease; sends the full assignment if the server needs it."""
-        server = self.snapshot_store.snapshot.servers[id]
-        assignment = self.snapshot_store.snapshot.assignment(server)
-        epoch = self.snapshot_store.snapshot.epoch
-        if renewal.acked == (epoch, assignment.version):
+        """Renews a lease; sends the full assignment if the server needs it.
+
+        Sends nothing more once another snapshot was adopted, since the leader
+        may have been told that no earlier assignment is sent any more.
+        """
+        snapshot = self.snapshot_store.snapshot
+        server = snapshot.servers[id]
+        assignment = snapshot.assignment(server)
+        if renewal.acked == (snapshot.epoch, assignment.version):
             response = await self.send_lease(
                 server, renewal, assignment, full=False
             )
             if response is None or response.status == 200:
                 return
+            if self.snapshot_store.snapshot is not snapshot:
+                return
         await self.send_lease(server, renewal, assignment, full=True)
 
     async def send_lease(
