--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -6,7 +6,10 @@
 import socket
 import time
 import unittest
+from unittest import mock
 
+from oleanderhoist import events
+from oleanderhoist import log
 from oleanderhoist.http import messages
 from oleanderhoist.http import server
 
@@ -17,6 +20,11 @@
 LARGE_BODY = b"x" * 60_000
 HUGE_BODY = b"x" * 16_000_000
 IDLE_SECONDS = 0.1
+SECOND_REQUEST = (
+    b"POST /second HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+)
+STOP_SECONDS = 2.0
+SHORT_STOP_SECONDS = 0.6
 
 
 class DelayedServer(server.Server):
@@ -194,6 +202,94 @@
             await running.stop(0.06)
 
 
+class PipelineTest(unittest.IsolatedAsyncioTestCase):
+    """Requests that were read behind another one when a stop begins."""
+
+    async def asyncSetUp(self) -> None:
+        self.handled: list[str] = []
+        self.responses_close = False
+        self.server = server.Server(
+            handler=self.handle,
+            host="127.0.0.1",
+            port=0,
+            cancel_on_disconnect=True,
+        )
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop, 0.0)
+        self.reader, self.writer = await asyncio.open_connection(
+            "127.0.0.1", self.server.port
+        )
+        self.addCleanup(self.writer.close)
+
+    async def handle(self, request: messages.Request) -> messages.Response:
+        """Responds to what was read, after some time."""
+        self.handled.append(request.path)
+        body = await request.read()
+        await asyncio.sleep(RESPONSE_SECONDS)
+        return messages.Response(
+            body=body or b"done", close=self.responses_close
+        )
+
+    async def stop(self, seconds: float = STOP_SECONDS) -> list[bytes]:
+        """Stops the server during the first request.
+
+        Returns:
+            The responses up to the connection's end.
+        """
+        await asyncio.sleep(RESPONSE_SECONDS / 2)
+        self.server.settings.close_after_response = True
+        await self.server.stop(seconds)
+        async with asyncio.timeout(STOP_SECONDS):
+            return (await self.reader.read()).split(b"HTTP/1.1 200")[1:]
+
+    def check_last_closes(self, responses: list[bytes]) -> None:
+        """Checks that both are answered, and the last one closes."""
+        self.assertEqual(["/", "/second"], self.handled)
+        closing = [b"connection: close" in r.lower() for r in responses]
+        self.assertEqual([False, True], closing)
+        self.assertTrue(responses[1].endswith(b"abc"))
+
+    async def test_a_request_that_waits_unread_is_answered(self):
+        self.writer.write(REQUEST)
+        await asyncio.sleep(ACCEPT_DELAY_SECONDS)
+        self.writer.write(SECOND_REQUEST)
+        self.check_last_closes(await self.stop())
+
+    async def test_a_request_that_was_read_with_another_is_answered(self):
+        self.writer.write(REQUEST + SECOND_REQUEST)
+        self.check_last_closes(await self.stop())
+
+    async def test_a_request_whose_end_comes_later_is_answered(self):
+        self.writer.write(REQUEST + SECOND_REQUEST[:20])
+        asyncio.get_running_loop().call_later(
+            1.5 * RESPONSE_SECONDS, self.writer.write, SECOND_REQUEST[20:]
+        )
+        self.check_last_closes(await self.stop())
+
+    async def test_a_request_that_never_ends_is_cut_with_a_line(self):
+        self.writer.write(REQUEST + SECOND_REQUEST[:20])
+        with mock.patch.object(log, "write_limited") as write_limited:
+            responses = await self.stop(SHORT_STOP_SECONDS)
+        self.assertEqual(1, len(responses))
+        self.assertEqual(1, write_limited.call_count)
+        line = write_limited.call_args
+        self.assertEqual((events.REQUEST_CUT,), line.args)
+        self.assertEqual("reading a head", line.kwargs["phase"])
+
+    async def test_a_handler_still_closes_the_connection(self):
+        self.responses_close = True
+        self.writer.write(REQUEST + SECOND_REQUEST)
+        responses = await self.stop()
+        self.assertEqual(["/"], self.handled)
+        self.assertIn(b"connection: close", responses[0].lower())
+
+    async def test_a_body_that_was_not_read_still_closes(self):
+        self.server.settings.handler = respond_slowly
+        self.writer.write(SECOND_REQUEST[:-1])
+        responses = await self.stop()
+        self.assertIn(b"connection: close", responses[0].lower())
+
+
 class AnswerTest(unittest.IsolatedAsyncioTestCase):
     """Requests that are answered although something goes wrong."""
 
