Answer requests that were read behind another one before a stop closes

What callers saw: a caller that sends its next request on a kept connection before the answer to the first one gets, during a stop, that answer with `connection: close` and the end of the connection; the second request, whole and read, stays unanswered, and the log has no line on it.

Cause: exchange() closed for `finishing` and `close_after_response` without asking whether bytes of a next request had come, either unread in the stream or taken by h11 together with the first (trailing_data). cut(), which writes 303, wasn't reached. `unanswered` didn't count what h11 holds either, so finish() could close between two such requests.

Why this works: before the head of a response is written, a stop closes only if nothing behind the request has arrived; else the response keeps the connection, and the last one closes it. A handler's `close` and a body that wasn't read to its end close as before, since what follows can't be told or mustn't be served. The stop's end bounds it: a request that isn't complete or answered by then is cut with 303. Bytes that arrive once a response has said `close` are still not served; its caller was told.

Also: between requests, the part of a head that h11 holds counts as reading a head, in 302 and 303. A caller that sends blank lines behind its request now keeps its connection until its head times out (408) or the stop ends.

Evidence: tests.test_server.PipelineTest: 4 of 6 failed before, all pass; the other two say what still closes.

--- a/oleanderhoist/http/serverconnection.py
+++ b/oleanderhoist/http/serverconnection.py
@@ -92,7 +92,18 @@
     @property
     def unanswered(self) -> bool:
         """Whether a request has arrived, at least in part, unanswered."""
-        return self.phase is not Phase.IDLE or self.reader.unread > 0
+        return self.phase is not Phase.IDLE or self.next_begun
+
+    @property
+    def next_begun(self) -> bool:
+        """Whether bytes have arrived that the current phase has not used."""
+        return self.reader.unread > 0 or bool(self.protocol.trailing_data[0])
+
+    @property
+    def may_stop(self) -> bool:
+        """Whether a stop closes this connection: nothing else has arrived."""
+        stopping = self.finishing or self.settings.close_after_response
+        return stopping and not self.next_begun
 
     async def serve(self) -> None:
         """Serves requests sequentially until the connection ends."""
@@ -151,16 +162,12 @@
         if response is None:
             return False
         self.phase = Phase.WRITING
-        close = (
-            response.close
-            or self.finishing
-            or self.settings.close_after_response
-        )
+        close = response.close or self.may_stop
         if self.protocol.their_state is not h11.DONE:
             close = True
         await self.write(response, request.method, close)
         self.phase = Phase.IDLE
-        if self.finishing or close:
+        if close or (self.finishing and not self.next_begun):
             return False
         return self.protocol.our_state is h11.DONE
 
@@ -209,6 +216,8 @@
         """Returns the next request, or None when the connection ends."""
         timeout = self.settings.idle_seconds
         received = bytearray(self.protocol.trailing_data[0])
+        if received:
+            self.phase = Phase.HEAD
         while True:
             error_code = check_head(received)
             if error_code is not None:
