--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -16,15 +16,18 @@
     loop: "Loop"
 
     def select(self, timeout: float | None = None) -> list:
-        """Advances the time by the timeout and polls without waiting.
+        """Polls without waiting; advances the time if no socket is ready.
 
         Raises:
             RuntimeError: No timer is scheduled, so time can't advance.
         """
+        ready = super().select(0)
+        if ready:
+            return ready
         if timeout is None:
             raise RuntimeError("virtual time can't advance: no timer is left")
         self.loop.now += max(0.0, timeout)
-        return super().select(0)
+        return []
 
 
 class Loop(asyncio.SelectorEventLoop):
