Test hedges and a server's own failure while a router stops

Each part was taken out by hand, the tests run, the part put back: - may_hedge without its look at stopping: a_stopping_router_does_not_load_servers fails (a second slot is requested). - stopped_outcome without failure_response: a_failure_is_delivered_when_a_stop fails, for a retry without a slot and for one that is at a server (Unknown in place of the server's answer).

--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -378,6 +378,23 @@
         )
         self.assertEqual(FAILURE, outcome.response)
 
+    def test_a_stopping_router_does_not_load_servers_with_hedges(self):
+        for stop_after, hedges in (
+            (HEDGE_DELAY_SECONDS - STOP_SECONDS / 4, 0),
+            (HEDGE_DELAY_SECONDS + 0.1, 1),
+        ):
+            with self.subTest(stop_after=stop_after):
+                slots = ScriptedSlots(GRANTED, REFUSED)
+                outcome = self.serve(
+                    slots,
+                    ScriptedExchanges(
+                        Step(after=HEDGE_DELAY_SECONDS + 1.0, reply=SUCCESS)
+                    ),
+                    stop_after=stop_after,
+                )
+                self.assertEqual(SUCCESS, outcome.response)
+                self.assertEqual(1 - hedges, len(list(slots.steps)))
+
 
 class StopTest(unittest.TestCase):
     """What a stop makes of requests that are being forwarded."""
@@ -387,7 +404,11 @@
         self.stop_began = 0.0
 
     def stop(
-        self, slots: QueueingSlotClient, refusals: int = 0, after: float = 1.0
+        self,
+        slots: QueueingSlotClient,
+        refusals: int = 0,
+        after: float = 1.0,
+        server: FailingServer | None = None,
     ) -> outcomes.Outcome:
         """Returns the outcome of a request that is served when a stop begins.
 
@@ -395,9 +416,11 @@
             slots: Client that grants slots.
             refusals: Number of exchanges that the server refuses.
             after: Time from the request to the stop, in seconds.
+            server: Client of another server; None for one that stays silent
+                after its refusals.
         """
         request_forwarder = make_forwarder(
-            self.loop, slots, ScriptedServer(refusals=refusals)
+            self.loop, slots, server or ScriptedServer(refusals=refusals)
         )
         request = job(arrived=self.loop.now, objective=0.1)
         request.deadline = self.loop.now + REQUEST_SECONDS
@@ -456,6 +479,20 @@
         self.assertEqual(due, slots.requests[0].deadline)
         self.assertEqual(due, slots.requests[0].objective)
 
+    def test_a_failure_is_delivered_when_a_stop_leaves_no_time_to_retry(self):
+        for grants, seconds in ((1, STOP_SECONDS / 2), (2, STOP_SECONDS)):
+            with self.subTest(grants=grants):  # Retry without a slot, or sent.
+                self.loop = virtual.Loop()
+                slots = QueueingSlotClient(grants=grants)
+                server = ScriptedExchanges(
+                    Step(after=0.1, reply=FAILURE),
+                    Step(after=REQUEST_SECONDS, reply=LOST),
+                )
+                outcome = self.stop(slots, server=server)
+                self.assertEqual(2, len(slots.requests))
+                self.assertEqual(FAILURE, outcome.response)
+                self.assertAlmostEqual(seconds, self.elapsed(), places=1)
+
 
 if __name__ == "__main__":
     unittest.main()
