--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -19,6 +19,7 @@
 # server in the last sixth.
 EARLIEST_SECONDS = {503: 0.0, 502: GRACE_SECONDS * 5 / 6}
 LATEST_SECONDS = {503: GRACE_SECONDS / 2 + 0.5, 502: GRACE_SECONDS}
+CALL_INTERVAL_SECONDS = 0.4
 ROW_SECONDS = 1.0  # For a new configuration to be applied.
 
 
@@ -104,6 +105,20 @@
         ran = await self.system.ran("d1")
         self.assertFalse(set(waiting) & set(ran), ran)
 
+    async def test_a_slow_store_does_not_keep_a_stop_from_answering(self):
+        # The leader's resignation waits for the store.
+        self.system.signal("store", signal.SIGSTOP)
+        self.system.signal("r2", signal.SIGTERM)
+        results = []
+        for number in range(4):
+            await asyncio.sleep(CALL_INTERVAL_SECONDS)
+            results.append(await self.send(f"o{number}"))
+        statuses = [getattr(result, "status", result) for result in results]
+        self.assertEqual([200] * 4, statuses)
+        async with asyncio.timeout(GRACE_SECONDS):
+            await self.system.processes["r2"].wait()
+        self.system.signal("store", signal.SIGCONT)
+
 
 if __name__ == "__main__":
     unittest.main()
