Ignore signals from the close of the event loop to the exit

Cause: asyncio.run closes the loop before writer.stop(), and the close sets each handler back to the default (SIGINT: KeyboardInterrupt). From there to the exit, the flush of the log included, a signal ends the process. For the router, this also undid the SIG_IGN for SIGHUP of its start-up.

Why this works: all three programs run on an event loop that sets the three signals to SIG_IGN as the first step of its close, and whose removal of a handler ignores the signal too. There is no moment with the default between: until the close, asyncio's handlers are in place, and a process may keep SIG_IGN up to its end. A mask of the main thread would not do, since the log's thread would take the signal. Before the close nothing changes; SIGKILL ends a program that hangs.

--- a/oleanderhoist/cli/options.py
+++ b/oleanderhoist/cli/options.py
@@ -15,6 +15,26 @@
 from oleanderhoist.http import streams
 
 DEFAULT_MAX_SKEW_MS = 50.0
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
+
+class EventLoop(asyncio.SelectorEventLoop):
+    """An event loop at whose close signals become ignored.
+
+    Their default, which asyncio restores, would end the process by signal
+    before its last log lines are written.
+    """
+
+    def close(self) -> None:
+        """Ignores the programs' signals, then closes the loop."""
+        for signum in HANDLED_SIGNALS:
+            self.remove_signal_handler(signum)
+        super().close()
+
+    def remove_signal_handler(self, sig: int) -> bool:
+        """Ignores a signal from now on; `super().close()` calls it, too."""
+        signal.signal(sig, signal.SIG_IGN)
+        return True
 
 
 def common_options(function: Callable) -> Callable:
@@ -108,7 +128,8 @@
     writer = log.Writer(stream=stream)
     writer.start()
     try:
-        asyncio.run(run_and_close(program))
+        with asyncio.Runner(loop_factory=EventLoop) as runner:
+            runner.run(run_and_close(program))
     except OSError as error:
         click.echo(f"cannot listen: {error}; check the addresses", err=True)
         sys.exit(exits.ExitStatus.ERROR)
