Test that two faults stop a router once (fails)

stops-in-series notes a router as restarting only once the task of its stop runs; till then another fault may pick it.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -127,6 +127,30 @@
         asyncio.run(faults.stop_and_restart(injector, "r2"))
         self.assertEqual(1, len(checker.violations))
 
+    def test_two_faults_stop_a_router_once(self):
+        injector = faults.Injector(
+            system=types.SimpleNamespace(
+                processes={"r2": types.SimpleNamespace(returncode=None)},
+                routers=(2,),
+            ),
+            checker=invariants.Checker(),
+            seed=SEED,
+            max_work_seconds=0.0,
+        )
+
+        async def inject() -> None:
+            await asyncio.gather(
+                faults.stop_in_series(injector), faults.stop_router(injector)
+            )
+
+        with mock.patch.multiple(
+            faults,
+            stop_and_restart=mock.AsyncMock(),
+            repeat_signal=mock.AsyncMock(),
+        ):
+            asyncio.run(inject())
+            self.assertEqual(1, faults.stop_and_restart.await_count)
+
 
 class PromisesTest(unittest.TestCase):
     """Violations that the checker detects."""
