--- a/soak/faults.py
+++ b/soak/faults.py
@@ -218,12 +218,13 @@
     for name in names:
         if name in injector.restarting:
             continue
-        stop = asyncio.create_task(stop_and_restart(injector, name))
-        stops.append(stop)
+        injector.restarting.add(name)  # Before another fault picks it.
+        restart = asyncio.create_task(stop_and_restart(injector, name))
+        stops.append(restart)
         if injector.rng.random() < REPEATED_SIGNAL_SHARE:
             stops.append(asyncio.create_task(repeat_signal(injector, name)))
         if gap_seconds is None:
-            await stop
+            await restart
         else:
             await asyncio.sleep(injector.rng.uniform(0.0, gap_seconds))
     await asyncio.gather(*stops)
