Log how a wait for a slot ended without one

415 slot.wait_ended has the request, slot queue (`lane`), coordinator (`home`), time (`took_ms`) and result: refused, deadline, silent, moved, stopped or gone. Waits under 50 ms leave no line: during a burst most requests are refused at once, and 410 tells of these. The slot client knows a stop by the forwarder's `slots_due`; the attempt that it cancels can't tell that from a caller that left.

Evidence: tests.test_coordinator_moves, one test for each pair of results. Passed on this tree: test_permits, test_forwarder, test_node, test_lanes, test_tree, test_platform, test_stop, test_outer_names, test_story, test_log, test_entry.

--- a/oleanderhoist/events.py
+++ b/oleanderhoist/events.py
@@ -214,6 +214,13 @@
     "A server failed most requests and receives none for a while.",
     "oleanderhoist.node.coordinator",
 )
+SLOT_WAIT_ENDED = define(
+    415,
+    "slot.wait_ended",
+    "A request's wait for a slot ended without one: slot queue, coordinator, "
+    "time waited; `result` says how it ended.",
+    "oleanderhoist.node.slotclient",
+)
 STORE_LOST = define(
     420,
     "store.lost",
--- a/oleanderhoist/node/core.py
+++ b/oleanderhoist/node/core.py
@@ -103,6 +103,7 @@
             ),
             data_center=settings.data_center,
         )
+        self.slot_client.slots_due = self.forwarder.slots_due
         self.frontend = frontend.Frontend(
             address=settings.listen,
             platform=platform,
--- a/oleanderhoist/node/forwarder.py
+++ b/oleanderhoist/node/forwarder.py
@@ -221,6 +221,7 @@
             data_center=self.data_center,
             body_bytes=len(job.body),
             excluded=frozenset(job.tried_servers),
+            request_id=job.head.id,
         )
         verdict = await self.slot_client.acquire(queue, request)
         if isinstance(verdict, slotqueue.Refused):
--- a/oleanderhoist/node/slotclient.py
+++ b/oleanderhoist/node/slotclient.py
@@ -6,10 +6,12 @@
 import prometheus_client
 
 from oleanderhoist import clock
+from oleanderhoist import deadline
 from oleanderhoist import events
 from oleanderhoist import log
 from oleanderhoist.node import coordinator
 from oleanderhoist.node import datagrams
+from oleanderhoist.node import pendingslots
 from oleanderhoist.node import state
 from oleanderhoist.node import wire
 from oleanderhoist.policy import cluster
@@ -46,28 +48,18 @@
     server: str
 
 
-@dataclasses.dataclass(kw_only=True)
-class PendingSlotRequest:
-    """A slot request without a verdict.
+class SlotClient:
+    """Acquires and releases slots for the requests of this router.
 
     Attributes:
-        queue: Slot queue of the slot.
-        coordinator: Address of the router that was asked; others' replies to
-            the request are late ones.
-        future: Receives the verdict; None if the coordinator has changed.
-        expected_wait: Expected wait in seconds; None until the coordinator
-            reports that it has queued the slot request.
+        pending: Slot requests without a verdict, by id.
+        suspected_until: Until when coordinators are bypassed, by address.
+        cores_by_member: CPU cores of the members that determine the
+            coordinators of the pending requests.
+        slots_due: Until when requests may wait for a slot; set by a stop. The
+            caller of `acquire` cancels it then.
     """
 
-    queue: str
-    coordinator: str
-    future: asyncio.Future[slotqueue.Verdict | None]
-    expected_wait: float | None = None
-
-
-class SlotClient:
-    """Acquires and releases slots for the requests of this router."""
-
     def __init__(
         self,
         *,
@@ -80,9 +72,10 @@
         self.coordinator = coordinator
         self.state = state
         self.clock = clock
-        self.pending: dict[int, PendingSlotRequest] = {}
+        self.pending: dict[int, pendingslots.PendingSlotRequest] = {}
         self.suspected_until: dict[str, float] = {}
         self.cores_by_member: dict[str, float] = {}
+        self.slots_due = deadline.SharedDeadline()
         state.snapshot_listeners.append(self.end_moved_waits)
         datagrams.handlers[wire.AcquireSlot] = self.on_acquire_slot
         datagrams.handlers[wire.SlotQueued] = self.on_slot_queued
@@ -141,9 +134,11 @@
             The grant or a refusal; None if the coordinator has changed. The
             request is then cancelled there.
         """
-        pending = PendingSlotRequest(
+        pending = pendingslots.PendingSlotRequest(
+            request=request,
             queue=queue,
             coordinator=coordinator_address,
+            started_at=self.clock.monotonic(),
             future=asyncio.get_running_loop().create_future(),
         )
         self.pending[request.id] = pending
@@ -156,6 +151,10 @@
             )
         except asyncio.CancelledError:
             self.cancel(coordinator_address, queue, request.id)
+            result = pendingslots.WaitResult.GONE
+            if self.slots_due.passed:
+                result = pendingslots.WaitResult.STOPPED
+            pending.log_end(result, self.clock.monotonic())
             raise
         finally:
             self.pending.pop(request.id, None)
@@ -217,7 +216,7 @@
         coordinator_address: str,
         queue: str,
         request: slotqueue.SlotRequest,
-        pending: PendingSlotRequest,
+        pending: pendingslots.PendingSlotRequest,
     ) -> None:
         """Waits for any reply of a coordinator, retransmitting once."""
         for attempt in range(REPLY_ATTEMPTS):
@@ -234,7 +233,7 @@
         coordinator_address: str,
         queue: str,
         request: slotqueue.SlotRequest,
-        pending: PendingSlotRequest,
+        pending: pendingslots.PendingSlotRequest,
     ) -> SlotGrant | slotqueue.Refused | None:
         """Waits for the verdict of a slot request.
 
@@ -260,12 +259,23 @@
             self.cancel(coordinator_address, queue, request.id)
             if not local:
                 self.suspect(coordinator_address, queue)
+            now = self.clock.monotonic()
+            result = pendingslots.WaitResult.SILENT
+            if now >= request.deadline:
+                result = pendingslots.WaitResult.DEADLINE
+            pending.log_end(result, now)
             return self.bypass(queue, request)
         verdict = future.result()
         if verdict is None:
             self.cancel(coordinator_address, queue, request.id)
+            pending.log_end(
+                pendingslots.WaitResult.MOVED, self.clock.monotonic()
+            )
             return None
         if isinstance(verdict, slotqueue.Refused):
+            pending.log_end(
+                pendingslots.WaitResult.REFUSED, self.clock.monotonic()
+            )
             return verdict
         return SlotGrant(
             id=request.id,
--- a/oleanderhoist/policy/slotqueue.py
+++ b/oleanderhoist/policy/slotqueue.py
@@ -53,6 +53,7 @@
         data_center: Data centre of the requester.
         body_bytes: Size of the request's body.
         excluded: Servers that the request was already sent to.
+        request_id: Id of the caller's request, for the log.
     """
 
     id: int
@@ -63,6 +64,7 @@
     data_center: str = ""
     body_bytes: int = 0
     excluded: frozenset[str] = frozenset()
+    request_id: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/tests/test_coordinator_moves.py
+++ b/tests/test_coordinator_moves.py
@@ -4,6 +4,9 @@
 from collections.abc import Coroutine
 import unittest
 
+import eliot
+
+from oleanderhoist import events
 from oleanderhoist.node import coordinator
 from oleanderhoist.node import slotclient
 from oleanderhoist.node import state
@@ -111,6 +114,7 @@
             rank=0,
             deadline=self.loop.now + REMAINING_SECONDS,
             objective=self.loop.now + OBJECTIVE_SECONDS,
+            request_id=f"request-{id}",
         )
         return self.client.acquire(QUEUE, request)
 
@@ -299,5 +303,101 @@
         virtual.run(play(), routers.loop)
 
 
+class LogTest(unittest.TestCase):
+    """A wait that ends without a slot leaves a line that says how."""
+
+    def setUp(self):
+        self.messages: list[dict] = []
+        eliot.add_destinations(self.messages.append)
+        self.addCleanup(eliot.remove_destination, self.messages.append)
+        self.routers = Routers()
+        self.routers.fill(BEFORE)
+        self.routers.fill(AFTER)
+
+    def check(self, *results: str, home: str = BEFORE) -> None:
+        """Checks the lines of request 1, which waits 0.1 s at least."""
+        lines = [
+            message
+            for message in self.messages
+            if message.get("event") == events.SLOT_WAIT_ENDED.number
+        ]
+        self.assertEqual(list(results), [line["result"] for line in lines])
+        for line in lines:
+            self.assertEqual("request-1", line["request"])
+            self.assertEqual(QUEUE, line["lane"])
+            self.assertEqual(home, line["home"])
+            self.assertGreaterEqual(line["took_ms"], 100)
+
+    async def wait(self) -> asyncio.Task:
+        """Starts a request that waits for a slot."""
+        task = await self.routers.waiting(1)
+        await asyncio.sleep(0.1)
+        return task
+
+    def test_a_move_is_logged(self):
+        async def play() -> None:
+            await self.wait()
+            self.routers.adopt(snapshot(2, AFTER, REQUESTER))
+            await asyncio.sleep(0.01)
+            self.check("moved")
+
+        virtual.run(play(), self.routers.loop)
+
+    def test_a_refusal_after_a_wait_is_logged(self):
+        async def play() -> None:
+            task = await self.wait()
+            refused = wire.SlotRefused(id=1, retry_ms=10, wait_ms=10)
+            self.routers.client.on_slot_refused(BEFORE, refused)
+            await task
+            self.check("refused")
+
+        virtual.run(play(), self.routers.loop)
+
+    def test_a_caller_that_left_and_a_stop_are_told_apart(self):
+        async def play() -> None:
+            task = await self.wait()
+            task.cancel()
+            await asyncio.sleep(0.01)
+            self.check("gone")
+            task = await self.wait()
+            self.routers.client.slots_due.set(self.routers.loop.now)
+            task.cancel()
+            await asyncio.sleep(0.01)
+            self.check("gone", "stopped")
+
+        virtual.run(play(), self.routers.loop)
+
+    def test_a_silent_coordinator_and_the_deadline_are_told_apart(self):
+        async def play() -> None:
+            self.routers.lost.add(wire.AcquireSlot)
+            await self.routers.acquire(1)
+            self.check("silent")
+            self.routers.adopt(snapshot(2, REQUESTER))
+            self.routers.fill(REQUESTER)
+            self.messages.clear()
+            await self.routers.acquire(1)
+            self.check("deadline", home=REQUESTER)
+
+        virtual.run(play(), self.routers.loop)
+
+    def test_a_slot_and_a_refusal_at_once_leave_no_line(self):
+        async def play() -> None:
+            task = await self.wait()
+            self.routers.free(BEFORE)
+            await task
+            late = slotqueue.SlotRequest(
+                id=2,
+                requester=REQUESTER,
+                rank=0,
+                deadline=self.routers.loop.now + SERVICE_SECONDS / 4,
+                objective=self.routers.loop.now,
+            )
+            verdict = await self.routers.client.acquire(QUEUE, late)
+            self.assertIsInstance(verdict, slotqueue.Refused)
+            self.check()
+
+        virtual.run(play(), self.routers.loop)
+
+
 if __name__ == "__main__":
     unittest.main()
