--- a/tests/test_coordinator_moves.py
+++ b/tests/test_coordinator_moves.py
@@ -25,6 +25,8 @@
 OBJECTIVE_SECONDS = 4.0
 SOON_SECONDS = 0.15
 SERVICE_SECONDS = 1.0
+WAITING = 300
+MAX_AT_ONCE = 50  # A socket holds some 250 small datagrams; others send too.
 
 
 def snapshot(version: int, *members: str) -> cluster.Snapshot:
@@ -105,15 +107,16 @@
             router_state.adopt_snapshot(adopted, "test")
 
     def acquire(
-        self, id: int
+        self, id: int, objective: float | None = None
     ) -> Coroutine[None, None, slotclient.SlotGrant | slotqueue.Refused]:
         """Requests a slot for the requester."""
+        objective = objective or self.loop.now + OBJECTIVE_SECONDS
         request = slotqueue.SlotRequest(
             id=id,
             requester=REQUESTER,
             rank=0,
-            deadline=self.loop.now + REMAINING_SECONDS,
-            objective=self.loop.now + OBJECTIVE_SECONDS,
+            deadline=max(objective, self.loop.now + REMAINING_SECONDS),
+            objective=objective,
             request_id=f"request-{id}",
         )
         return self.client.acquire(QUEUE, request)
@@ -208,6 +211,33 @@
 
         virtual.run(play(), routers.loop)
 
+    def test_many_requests_do_not_reach_a_coordinator_at_once(self):
+        routers = Routers()
+
+        async def play() -> None:
+            objective = routers.loop.now + 2 * WAITING
+            routers.fill(BEFORE)
+            routers.fill(AFTER)
+            tasks = [
+                routers.loop.create_task(routers.acquire(id, objective))
+                for id in range(1, WAITING + 1)
+            ]
+            await asyncio.sleep(0.01)
+            routers.sent.clear()
+            routers.adopt(snapshot(2, AFTER, REQUESTER))
+            for _ in range(WAITING // MAX_AT_ONCE):
+                await asyncio.sleep(0.005)
+                self.assertLessEqual(
+                    routers.count(wire.AcquireSlot), MAX_AT_ONCE
+                )
+                routers.sent.clear()
+            await asyncio.sleep(SOON_SECONDS)
+            self.assertEqual([], [task for task in tasks if task.done()])
+            self.assertEqual(set(), routers.held(BEFORE))
+            self.assertEqual(WAITING, len(routers.held(AFTER)))
+
+        virtual.run(play(), routers.loop)
+
     def test_a_snapshot_without_a_move_sends_nothing(self):
         routers = Routers()
 
