Move a queue's waiting requests in batches

What callers would see: when a slot queue with many waiting requests moves, a share of them is refused, and so are new ones for a second, as the new coordinator is suspected of being silent. Seen in a trial only, with 800 waiting at one router.

Cause: all waits ended in one turn of the event loop. Their datagrams overran the sockets of both coordinators, which hold some 250 (212 kB).

Why this works: 20 waits end at once and 20 each 10 ms after, in their order; each batch looks again whether the queue is still elsewhere. Until then a request stays queued at the old coordinator and uses a grant that comes from it. 400 requests take 0.2 s. Routers don't know of each other's batches: some 12 routers with as many waiting could still overrun one socket; a retransmission after 60 ms is left then.

Passed on this tree: test_forwarder, test_node, test_lanes, test_permits, test_stop, test_tree, test_platform, test_outer_names, test_story.

--- a/oleanderhoist/node/slotclient.py
+++ b/oleanderhoist/node/slotclient.py
@@ -23,6 +23,8 @@
 WAIT_FACTOR = 2  # On the expected wait, before a coordinator is suspected.
 WAIT_SLACK_SECONDS = 0.15
 BYPASS_RETRY_SECONDS = 0.15
+MOVES_PER_BATCH = 20
+MOVE_INTERVAL_SECONDS = 0.01
 MAX_REPORTED_WAIT_SECONDS = 60.0  # Sent in place of an infinite wait.
 
 BYPASSED = prometheus_client.Counter(
@@ -165,20 +167,32 @@
         They could last until the deadline: such a router has stopped, or does
         not learn of the slots that the new coordinator's requests use or free.
         The waits end in the order in which they began, so the requests reach
-        the new coordinator in this order. Other waits are not woken up.
+        the new coordinator in this order; and in batches, as it would lose
+        datagrams of all at once. Other waits are not woken up.
         """
         if snapshot.cores_by_member == self.cores_by_member:
             return  # The members alone determine the coordinators.
         self.cores_by_member = snapshot.cores_by_member
-        for pending in self.pending.values():
-            coordinator_address = snapshot.coordinator(pending.queue)
-            if (
-                coordinator_address
-                and coordinator_address != pending.coordinator
-                and not pending.future.done()
-            ):
+        moved = [p for p in self.pending.values() if self.has_moved(p)]
+        self.end_waits(moved[:MOVES_PER_BATCH])
+        for start in range(MOVES_PER_BATCH, len(moved), MOVES_PER_BATCH):
+            asyncio.get_running_loop().call_later(
+                start / MOVES_PER_BATCH * MOVE_INTERVAL_SECONDS,
+                self.end_waits,
+                moved[start : start + MOVES_PER_BATCH],
+            )
+
+    def end_waits(self, batch: list[pendingslots.PendingSlotRequest]) -> None:
+        """Ends the waits that are still at an earlier coordinator."""
+        for pending in batch:
+            if not pending.future.done() and self.has_moved(pending):
                 pending.future.set_result(None)
 
+    def has_moved(self, pending: pendingslots.PendingSlotRequest) -> bool:
+        """Returns whether another router coordinates the queue by now."""
+        address = self.state.snapshot.coordinator(pending.queue)
+        return bool(address) and address != pending.coordinator
+
     def send(
         self,
         coordinator_address: str,
