--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -206,9 +206,10 @@
         def stall() -> None:
             loop.now = due + STALL_SECONDS
 
-        loop.call_later(SETTLE_SECONDS, slots.on_slot_queued, "", queued)
+        peer = test_forwarder.MEMBER.address
+        loop.call_later(SETTLE_SECONDS, slots.on_slot_queued, peer, queued)
         loop.call_at(due - 2 * STALL_SECONDS, stall)
-        loop.call_at(due - STALL_SECONDS, slots.on_slot_granted, "", granted)
+        loop.call_at(due - STALL_SECONDS, slots.on_slot_granted, peer, granted)
         outcome = virtual.run(request_forwarder.serve(request), loop)
         self.assertIsInstance(outcome, outcomes.NotRun)
         self.assertIsInstance(datagrams.sent[-1], wire.CancelAcquire)
