--- a/tests/test_resign.py
+++ b/tests/test_resign.py
@@ -424,6 +424,37 @@
         self.assertEqual(["connect"], self.channel.sent)
 
 
+class EndTest(unittest.TestCase):
+    """A router whose tasks are cancelled at the end of its stop."""
+
+    async def end_deposed_leader(self, turns: int) -> bool:
+        """Cancels a leader's task around the turn in which it is deposed.
+
+        Args:
+            turns: Turns of the event loop between the two.
+
+        Returns:
+            Whether the task has ended.
+        """
+        for address in self.world.addresses:
+            self.world.start(address)
+        await asyncio.sleep(5)
+        leader = leaderstore.leadership_of(self.world.rows).address
+        task = self.world.tasks[leader]
+        self.world.followers[leader].leadership.deposed.set()
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.wait([task], timeout=1.0)
+        return task.done()
+
+    def test_a_leader_that_is_deposed_at_its_end_does_not_run_on(self):
+        for turns in range(12):
+            self.world = ownership_world.World(seed=3, routers=ROUTERS)
+            ended = virtual.run(self.end_deposed_leader(turns), self.world.loop)
+            self.assertTrue(ended, turns)
+
+
 class AwaitTest(unittest.TestCase):
     """How long a stopping router awaits answers."""
 
