--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,7 +24,12 @@
 # 432 (long): the check judged a request by its router's stop before the last.
 # 3515 (long): a stall over the end of a stop left a due response unwritten, and
 # cancelled the task that an answer had arrived for, before it read the answer.
-# 2503, 2505, 3510, 3514, 4700 (long): stops over 7 s on a busy machine (open).
+# 4700, 6102 (long): a stop took over 7 s, since routers freed their objects
+# before they ended; 2503, 2505, 3510: probably the same.
+# 3514, 6104 (long): the same on a machine that starves processes (open).
+# 6104 (long): two faults stopped and started the same router.
+# 6103 (long): the check of recovery asks for more than the load allows (open).
+# 6105 (long): a request on a new connection crossed a close or was lost (open).
 SEED = 2
 
 
