Show requests that a stop closes before it has looked for them (fails)

Seen: a connection that waits to be accepted when a stop closes its listener is reset, with the whole request in the socket's buffer; so is one that was accepted, if the process is frozen while a stop waits for what has just arrived (0.05 s).

--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -115,6 +115,15 @@
         async with asyncio.timeout(RESPONSE_SECONDS / 4):
             self.assertTrue((await reader.read()).endswith(b"done"))
 
+    async def test_a_connection_that_waits_to_be_accepted_is_answered(self):
+        running = await self.start(server.Server)
+        caller = socket.create_connection(("127.0.0.1", running.port))
+        self.addCleanup(caller.close)
+        caller.sendall(REQUEST)
+        await running.stop(2.0)
+        caller.settimeout(RESPONSE_SECONDS)
+        self.assertTrue(caller.recv(SMALL_BUFFER_BYTES).endswith(b"done"))
+
     async def test_a_running_exchange_is_answered(self):
         running = await self.start(server.Server)
         reader = await self.send(running)
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -383,6 +383,23 @@
     def test_a_request_that_arrived_in_time_is_served(self):
         self.check_pauses(self.reuse)
 
+    async def stop_after_pause(self) -> None:
+        """Checks that a stop answers what arrived before a pause."""
+        running = await self.serve(respond)
+        reader, writer = await streams.connect("127.0.0.1", running.port)
+        await asyncio.sleep(SETTLE_SECONDS)
+
+        def send_and_pause() -> None:
+            writer.write(REQUEST)
+            self.pause()
+
+        self.loop.call_later(SETTLE_SECONDS, send_and_pause)
+        await running.stop(LIMIT_SECONDS)
+        self.assertTrue((await reader.read()).endswith(b"done"))
+
+    def test_a_request_that_arrived_before_a_stop_closes_is_answered(self):
+        self.check_pauses(self.stop_after_pause)
+
     async def stop_in_two_stalls(self) -> None:
         """Checks that a response is written though a stop stalls twice."""
 
