Look for what has arrived before a stop closes listener and idle connections

Cause: the stop closed the listener in the turn in which it began to stop, with connections that nobody had accepted yet; and after 0.05 s it took connections for idle whose bytes a frozen process had not polled.

A turn polls the sockets first and accepts all that wait, so what had arrived is known before anything is closed. The turns wait for no event.

--- a/oleanderhoist/deadline.py
+++ b/oleanderhoist/deadline.py
@@ -18,6 +18,12 @@
     """A shared deadline passed while a task was under it."""
 
 
+async def catch_up() -> None:
+    """Lets the event loop read and pass on what has arrived."""
+    for _ in range(CATCH_UP_TURNS):
+        await asyncio.sleep(0)
+
+
 class CatchUpTimeout:
     """A timeout like `asyncio.Timeout` that lets the event loop catch up.
 
--- a/oleanderhoist/http/server.py
+++ b/oleanderhoist/http/server.py
@@ -10,10 +10,8 @@
 
 LISTEN_BACKLOG = 1024  # Connections that wait to be accepted.
 ARRIVAL_SECONDS = 0.05  # Lets the last accepted connections register.
-# After a stall, lets responses be written that became due within it; the turns
-# of the event loop allow for another stall meanwhile.
+# After a stall, lets responses be written that became due within it.
 LAST_TURN_SECONDS = 0.05
-LAST_TURNS = 2 * deadline.CATCH_UP_TURNS
 
 
 class Server:
@@ -89,11 +87,13 @@
         Args:
             grace: Longest time to wait for running exchanges, in seconds.
         """
-        if self.listener is not None:
-            self.listener.close()
         loop = asyncio.get_running_loop()
         end = loop.time() + grace - LAST_TURN_SECONDS
+        await deadline.catch_up()  # Connections that wait to be accepted.
+        if self.listener is not None:
+            self.listener.close()
         await asyncio.sleep(min(grace, ARRIVAL_SECONDS))
+        await deadline.catch_up()  # Requests that came in a stall.
         log.write(
             events.EXCHANGES_AWAITED,
             port=self.port,
@@ -113,7 +113,7 @@
                 task.cancel()
         if self.connections:
             await asyncio.sleep(min(grace, LAST_TURN_SECONDS))
-            for _ in range(LAST_TURNS):
-                await asyncio.sleep(0)
+            await deadline.catch_up()
+            await deadline.catch_up()  # After the deadline of a response.
         for connection in list(self.connections):
             connection.cut()
