--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,27 +1,12 @@
-"""Runs the tests of entries in separate processes.
+"""Runs the tests of entries."""
 
-The entry and the router are separate programs that register metrics of the
-same names, so one process cannot import both.
-"""
-
-import subprocess
-import sys
 import unittest
 
+from tests import apart
 
-class EntryTest(unittest.TestCase):
-    """The tests in the modules `tests.entry_*`."""
 
-    def run_module(self, name: str, count: int) -> None:
-        """Runs the tests of a module and expects that all pass."""
-        result = subprocess.run(
-            [sys.executable, "-m", "unittest", name],
-            capture_output=True,
-            text=True,
-            check=False,
-        )
-        self.assertEqual(0, result.returncode, result.stderr)
-        self.assertIn(f"Ran {count} tests", result.stderr)
+class EntryTest(apart.ModuleTestCase):
+    """The tests in the modules `tests.entry_*`."""
 
     def test_tries_are_told_truthfully(self):
         self.run_module("tests.entry_tries", 4)
--- a/tests/test_stop_entry.py
+++ b/tests/test_stop_entry.py
@@ -1,30 +1,15 @@
-"""Runs the tests of `tests.entry_stops` in a separate process.
+"""Runs the tests of `tests.entry_stops`."""
 
-The entry and the router are separate programs that register metrics of the
-same names, so one process cannot import both.
-"""
-
-import re
-import subprocess
-import sys
 import unittest
 
-TIMEOUT_SECONDS = 90.0
+from tests import apart
 
 
-class StopEntryTest(unittest.TestCase):
+class StopEntryTest(apart.ModuleTestCase):
     """The tests in `tests.entry_stops`."""
 
     def test_a_stopping_entry_answers_what_it_has_read(self):
-        result = subprocess.run(
-            [sys.executable, "-m", "unittest", "tests.entry_stops"],
-            capture_output=True,
-            text=True,
-            check=False,
-            timeout=TIMEOUT_SECONDS,
-        )
-        self.assertEqual(0, result.returncode, result.stderr)
-        self.assertRegex(result.stderr, re.compile(r"^Ran 19 tests", re.M))
+        self.run_module("tests.entry_stops", 19)
 
 
 if __name__ == "__main__":
