Log the age of contracts and failed waits for their changes

What was missing: no line told a leader whose feed is stuck from one that has nothing to announce, nor how old a router's contracts were when it handled a request. A router now records when a read of the store last showed its contracts to be the newest (clock that counts suspended time); 410 has it as terms_age_ms, and 403 names each failed wait for a change with its time and that age.

No decision uses the age yet.

--- a/oleanderhoist/events.py
+++ b/oleanderhoist/events.py
@@ -183,6 +183,13 @@
     "Contracts were rejected as invalid; the last valid ones stay active.",
     "oleanderhoist.node.state",
 )
+TERMS_FEED_FAILED = define(
+    403,
+    "terms.feed_failed",
+    "Waiting for a change of the contracts failed: reason, time taken and the "
+    "age of the contracts; they are read instead.",
+    "oleanderhoist.node.contractwatch",
+)
 CALL_ENDED = define(
     410,
     "call.ended",
--- a/oleanderhoist/node/contractwatch.py
+++ b/oleanderhoist/node/contractwatch.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+from oleanderhoist import clock
+from oleanderhoist import events
+from oleanderhoist import log
 from oleanderhoist import ports
 from oleanderhoist.node import state
 
@@ -12,17 +15,31 @@
 
 
 class ContractWatch:
-    """Reads contracts and applies them in this router."""
+    """Reads contracts and applies them in this router.
 
-    def __init__(self, *, platform: ports.Platform, state: state.State):
+    Args:
+        platform: The store of the contracts.
+        state: Receives the contracts.
+        clock: Time source.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: ports.Platform,
+        state: state.State,
+        clock: clock.Clock,
+    ):
         self.platform = platform
         self.state = state
+        self.clock = clock
         self.lock = asyncio.Lock()
         self.seen_revision = 0
 
     async def read(self) -> bool:
         """Reads the contracts; returns whether the store answered."""
         async with self.lock:
+            sent_at = self.clock.boottime()
             try:
                 result = await self.platform.read_contracts()
             except ports.StoreError:
@@ -32,6 +49,7 @@
             self.state.reject_contracts(result.error)
         if result.versioned is not None:
             self.state.adopt_contracts(result.versioned, "store")
+        self.state.confirm_contracts(sent_at)
         return True
 
     async def read_until(self, revision: int) -> None:
@@ -57,12 +75,25 @@
 
     async def wait_for_change(self) -> bool:
         """Waits for a change; returns whether there may be one."""
+        sent_at = self.clock.boottime()
         try:
             watched = await self.platform.watch_contracts(
                 self.seen_revision, WATCH_TIMEOUT_SECONDS
             )
-        except ports.StoreError:
+        except ports.StoreError as error:
+            self.log_failure(error, sent_at)
             await asyncio.sleep(RETRY_SECONDS)
             return True
         self.seen_revision = max(self.seen_revision, watched.seen_revision)
         return watched.changed
+
+    def log_failure(self, error: ports.StoreError, sent_at: float) -> None:
+        """Logs that waiting for a change failed."""
+        now = self.clock.boottime()
+        age = self.state.contracts_age(now)
+        log.write_limited(
+            events.TERMS_FEED_FAILED,
+            reason=str(error),
+            took_ms=round((now - sent_at) * 1000),
+            age_ms=None if age is None else round(age * 1000),
+        )
--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -76,7 +76,7 @@
         self.coordinator = coordinator
         self.forwarder = forwarder
         self.contract_watch = contractwatch.ContractWatch(
-            platform=platform, state=state
+            platform=platform, state=state, clock=clock
         )
         self.leader_address = ""
         self.epoch = 0
--- a/oleanderhoist/node/frontend.py
+++ b/oleanderhoist/node/frontend.py
@@ -103,10 +103,16 @@
             terms=self.state.contracts.version
             if self.state.contracts
             else None,
+            terms_age_ms=self.terms_age_ms(),
             view_age_ms=self.view_age_ms(),
             took_ms=round(elapsed * 1000, 1),
         )
 
+    def terms_age_ms(self) -> int | None:
+        """Returns the age of the contracts in milliseconds; None if unknown."""
+        age = self.state.contracts_age(self.clock.boottime())
+        return None if age is None else round(age * 1000)
+
     def view_age_ms(self) -> int | None:
         """Returns the time since the snapshot was confirmed; None if never."""
         confirmed = self.state.confirmed_at
