--- a/tests/ownership_world.py
+++ b/tests/ownership_world.py
@@ -13,6 +13,7 @@
 from oleanderhoist.node import follower
 from oleanderhoist.node import state
 from oleanderhoist.node import wire
+from oleanderhoist.platform import store
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import contractset
 from oleanderhoist.policy import storeclock
@@ -222,8 +223,11 @@
         )
 
     async def read_contracts(self) -> ports.ContractsRead:
-        """Returns the contracts."""
+        """Returns the contracts, unless the response is lost."""
         await self.call_store()
+        if self.router in self.world.lost_reads:
+            await asyncio.sleep(store.CALL_TIMEOUT_SECONDS)
+            raise ports.StoreError("no answer", maybe_applied=False)
         document = self.world.contracts_document
         return ports.ContractsRead(
             versioned=document, error=None, seen_revision=document.revision
@@ -232,9 +236,18 @@
     async def watch_contracts(
         self, after: int, seconds: float
     ) -> ports.WatchResult:
-        """Waits for a new revision of the contracts."""
+        """Waits for a new revision; its response may be lost or deaf."""
         await self.call_store()
         deadline = self.world.loop.now + seconds
+        if self.router in self.world.lost_feeds:
+            await asyncio.sleep(seconds + store.CALL_TIMEOUT_SECONDS)
+            raise ports.StoreError("no answer", maybe_applied=False)
+        if self.router in self.world.deaf_feeds:
+            await asyncio.sleep(seconds)
+            return ports.WatchResult(
+                changed=False,
+                seen_revision=self.world.contracts_document.revision,
+            )
         while self.world.loop.now < deadline:
             if self.world.contracts_document.revision > after:
                 break
@@ -304,6 +317,10 @@
         blocked_links: Links without traffic, as pairs of a router's address
             and a router's address, a server's id or "store".
         fault_rates: Probability of each kind of fault.
+        lost_feeds: Routers whose waits for a change get no response.
+        deaf_feeds: Routers whose waits for a change never name one, though
+            the revision that they return includes it.
+        lost_reads: Routers whose reads of the contracts get no response.
         violations: Violations of the ownership guarantees.
         served_keys: Checked keys that had an owner in `record_state`.
         unreachable_servers: Servers that the leader could not reach when
@@ -320,6 +337,9 @@
         self.store_down = False
         self.blocked_links: set[tuple[str, str]] = set()
         self.fault_rates: dict[str, float] = {}
+        self.lost_feeds: set[str] = set()
+        self.deaf_feeds: set[str] = set()
+        self.lost_reads: set[str] = set()
         self.violations: list[str] = []
         self.served_keys: set[int] = set()
         self.unreachable_servers: set[str] = set()
--- /dev/null
+++ b/tests/test_contract_age.py
@@ -0,0 +1,144 @@
+"""Contracts reach every router in time, whatever holds up one way to them."""
+
+import asyncio
+import dataclasses
+import unittest
+
+from oleanderhoist import clock
+from oleanderhoist import ports
+from oleanderhoist.http import client
+from oleanderhoist.node import state
+from oleanderhoist.platform import store
+from oleanderhoist.policy import storeclock
+from tests import ownership_world
+from tests import scripted
+from tests import starvation
+from tests import virtual
+
+ROUTERS = 12
+SETTLE_SECONDS = 6.0
+CHANGE_DELAYS_SECONDS = [tenths / 10 for tenths in range(0, 30, 3)]
+FEED_WAIT_SECONDS = 0.1
+# Half of the time within which changes must be applied: a lost answer and the
+# read that replaces it then fit.
+FEED_ANSWER_SECONDS = ownership_world.PROPAGATION_SECONDS / 2
+
+
+class ContractAgeTest(unittest.TestCase):
+    """Changed contracts are applied within the bound."""
+
+    def setUp(self):
+        self.world = ownership_world.World(seed=1, routers=ROUTERS)
+
+    def change_contracts(self) -> None:
+        """Changes the contracts once."""
+        before = self.world.contracts_document
+        self.world.contracts_document = ports.VersionedContracts(
+            contracts=dataclasses.replace(
+                before.contracts, version=before.contracts.version + 3
+            ),
+            revision=before.revision + 1,
+        )
+
+    def outdated_routers(self) -> list[str]:
+        """Returns the routers without the newest contracts."""
+        version = self.world.contracts_document.contracts.version
+        return [
+            address
+            for address, follower in self.world.followers.items()
+            if follower.state.contracts.version < version
+        ]
+
+    def leader_address(self) -> str:
+        """Returns the address of the router that leads."""
+        return next(
+            address
+            for address, follower in self.world.followers.items()
+            if follower.leadership is not None
+        )
+
+    def outdated_after(self, *faults: str, delay: float) -> list[str]:
+        """Returns which routers miss a change during faults of the leader.
+
+        Args:
+            *faults: Names of the world's sets of faulty routers.
+            delay: Time between the faults and the change, in seconds.
+        """
+
+        async def scenario() -> list[str]:
+            for address in self.world.addresses:
+                self.world.start(address)
+            await asyncio.sleep(SETTLE_SECONDS)
+            leader = self.leader_address()
+            for fault in faults:
+                getattr(self.world, fault).add(leader)
+            await asyncio.sleep(delay)
+            self.change_contracts()
+            await asyncio.sleep(ownership_world.PROPAGATION_SECONDS)
+            return self.outdated_routers()
+
+        return virtual.run(scenario(), self.world.loop)
+
+    def test_a_feed_whose_answers_are_lost_delays_contracts(self):
+        for delay in CHANGE_DELAYS_SECONDS:
+            self.setUp()
+            outdated = self.outdated_after("lost_feeds", delay=delay)
+            self.assertEqual([], outdated, delay)
+
+    def test_a_feed_that_skips_a_change_hides_it(self):
+        self.assertEqual([], self.outdated_after("deaf_feeds", delay=0.0))
+
+    def test_a_leader_that_cannot_read_contracts_looks_fresh(self):
+        self.assertEqual(
+            [],
+            [
+                address
+                for address in self.outdated_after(
+                    "lost_feeds", "lost_reads", delay=0.0
+                )
+                if address not in self.world.lost_reads
+            ],
+        )
+
+
+class FeedTest(unittest.IsolatedAsyncioTestCase):
+    """Waiting for a change ends although no answer comes."""
+
+    async def test_a_lost_feed_answer_holds_the_call_beyond_the_bound(self):
+        async def stay_silent(
+            peer: scripted.Peer, writer: asyncio.StreamWriter
+        ) -> None:
+            await asyncio.sleep(store.CALL_TIMEOUT_SECONDS * 3)
+
+        peer = scripted.Peer(stay_silent)
+        await peer.start(self)
+        caller = store.Store(
+            address=client.Address.parse(peer.address),
+            clock=clock.Clock(),
+            store_clock=storeclock.StoreClock(),
+        )
+        self.addCleanup(caller.client.drop_idle)
+        stopwatch = starvation.Stopwatch()
+        with self.assertRaises(ports.StoreError):
+            await caller.wait_for_change("t", 0, FEED_WAIT_SECONDS)
+        self.assertLess(
+            stopwatch.elapsed(), FEED_WAIT_SECONDS + FEED_ANSWER_SECONDS
+        )
+
+
+class RejectedContractsTest(unittest.TestCase):
+    """A revision counts as applied only with its contracts."""
+
+    def test_a_rejected_revision_hides_its_contracts(self):
+        router_state = state.State()
+        document = ports.VersionedContracts(
+            contracts=ownership_world.CONTRACTS, revision=1
+        )
+        router_state.adopt_contracts(document, "store")
+        router_state.reject_contracts(ports.TermsError("cut", revision=2))
+        announced = router_state.versioned_contracts()
+        self.assertEqual(1, announced.revision)
+
+
+if __name__ == "__main__":
+    unittest.main()
