Resume waits for changed contracts from the latest read only

Callers saw: a change never in force until the next one. Cause: an empty feed answer moved the revision from which the next call resumed, and that answer's revision is the store's newest, so a change that the feed skipped, as while a store drops its history, was taken as seen though nobody had read it.

--- a/oleanderhoist/node/contractwatch.py
+++ b/oleanderhoist/node/contractwatch.py
@@ -12,6 +12,8 @@
 # Short, so that a wait whose answer is lost ends well within the time in which
 # changes must be applied.
 WATCH_SECONDS = 0.6
+# Without a change; history from the latest read on must still be there.
+READ_INTERVAL_SECONDS = 1.8
 RETRY_SECONDS = 0.4  # Between the starts of two calls after a failure.
 CHANGE_PAUSE_SECONDS = 0.15  # Combines changes in quick succession.
 
@@ -23,6 +25,11 @@
         platform: The store of the contracts.
         state: Receives the contracts.
         clock: Time source.
+
+    Attributes:
+        read_revision: Revision of the store at the latest read. Waits resume
+            from it and not from the revision that an earlier wait returned:
+            that one may include a change that the wait did not name.
     """
 
     def __init__(
@@ -36,7 +43,7 @@
         self.state = state
         self.clock = clock
         self.lock = asyncio.Lock()
-        self.seen_revision = 0
+        self.read_revision = 0
 
     async def read(self) -> bool:
         """Reads the contracts; returns whether the store answered."""
@@ -46,7 +53,7 @@
                 result = await self.platform.read_contracts()
             except ports.StoreError:
                 return False
-        self.seen_revision = max(self.seen_revision, result.seen_revision)
+        self.read_revision = max(self.read_revision, result.seen_revision)
         if result.error is not None:
             self.state.reject_contracts(result.error)
         if result.versioned is not None:
@@ -71,24 +78,28 @@
             if not await self.read():
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
-            while not await self.wait_for_change():
-                continue
+            await self.wait_until_read_is_due()
             await asyncio.sleep(CHANGE_PAUSE_SECONDS)
 
+    async def wait_until_read_is_due(self) -> None:
+        """Waits for a change, or until the latest read is too old."""
+        due_at = self.clock.boottime() + READ_INTERVAL_SECONDS
+        while self.clock.boottime() < due_at:
+            if await self.wait_for_change():
+                return
+
     async def wait_for_change(self) -> bool:
-        """Waits for a change; returns whether there may be one."""
+        """Waits for a change; returns whether there may have been one."""
         sent_at = self.clock.boottime()
         try:
-            watched = await self.platform.watch_contracts(
-                self.seen_revision, WATCH_SECONDS
+            return await self.platform.watch_contracts(
+                self.read_revision, WATCH_SECONDS
             )
         except ports.StoreError as error:
             self.log_failure(error, sent_at)
             took_seconds = self.clock.boottime() - sent_at
             await asyncio.sleep(max(0.0, RETRY_SECONDS - took_seconds))
             return True
-        self.seen_revision = max(self.seen_revision, watched.seen_revision)
-        return watched.changed
 
     def log_failure(self, error: ports.StoreError, sent_at: float) -> None:
         """Logs that waiting for a change failed."""
--- a/oleanderhoist/platform/adapter.py
+++ b/oleanderhoist/platform/adapter.py
@@ -33,6 +33,7 @@
             clock=clock.Clock(),
             store_clock=self.store_clock,
         )
+        self.latest_contracts: ports.VersionedContracts | None = None
 
     async def read_rows(self) -> dict[str, ports.Row]:
         """Returns the system's own rows by key."""
@@ -57,16 +58,25 @@
             if row.key != contracts.KEY:
                 continue
             try:
-                versioned = contracts.decode(row)
+                versioned = self.decode_contracts(row)
             except ports.TermsError as error:
                 problem = error
         return ports.ContractsRead(
             versioned=versioned, error=problem, seen_revision=snapshot.revision
         )
 
-    async def watch_contracts(
-        self, after: int, seconds: float
-    ) -> ports.WatchResult:
+    def decode_contracts(self, row: ports.Row) -> ports.VersionedContracts:
+        """Decodes the contracts, unless it did so at the latest read.
+
+        Raises:
+            ports.TermsError: They cannot be applied.
+        """
+        latest = self.latest_contracts
+        if latest is None or latest.revision != row.revision:
+            latest = self.latest_contracts = contracts.decode(row)
+        return latest
+
+    async def watch_contracts(self, after: int, seconds: float) -> bool:
         """Waits until the contracts may have changed."""
         return await self.store.wait_for_change(contracts.TABLE, after, seconds)
 
--- a/oleanderhoist/platform/store.py
+++ b/oleanderhoist/platform/store.py
@@ -176,8 +176,8 @@
 
     async def wait_for_change(
         self, table: str, after: int, seconds: float
-    ) -> ports.WatchResult:
-        """Waits for a change of a table.
+    ) -> bool:
+        """Waits for a change of a table; returns whether there may be one.
 
         Raises:
             ports.StoreError: The store did not answer.
@@ -194,14 +194,8 @@
         )
         if response.status == 410:
             # The store no longer has the changes after this revision.
-            return ports.WatchResult(changed=True, seen_revision=after)
-        payload = decode(response)
-        return ports.WatchResult(
-            changed=bool(payload.rows),
-            seen_revision=payload.revision
-            if "revision" in payload.model_fields_set
-            else after,
-        )
+            return True
+        return bool(decode(response).rows)
 
 
 def request_target(call: str, query: dict[str, str]) -> str:
--- a/oleanderhoist/ports.py
+++ b/oleanderhoist/ports.py
@@ -107,19 +107,6 @@
     seen_revision: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class WatchResult:
-    """The result of waiting for changes.
-
-    Attributes:
-        changed: Whether the contracts may have changed.
-        seen_revision: Revision up to which changes were seen.
-    """
-
-    changed: bool
-    seen_revision: int
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RequestHead:
     """The head of a caller's request.
@@ -270,11 +257,11 @@
             StoreError: The store gave no valid response.
         """
 
-    async def watch_contracts(self, after: int, seconds: float) -> WatchResult:
-        """Waits until the contracts may have changed.
+    async def watch_contracts(self, after: int, seconds: float) -> bool:
+        """Waits for a change; returns whether there may have been one.
 
         Args:
-            after: Revision up to which changes were seen.
+            after: Revision of the store at the latest read.
             seconds: Longest time to wait, in seconds.
 
         Raises:
--- a/tests/ownership_world.py
+++ b/tests/ownership_world.py
@@ -233,9 +233,7 @@
             versioned=document, error=None, seen_revision=document.revision
         )
 
-    async def watch_contracts(
-        self, after: int, seconds: float
-    ) -> ports.WatchResult:
+    async def watch_contracts(self, after: int, seconds: float) -> bool:
         """Waits for a new revision; its response may be lost or deaf."""
         await self.call_store()
         deadline = self.world.loop.now + seconds
@@ -246,10 +244,7 @@
             if self.hears_change(after):
                 break
             await asyncio.sleep(0.02)
-        return ports.WatchResult(
-            changed=self.hears_change(after),
-            seen_revision=self.world.contracts_document.revision,
-        )
+        return self.hears_change(after)
 
     def hears_change(self, after: int) -> bool:
         """Returns whether a wait for a change names a newer revision."""
@@ -321,8 +316,7 @@
             and a router's address, a server's id or "store".
         fault_rates: Probability of each kind of fault.
         lost_feeds: Routers whose waits for a change get no response.
-        deaf_feeds: Routers whose waits for a change never name one, though
-            the revision that they return includes it.
+        deaf_feeds: Routers whose waits for a change never name one.
         lost_reads: Routers whose reads of the contracts get no response.
         violations: Violations of the ownership guarantees.
         served_keys: Checked keys that had an owner in `record_state`.
