Give contracts an age of their own in leaders, heartbeats and routers

Callers saw: requests handled by a replaced configuration. Cause: a heartbeat had the age of the leader's directory alone, read over other calls than the contracts, so a leader that could not learn of changes looked fresh and no follower read for itself; a new leader claimed an age of 0 before it had read anything; a follower that didn't get what its leader announced, or whose own timers were late, had no age to act on.

Heartbeats have the age of the older one (same bytes), a new leader reads both first, for at most 0.25 s, and each router whose contracts are unconfirmed for the bound less 0.15 to 0.35 s reads them, also with late timers.

In virtual time, 12 routers: with a leader whose reads and feed get no answer all 11 others have the change within 2.0 s, before: none; three further tests of this file failed before. A lost leader still costs under one read a router.

--- a/oleanderhoist/node/contractwatch.py
+++ b/oleanderhoist/node/contractwatch.py
@@ -58,7 +58,7 @@
             self.state.reject_contracts(result.error)
         if result.versioned is not None:
             self.state.adopt_contracts(result.versioned, "store")
-        self.state.confirm_contracts(sent_at)
+        self.state.contracts_confirmation.confirm(sent_at)
         return True
 
     async def read_until(self, revision: int) -> None:
@@ -92,7 +92,7 @@
         """Waits for a change; returns whether there may have been one."""
         sent_at = self.clock.boottime()
         try:
-            return await self.platform.watch_contracts(
+            changed = await self.platform.watch_contracts(
                 self.read_revision, WATCH_SECONDS
             )
         except ports.StoreError as error:
@@ -100,14 +100,18 @@
             took_seconds = self.clock.boottime() - sent_at
             await asyncio.sleep(max(0.0, RETRY_SECONDS - took_seconds))
             return True
+        if not changed:
+            # Without a change, the store answered once the wait was over.
+            answered_at = min(sent_at + WATCH_SECONDS, self.clock.boottime())
+            self.state.contracts_confirmation.confirm(answered_at)
+        return changed
 
     def log_failure(self, error: ports.StoreError, sent_at: float) -> None:
         """Logs that waiting for a change failed."""
         now = self.clock.boottime()
-        age = self.state.contracts_age(now)
         log.write_limited(
             events.TERMS_FEED_FAILED,
             reason=str(error),
             took_ms=round((now - sent_at) * 1000),
-            age_ms=None if age is None else round(age * 1000),
+            age_ms=self.state.contracts_confirmation.age_ms(now),
         )
--- a/oleanderhoist/node/directory.py
+++ b/oleanderhoist/node/directory.py
@@ -5,6 +5,7 @@
 from oleanderhoist import log
 from oleanderhoist import ports
 from oleanderhoist.policy import cluster
+from oleanderhoist.policy import confirmation
 
 NEVER = float("-inf")
 
@@ -21,8 +22,7 @@
 
     Attributes:
         servers: Servers by id.
-        read_at: When the directory was last read, on the monotonic clock; the
-            creation time before the first read.
+        confirmation: When the latest successful read started.
         store_unavailable: Whether the store has failed since the last read.
     """
 
@@ -37,7 +37,7 @@
         self.platform = platform
         self.clock = clock
         self.servers = servers
-        self.read_at = clock.monotonic()
+        self.confirmation = confirmation.Confirmation()
         self.last_failure_at = last_failure_at
         self.store_unavailable = False
         self.rejected_keys: set[str] = set()
@@ -51,6 +51,7 @@
 
     async def read(self) -> bool:
         """Reads the directory; returns whether the servers have changed."""
+        sent_at = self.clock.boottime()
         try:
             listing = await self.platform.read_servers()
         except ports.StoreError as error:
@@ -59,8 +60,10 @@
         now = self.clock.monotonic()
         if self.store_unavailable:
             self.store_unavailable = False
-            log.write(events.STORE_BACK, away_s=round(now - self.read_at, 2))
-        self.read_at = now
+            away_ms = self.confirmation.age_ms(sent_at)
+            away_s = None if away_ms is None else away_ms / 1000
+            log.write(events.STORE_BACK, away_s=away_s)
+        self.confirmation.confirm(sent_at)
         self.log_rejected(listing.rejected)
         merged = cluster.merge_listing(
             self.servers,
--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -1,6 +1,8 @@
 """Follows the leader, falls back to the store, and stands for election."""
 
 import asyncio
+import dataclasses
+import math
 
 from oleanderhoist import clock
 from oleanderhoist import events
@@ -29,9 +31,27 @@
 # For the read, and for updates missed shortly before the leader fell silent.
 STORE_READ_MARGIN_SECONDS = 0.75
 STORE_READ_JITTER_SECONDS = 0.35
+CONTRACTS_READ_MARGIN_SECONDS = 0.35  # For the read itself.
+CONTRACTS_READ_JITTER_SECONDS = 0.2
 RECORD_READ_INTERVAL_SECONDS = 0.65
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Announcement:
+    """What the leader's latest heartbeat said.
+
+    Attributes:
+        age: Age of what the leader knew, in seconds.
+        known_at: When the leader knew it to be current, on the clock that
+            counts suspended time.
+        contracts_revision: Revision of the leader's contracts.
+    """
+
+    age: float = 0.0
+    known_at: float = -math.inf
+    contracts_revision: int = 0
+
+
 class Follower:
     """Keeps the state of this router current, and leads when elected.
 
@@ -84,7 +104,7 @@
         self.last_heartbeat_at = (
             clock.monotonic() - candidacy.LEADER_TIMEOUT_SECONDS
         )
-        self.directory_age = 0.0
+        self.announced = Announcement()
         self.leader_available = False
         self.leader_resigned = False
         self.led_before = False
@@ -99,6 +119,11 @@
             - STORE_READ_MARGIN_SECONDS
             + fraction * STORE_READ_JITTER_SECONDS,
         )
+        self.contracts_read_after = (
+            propagation_seconds
+            - CONTRACTS_READ_MARGIN_SECONDS
+            + fraction * CONTRACTS_READ_JITTER_SECONDS
+        )
         self.ineligible_until = 0.0
         self.election = election.Election(
             platform=platform, clock=clock, own_address=own_member.address
@@ -119,6 +144,7 @@
             contract_watch=self.contract_watch,
             send_report=self.send_report,
         )
+        state.contract_listeners.append(self.confirm_contracts)
         datagrams.handlers[wire.Heartbeat] = self.on_heartbeat
         datagrams.handlers[wire.SnapshotFragment] = self.on_snapshot_fragment
         datagrams.handlers[wire.ContractsFragment] = (
@@ -133,10 +159,29 @@
         Silence while this router's own timers were late does not count.
         """
         silence = now - self.last_heartbeat_at - self.lag.recent_max()
-        if self.directory_age > candidacy.STALE_AGE_SECONDS:
-            return max(silence, self.directory_age)
+        if self.announced.age > candidacy.STALE_AGE_SECONDS:
+            return max(silence, self.announced.age)
         return silence
 
+    def read_store_if_due(self, now: float, staleness: float) -> None:
+        """Starts to read the store if what this router believes is too old."""
+        if staleness > self.store_read_after or (
+            self.reads_immediately and self.state.contracts is None
+        ):
+            self.store_reader.start_read(now)
+        elif self.contracts_overdue():
+            self.store_reader.start_read(now, contracts_only=True)
+
+    def contracts_overdue(self) -> bool:
+        """Returns whether this router must read its contracts itself.
+
+        A delay of its own timers is no excuse: changes apply to it, too.
+        """
+        if self.state.contracts is None:
+            return False
+        age = self.state.contracts_confirmation.age(self.clock.boottime())
+        return age > self.contracts_read_after
+
     async def run(self) -> None:
         """Follows the leader, and leads when this router is elected."""
         report_task = asyncio.create_task(self.send_member_reports())
@@ -153,6 +198,7 @@
         """Checks for the leader once, and acts if it is unavailable."""
         now = self.clock.monotonic()
         staleness = self.staleness(now)
+        self.read_store_if_due(now, staleness)
         if (
             staleness < candidacy.RECORD_CHECK_SECONDS
             and not self.leader_resigned
@@ -167,13 +213,8 @@
                 events.LEADER_SILENT,
                 leader=self.leader_address,
                 silent_s=round(staleness, 2),
-                age_s=round(self.directory_age, 2),
+                age_s=round(self.announced.age, 2),
             )
-        read_immediately = (
-            self.reads_immediately and self.state.contracts is None
-        )
-        if read_immediately or staleness > self.store_read_after:
-            self.store_reader.start_read(now)
         await self.campaign_if_due(now)
 
     async def campaign_if_due(self, now: float) -> None:
@@ -374,12 +415,15 @@
             self.leader_address = peer
             self.send_report(peer)
         self.last_heartbeat_at = self.clock.monotonic()
-        self.directory_age = message.age_ms / 1000
-        self.state.confirmed_at = self.last_heartbeat_at - self.directory_age
-        if (
-            not self.leader_available
-            and self.directory_age < candidacy.STALE_AGE_SECONDS
-        ):
+        age = message.age_ms / 1000
+        self.announced = Announcement(
+            age=age,
+            known_at=self.clock.boottime() - age,
+            contracts_revision=message.contracts_revision,
+        )
+        self.state.snapshot_confirmation.confirm(self.announced.known_at)
+        self.confirm_contracts()
+        if not self.leader_available and age < candidacy.STALE_AGE_SECONDS:
             self.leader_available = True
             log.write(events.LEADER_HEARD, leader=peer, epoch=message.epoch)
         if message.contracts_revision > self.state.contracts_revision:
@@ -387,6 +431,11 @@
                 self.leader_address, message.contracts_revision
             )
 
+    def confirm_contracts(self) -> None:
+        """Confirms the contracts if the leader announced no newer ones."""
+        if self.state.contracts_revision >= self.announced.contracts_revision:
+            self.state.contracts_confirmation.confirm(self.announced.known_at)
+
     def on_delta(self, peer: str, message: wire.Delta) -> None:
         """Handles a delta unless this router leads or it is outdated."""
         if self.leadership is None and message.epoch >= self.epoch:
--- a/oleanderhoist/node/frontend.py
+++ b/oleanderhoist/node/frontend.py
@@ -89,6 +89,7 @@
     ) -> None:
         """Counts and logs how a request ended."""
         elapsed = self.clock.monotonic() - arrived
+        now = self.clock.boottime()
         REQUESTS.labels(result).inc()
         REQUEST_SECONDS.observe(elapsed)
         log.write_limited(
@@ -103,23 +104,11 @@
             terms=self.state.contracts.version
             if self.state.contracts
             else None,
-            terms_age_ms=self.terms_age_ms(),
-            view_age_ms=self.view_age_ms(),
+            terms_age_ms=self.state.contracts_confirmation.age_ms(now),
+            view_age_ms=self.state.snapshot_confirmation.age_ms(now),
             took_ms=round(elapsed * 1000, 1),
         )
 
-    def terms_age_ms(self) -> int | None:
-        """Returns the age of the contracts in milliseconds; None if unknown."""
-        age = self.state.contracts_age(self.clock.boottime())
-        return None if age is None else round(age * 1000)
-
-    def view_age_ms(self) -> int | None:
-        """Returns the time since the snapshot was confirmed; None if never."""
-        confirmed = self.state.confirmed_at
-        if confirmed is None:
-            return None
-        return round((self.clock.monotonic() - confirmed) * 1000)
-
     async def serve(
         self, request: messages.Request, head: ports.RequestHead, arrived: float
     ) -> outcomes.Outcome:
--- a/oleanderhoist/node/leader.py
+++ b/oleanderhoist/node/leader.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+import contextlib
 
 import prometheus_client
 
@@ -120,6 +121,7 @@
             ExceptionGroup: With the reason why the leadership ended.
         """
         LEADING.set(1)
+        await self.read_first()
         try:
             async with asyncio.TaskGroup() as group:
                 self.task_group = group
@@ -147,6 +149,14 @@
                 for manager in pool_rebalancer.lease_managers.values():
                     manager.close()
 
+    async def read_first(self) -> None:
+        """Reads what the first heartbeat vouches for, if the store answers."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(HEARTBEAT_INTERVAL_SECONDS):
+                await asyncio.gather(
+                    self.directory.read(), self.contract_watch.read()
+                )
+
     def spawn(self, coroutine: Coroutine) -> asyncio.Task:
         """Starts a task that ends with the leadership."""
         if self.task_group is None:
@@ -219,15 +229,23 @@
             now = self.clock.monotonic()
             self.remove_lost_members(now)
             self.check_reachability()
-            message = wire.encode(self.make_heartbeat(now))
+            message = wire.encode(self.make_heartbeat())
             self.previous_announced_version = self.announced_version
             self.announced_version = self.version
             self.publisher.send_all(message)
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
 
-    def make_heartbeat(self, now: float) -> wire.Heartbeat:
-        """Returns the current heartbeat."""
-        age = min(MAX_REPORTED_AGE_SECONDS, now - self.directory.read_at)
+    def make_heartbeat(self) -> wire.Heartbeat:
+        """Returns the current heartbeat.
+
+        Its age is that of the oldest of what the followers get from it.
+        """
+        now = self.clock.boottime()
+        age = max(
+            self.directory.confirmation.age(now),
+            self.state.contracts_confirmation.age(now),
+        )
+        age = min(MAX_REPORTED_AGE_SECONDS, age)
         return wire.Heartbeat(
             epoch=self.leader_lease.epoch,
             version=self.version,
@@ -281,7 +299,9 @@
         """Follows the directory and the contracts' pools."""
         while True:
             changed = await self.directory.read()
-            self.state.confirmed_at = self.directory.read_at
+            self.state.snapshot_confirmation.confirm(
+                self.directory.confirmation.at
+            )
             if changed:
                 self.snapshot_dirty.set()
             self.update_rebalancers()
@@ -404,5 +424,4 @@
             await self.leader_store.renew(lapse_ms=self.all_leases_expire_ms())
         except (ports.StoreError, leaderstore.DeposedError) as error:
             log.write(events.LEADERSHIP_FAILED, reason=f"resigning: {error}")
-        now = self.clock.monotonic()
-        self.publisher.send_all(wire.encode(self.make_heartbeat(now)))
+        self.publisher.send_all(wire.encode(self.make_heartbeat()))
--- a/oleanderhoist/node/state.py
+++ b/oleanderhoist/node/state.py
@@ -7,6 +7,7 @@
 from oleanderhoist import log
 from oleanderhoist import ports
 from oleanderhoist.policy import cluster
+from oleanderhoist.policy import confirmation
 from oleanderhoist.policy import contractset
 
 
@@ -20,19 +21,17 @@
         snapshot: Cluster state.
         contracts: Active contracts; None before the first.
         contracts_revision: Revision up to which contracts were read.
-        contracts_confirmed_at: When the contracts were last known to be the
-            newest, on the clock that counts suspended time; None before the
-            first confirmation.
-        confirmed_at: When the snapshot was last confirmed as current, on the
-            monotonic clock; None before the first confirmation.
+        contracts_confirmation: When the contracts were last known to be the
+            newest.
+        snapshot_confirmation: When the snapshot was last known to be current.
     """
 
     def __init__(self):
         self.snapshot = cluster.Snapshot()
         self.contracts: contractset.ContractSet | None = None
         self.contracts_revision = 0
-        self.contracts_confirmed_at: float | None = None
-        self.confirmed_at: float | None = None
+        self.contracts_confirmation = confirmation.Confirmation()
+        self.snapshot_confirmation = confirmation.Confirmation()
         self.snapshot_listeners: list = []
         self.contract_listeners: list = []
         self.snapshot_changed = asyncio.Event()
@@ -90,27 +89,6 @@
         if newer:
             self.notify_contract_listeners()
 
-    def confirm_contracts(self, at: float) -> None:
-        """Records that the contracts were the newest at a time.
-
-        Args:
-            at: That time, on the clock that counts suspended time.
-        """
-        self.contracts_confirmed_at = max(at, self.contracts_confirmed_at or at)
-
-    def contracts_age(self, now: float) -> float | None:
-        """Returns the time since the contracts were confirmed, in seconds.
-
-        Args:
-            now: Current time, on the clock that counts suspended time.
-
-        Returns:
-            The age, or None before the first confirmation.
-        """
-        if self.contracts_confirmed_at is None:
-            return None
-        return now - self.contracts_confirmed_at
-
     def notify_contract_listeners(self) -> None:
         """Notifies waiting tasks and listeners of a newer revision."""
         self.contracts_changed.set()
--- a/oleanderhoist/node/storereader.py
+++ b/oleanderhoist/node/storereader.py
@@ -59,8 +59,13 @@
         self.last_failure_at = directory.NEVER
         self.task: asyncio.Task | None = None
 
-    def start_read(self, now: float) -> None:
-        """Starts a read unless one is running or was started recently."""
+    def start_read(self, now: float, *, contracts_only: bool = False) -> None:
+        """Starts a read unless one is running or was started recently.
+
+        Args:
+            now: Current time, on the monotonic clock.
+            contracts_only: Whether servers and owners need no read.
+        """
         if (
             self.is_running()
             or now - self.started_at
@@ -68,7 +73,8 @@
         ):
             return
         self.started_at = now
-        self.task = asyncio.create_task(self.read())
+        read = self.contract_watch.read if contracts_only else self.read
+        self.task = asyncio.create_task(read())
 
     def is_running(self) -> bool:
         """Returns whether a read is running."""
@@ -102,7 +108,9 @@
         except ports.StoreError as error:
             server_directory.record_failure(error)
             return
-        self.state.confirmed_at = server_directory.read_at
+        self.state.snapshot_confirmation.confirm(
+            server_directory.confirmation.at
+        )
         record = leaderstore.leadership_of(rows)
         self.on_record(record)
         if self.state.snapshot is not before or record.epoch < before.epoch:
--- a/oleanderhoist/node/wire.py
+++ b/oleanderhoist/node/wire.py
@@ -40,7 +40,8 @@
         epoch: Its epoch.
         version: Version of its snapshot.
         contracts_revision: Revision of the newest contracts it knows of.
-        age_ms: Time since it last read the directory, in milliseconds.
+        age_ms: Time since it last knew that its directory and its contracts
+            were current, in milliseconds.
         record: Revision of its leadership record.
         resigned: Whether it resigns.
     """
