Count a revision of the contracts only once its contracts are adopted

Callers would see: a valid configuration that one router could not read is never in force at any other. Cause: a rejected document raised the revision of the active contracts, so the leader sent the contracts before under the revision of those that it had rejected, and routers that could have read them took them as seen. State keeps the rejected revision apart, for the log line alone.

--- a/oleanderhoist/node/state.py
+++ b/oleanderhoist/node/state.py
@@ -20,7 +20,8 @@
     Attributes:
         snapshot: Cluster state.
         contracts: Active contracts; None before the first.
-        contracts_revision: Revision up to which contracts were read.
+        contracts_revision: Revision of the newest contracts that were adopted.
+        rejected_revision: Revision of the newest contracts that were rejected.
         contracts_confirmation: When the contracts were last known to be the
             newest.
         snapshot_confirmation: When the snapshot was last known to be current.
@@ -30,6 +31,7 @@
         self.snapshot = cluster.Snapshot()
         self.contracts: contractset.ContractSet | None = None
         self.contracts_revision = 0
+        self.rejected_revision = 0
         self.contracts_confirmation = confirmation.Confirmation()
         self.snapshot_confirmation = confirmation.Confirmation()
         self.snapshot_listeners: list = []
@@ -97,7 +99,7 @@
             listener()
 
     def versioned_contracts(self) -> ports.VersionedContracts | None:
-        """Returns the active contracts with the newest revision seen."""
+        """Returns the active contracts with their revision."""
         if self.contracts is None:
             return None
         return ports.VersionedContracts(
@@ -105,7 +107,7 @@
         )
 
     async def wait_for_contracts(self, revision: int, seconds: float) -> bool:
-        """Waits until a revision was seen; returns whether it was."""
+        """Waits until a revision was adopted; returns whether it was."""
         try:
             async with deadline.CatchUpTimeout(
                 asyncio.get_running_loop().time() + seconds
@@ -118,13 +120,13 @@
 
     def reject_contracts(self, error: ports.TermsError) -> None:
         """Logs contracts that cannot be activated, once per revision."""
-        if error.revision <= self.contracts_revision:
+        newest = max(self.contracts_revision, self.rejected_revision)
+        if error.revision <= newest:
             return
-        self.contracts_revision = max(self.contracts_revision, error.revision)
+        self.rejected_revision = error.revision
         log.write(
             events.TERMS_REFUSED, revision=error.revision, reason=str(error)
         )
-        self.notify_contract_listeners()
 
     async def wait_for_snapshot(self, seconds: float) -> bool:
         """Waits for the next snapshot; returns whether one came."""
--- a/oleanderhoist/ports.py
+++ b/oleanderhoist/ports.py
@@ -84,8 +84,7 @@
 
     Attributes:
         contracts: The contracts.
-        revision: Revision up to which the contracts were read. Later than
-            that of the contracts if the newest ones were rejected.
+        revision: Revision of the contracts' row.
     """
 
     contracts: contractset.ContractSet
