Reject directory entries whose numbers or address can't be used

Operators of like systems saw: one odd entry of another writer among those of the instances, and the machines that read the list ended again and again. Seen here: a born of 2^70 passes the directory's check, MessagePack can't encode it, and each router that leads loses the leadership in its first publication; a port of 0, a host name and a name of any length pass, too. In the entry's inventory one odd item hid the whole list. A caller's Deadline-Ms of 400 digits or a superscript two failed the request with 500.

--- a/oleanderhoist/clients/inventory.py
+++ b/oleanderhoist/clients/inventory.py
@@ -1,10 +1,12 @@
 """Client of the inventory: the platform's list of servers.
 
-It may be out of date.
+It may be out of date, and other writers may have added entries to it.
 """
 
 import pydantic
 
+from oleanderhoist import events
+from oleanderhoist import log
 from oleanderhoist.http import client
 from oleanderhoist.http import exchanges
 from oleanderhoist.policy import topology
@@ -29,8 +31,16 @@
     keyed: bool
     leaving: bool = False
 
+    @pydantic.field_validator("address")
+    @classmethod
+    def has_port(cls, text: str) -> str:
+        """Checks that the address has a port above 0."""
+        if not client.Address.parse(text).port:
+            raise ValueError(f"{text!r} has no port")
+        return text
 
-_SERVER_LIST = pydantic.TypeAdapter(list[ListedServer])
+
+_ITEMS = pydantic.TypeAdapter(list[object])
 
 
 class InventoryClient:
@@ -40,19 +50,32 @@
         self.client = client.Client(address=address)
 
     async def servers(self) -> list[topology.Server]:
-        """Returns the listed servers.
+        """Returns the listed servers; skips entries that are none.
 
         Raises:
-            InventoryError: The list could not be read or is malformed.
+            InventoryError: The list could not be read.
         """
         try:
             response = await self.client.request(
                 "GET", "/servers", timeout=TIMEOUT_SECONDS
             )
-            listed = _SERVER_LIST.validate_json(response.body)
+            items = _ITEMS.validate_json(response.body)
         except (exchanges.ExchangeError, pydantic.ValidationError) as error:
             raise InventoryError(str(error)) from error
-        return [to_server(item) for item in listed]
+        listed = [parse_item(item) for item in items]
+        return [to_server(item) for item in listed if item is not None]
+
+
+def parse_item(item: object) -> ListedServer | None:
+    """Returns one entry; logs one that names no server and returns None."""
+    try:
+        return ListedServer.model_validate(item)
+    except pydantic.ValidationError as error:
+        log.write_limited(
+            events.INVENTORY_ENTRY_REJECTED,
+            reason=str(error).splitlines()[0],
+        )
+        return None
 
 
 def to_server(item: ListedServer) -> topology.Server:
--- a/oleanderhoist/events.py
+++ b/oleanderhoist/events.py
@@ -147,6 +147,12 @@
     "The leader counts an entry as lost: it left or stopped answering.",
     "oleanderhoist.placer.membership",
 )
+INVENTORY_ENTRY_REJECTED = define(
+    222,
+    "inventory.entry_rejected",
+    "An entry of the inventory names no server and was skipped.",
+    "oleanderhoist.clients.inventory",
+)
 CONTRACT_ACCEPTED = define(
     230,
     "contract.accepted",
@@ -346,7 +352,7 @@
     461,
     "task.failed",
     "A task of the program failed and was restarted.",
-    "oleanderhoist.node.core",
+    "oleanderhoist.program",
 )
 PROGRAM_STARTED = define(
     300,
--- a/oleanderhoist/platform/protocol.py
+++ b/oleanderhoist/platform/protocol.py
@@ -8,6 +8,7 @@
 from oleanderhoist.policy import cluster
 
 MIN_REMAINING_SECONDS = 0.001
+MAX_DIGITS = 15  # Of a number in a header.
 REPLACED_HEADERS = frozenset(
     [b"host", b"content-length", headers.REMAINING_MS, headers.EXPECTED_SERVER]
 )
@@ -22,19 +23,23 @@
 
 def parse_request(request: messages.Request) -> ports.RequestHead:
     """Reads a caller's request head."""
-    remaining_ms = request.header(headers.REMAINING_MS)
-    key = request.header(headers.KEY)
+    remaining_ms = parse_number(request.header(headers.REMAINING_MS))
     return ports.RequestHead(
         id=request.header(headers.REQUEST_ID) or "",
         host=(request.header(b"host") or "").partition(":")[0].lower(),
         path=request.path,
-        remaining=int(remaining_ms) / 1000
-        if remaining_ms and remaining_ms.isdigit()
-        else None,
-        key=int(key) if key and key.isdigit() else None,
+        remaining=None if remaining_ms is None else remaining_ms / 1000,
+        key=parse_number(request.header(headers.KEY)),
     )
 
 
+def parse_number(text: str | None) -> int | None:
+    """Returns a whole number of a header, or None if it is none to use."""
+    if not text or len(text) > MAX_DIGITS:
+        return None
+    return int(text) if text.isascii() and text.isdigit() else None
+
+
 def server_headers(
     request: messages.Request, server: cluster.Server, remaining: float
 ) -> messages.Headers:
--- a/oleanderhoist/platform/store.py
+++ b/oleanderhoist/platform/store.py
@@ -222,10 +222,10 @@
     if not isinstance(item, dict) or not isinstance(item.get("key"), str):
         return None
     try:
-        return ports.Row(
-            key=item["key"],
-            value=base64.b64decode(item["value"]),
-            revision=int(item["revision"]),
-        )
-    except (KeyError, TypeError, ValueError):
+        revision = int(item["revision"])
+        value = base64.b64decode(item["value"])
+    except (KeyError, TypeError, ValueError, OverflowError):
+        return None
+    if not 0 <= revision <= MAX_REVISION:
         return None
+    return ports.Row(key=item["key"], value=value, revision=revision)
