Let errors of single tasks end neither a leadership nor a loop

What callers would see: no owner of any key, while leaders end one after the other. Cause: any error of the leader's directory, publication, roster or contracts task ended the leadership; an error in a router's reports, or in a loop of an entry or a placer, ended that loop for good, without a line.

Records, heartbeats and leases still end the leadership: after an error there, another router is the safe choice.

--- a/oleanderhoist/entry/core.py
+++ b/oleanderhoist/entry/core.py
@@ -244,16 +244,16 @@
         self.transport.start()
         await self.server.start()
         await self.health.server.start()
-        for background_loop in (
-            self.register,
-            self.discover_placers,
-            self.send_hellos,
-            self.contracts.run,
-            self.renewer.run,
-            self.coordinator.run,
-            self.lag.run,
+        for name, run in (
+            ("registration", self.register),
+            ("placers", self.discover_placers),
+            ("hellos", self.send_hellos),
+            ("contracts", self.contracts.run),
+            ("leases", self.renewer.run),
+            ("coordinator", self.coordinator.run),
+            ("lag", self.lag.run),
         ):
-            self.tasks.append(asyncio.create_task(background_loop()))
+            self.tasks.append(asyncio.create_task(program.supervise(name, run)))
         log.write(events.PROGRAM_STARTED, program="entry", id=self.settings.id)
 
     async def stop(self) -> None:
--- a/oleanderhoist/node/core.py
+++ b/oleanderhoist/node/core.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Coroutine
 import contextlib
 import dataclasses
 import signal
@@ -24,7 +23,6 @@
 from oleanderhoist.node import state
 from oleanderhoist.policy import cluster
 
-TASK_RESTART_SECONDS = 0.2
 RESIGN_TIMEOUT_SECONDS = 1.0
 # For this long, a stopping router fails its readiness probe and still accepts
 # requests.
@@ -164,12 +162,13 @@
         await self.metrics.server.start()
         await self.frontend.server.start()
         tasks = [
-            asyncio.create_task(self.supervise("lag", self.lag.run)),
-            asyncio.create_task(self.supervise("homes", self.coordinator.run)),
-            asyncio.create_task(self.supervise("follower", self.follower.run)),
-            asyncio.create_task(
-                self.supervise("settings", self.watch_settings)
-            ),
+            asyncio.create_task(program.supervise(name, run))
+            for name, run in (
+                ("lag", self.lag.run),
+                ("homes", self.coordinator.run),
+                ("follower", self.follower.run),
+                ("settings", self.watch_settings),
+            )
         ]
         log.write(
             events.PROGRAM_STARTED,
@@ -180,20 +179,6 @@
         await program.wait_for_stop("router")
         await self.stop(tasks)
 
-    async def supervise(self, name: str, run: Callable[[], Coroutine]) -> None:
-        """Runs a task, restarting it when it fails."""
-        while True:
-            try:
-                await run()
-                return
-            except asyncio.CancelledError:
-                raise
-            except Exception as error:
-                log.write(
-                    events.TASK_FAILED, task=name, reason=describe_error(error)
-                )
-            await asyncio.sleep(TASK_RESTART_SECONDS)
-
     async def watch_settings(self) -> None:
         """Reloads settings that change without a signal."""
         while True:
@@ -266,10 +251,3 @@
         stop_seconds: Time from the stop signal to the kill, in seconds.
     """
     return stop_seconds * (1.0 - EXIT_FRACTION)
-
-
-def describe_error(error: BaseException) -> str:
-    """Returns an error as text; for a group, with its first error."""
-    if isinstance(error, BaseExceptionGroup):
-        return f"{error}: {describe_error(error.exceptions[0])}"
-    return f"{type(error).__name__}: {error}"
--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -184,7 +184,9 @@
 
     async def run(self) -> None:
         """Follows the leader, and leads when this router is elected."""
-        report_task = asyncio.create_task(self.send_member_reports())
+        report_task = asyncio.create_task(
+            program.supervise("reports", self.send_member_reports)
+        )
         try:
             while True:
                 await self.step()
--- a/oleanderhoist/node/leader.py
+++ b/oleanderhoist/node/leader.py
@@ -1,6 +1,7 @@
 """The leader: follows the directory, publishes snapshots, assigns keys."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
 import contextlib
 
@@ -133,13 +134,13 @@
                     self.publisher.send_contracts_to_all
                 )
                 group.create_task(self.renew_record())
-                group.create_task(self.write_roster_regularly())
                 group.create_task(self.send_heartbeats())
                 group.create_task(self.wait_until_deposed())
-                group.create_task(self.follow_directory())
-                group.create_task(self.publish())
-                group.create_task(self.publish_members())
-                group.create_task(self.contract_watch.follow())
+                self.spawn_supervised("roster", self.write_roster_regularly)
+                self.spawn_supervised("directory", self.follow_directory)
+                self.spawn_supervised("publish", self.publish)
+                self.spawn_supervised("members", self.publish_members)
+                self.spawn_supervised("contracts", self.contract_watch.follow)
         finally:
             LEADING.set(0)
             self.state.contract_listeners.remove(
@@ -163,6 +164,12 @@
             raise RuntimeError("run() must start before tasks are spawned")
         return self.task_group.create_task(coroutine)
 
+    def spawn_supervised(self, name: str, run: Callable[[], Coroutine]) -> None:
+        """Starts a task whose errors do not end the leadership."""
+        self.spawn(
+            program.supervise(name, run, fatal=(leaderstore.DeposedError,))
+        )
+
     def add_rebalancer(self, pool: str, key_map: keys.KeyMap | None) -> None:
         """Starts to assign the keys of a pool."""
         pool_rebalancer = rebalancer.Rebalancer(
@@ -335,7 +342,11 @@
                     for pool, pool_rebalancer in self.rebalancers.items()
                 },
             )
-            self.publisher.publish(snapshot)
+            try:
+                self.publisher.publish(snapshot)
+            except Exception:
+                self.snapshot_dirty.set()
+                raise
             self.state.adopt_snapshot(snapshot, "own")
 
     async def publish_members(self) -> None:
--- a/oleanderhoist/placer/core.py
+++ b/oleanderhoist/placer/core.py
@@ -125,14 +125,14 @@
         bound_address = f"{self.settings.listen.host}:{self.http_server.port}"
         self.election.api_address = self.settings.advertise or bound_address
         await self.health.server.start()
-        for loop in (
-            self.register,
-            self.election.run,
-            self.election.watch_expiry,
-            self.election.refresh_voters,
-            self.lag.run,
+        for name, run in (
+            ("registration", self.register),
+            ("election", self.election.run),
+            ("expiry", self.election.watch_expiry),
+            ("voters", self.election.refresh_voters),
+            ("lag", self.lag.run),
         ):
-            self.tasks.append(asyncio.create_task(loop()))
+            self.tasks.append(asyncio.create_task(program.supervise(name, run)))
         log.write(events.PROGRAM_STARTED, program="placer", id=self.settings.id)
 
     async def stop(self) -> None:
--- a/oleanderhoist/placer/leader.py
+++ b/oleanderhoist/placer/leader.py
@@ -96,13 +96,13 @@
                 inventory.InventoryError,
             ):
                 await asyncio.sleep(LOAD_RETRY_SECONDS)
-        for loop in (
-            self.delegate_loop,
-            self.reconcile_loop,
-            self.inventory_loop,
-            self.rate_allocator.run,
+        for name, run in (
+            ("delegations", self.delegate_loop),
+            ("maps", self.reconcile_loop),
+            ("inventory", self.inventory_loop),
+            ("rates", self.rate_allocator.run),
         ):
-            self.tasks.append(asyncio.create_task(loop()))
+            self.tasks.append(asyncio.create_task(program.supervise(name, run)))
 
     async def load(self) -> None:
         """Loads the cluster state from the table and the inventory alone.
--- a/oleanderhoist/program.py
+++ b/oleanderhoist/program.py
@@ -1,6 +1,7 @@
 """Shared by the long-running programs: health port, signals, loop lag."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import signal
 
@@ -13,6 +14,7 @@
 from oleanderhoist.http import messages
 from oleanderhoist.http import server
 
+TASK_RESTART_SECONDS = 0.2
 LAG_INTERVAL_SECONDS = 0.05
 LAG_WINDOW_SECONDS = 1.0
 
@@ -62,6 +64,39 @@
         return self.worst if age < LAG_WINDOW_SECONDS else 0.0
 
 
+async def supervise(
+    name: str,
+    run: Callable[[], Awaitable[None]],
+    *,
+    fatal: tuple[type[Exception], ...] = (),
+) -> None:
+    """Runs a task, restarting it when it fails.
+
+    Args:
+        name: Name of the task, for the log.
+        run: Runs the task.
+        fatal: Errors that end the task.
+    """
+    while True:
+        try:
+            await run()
+            return
+        except fatal:
+            raise
+        except Exception as error:
+            log.write(
+                events.TASK_FAILED, task=name, reason=describe_error(error)
+            )
+        await asyncio.sleep(TASK_RESTART_SECONDS)
+
+
+def describe_error(error: BaseException) -> str:
+    """Returns an error as text; for a group, with its first error."""
+    if isinstance(error, BaseExceptionGroup):
+        return f"{error}: {describe_error(error.exceptions[0])}"
+    return f"{type(error).__name__}: {error}"
+
+
 class HealthServer:
     """Serves /livez, /readyz and /metrics.
 
