--- a/standins/instance.py
+++ b/standins/instance.py
@@ -4,8 +4,10 @@
 without a valid lease. ``GET /ran`` returns the ids of executed requests.
 ``PUT /faults`` sets the number of faults still to inject: ``shed`` (rejected
 requests), ``unsigned`` (responses without a signature) and ``truncate``
-(executed requests whose connection is aborted before the response). A request
-may say in its query how long it takes: ``?work_ms=1500``.
+(executed requests whose connection is aborted before the response). ``PUT
+/limit`` sets the rate that it names in all answers to requests, or null;
+``GET /arrivals`` returns when requests arrived, and whether it named a rate. A
+request may say in its query how long it takes: ``?work_ms=1500``.
 
 With ``--journal`` it writes a JSON line for each executed request and for each
 lease change at the sampled keys, with times of the monotonic clock.
@@ -42,6 +44,8 @@
         self.frozen_at = 0.0
         self.catching_up_until = 0.0
         self.ran: list[str] = []
+        self.limit: float | None = None
+        self.arrivals: list[tuple[float, bool]] = []
         self.faults = {"shed": 0, "unsigned": 0, "truncate": 0}
 
     async def handle(self, request: messages.Request) -> messages.Response:
@@ -58,11 +62,20 @@
         if request.path == "/faults":
             self.faults.update(json.loads(body))
             return messages.json_response(self.faults)
+        if request.path == "/limit":
+            self.limit = json.loads(body)
+            return messages.json_response(self.limit)
+        if request.path == "/arrivals":
+            return messages.json_response(self.arrivals)
         if request.path == "/grant":
             return self.grant(json.loads(body))
         if request.path == "/release":
             return self.release(json.loads(body))
-        return await self.execute(request, body)
+        self.arrivals.append((time.monotonic(), self.limit is not None))
+        response = await self.execute(request, body)
+        if self.limit is not None:
+            response.headers.append((b"server-limit", b"%.2f" % self.limit))
+        return response
 
     def write_journal(self, **fields: object) -> None:
         """Writes a line of the journal if it is enabled."""
