Pace the requests to a server at the rate that it names

Servers saw: more than one and a half times the rate that they had named. Cause: no module read Server-Limit; slots were granted at the measured service rate.

The header is decoded once into ports.ServerNotice; the routers tell the coordinator of the server's slot queue of every answer that has it, in a datagram of its own (others keep their bytes), and the coordinator grants at that rate: policy/serverlimit.py, a token bucket on the server's slots. A server's slots now start anew with its process.

--- a/oleanderhoist/events.py
+++ b/oleanderhoist/events.py
@@ -234,6 +234,13 @@
     "time waited; `result` says how it ended.",
     "oleanderhoist.node.slotclient",
 )
+SERVER_LIMITED = define(
+    416,
+    "server.limited",
+    "A server named another rate of requests that it takes from all routers "
+    "together, or none any more: `per_second`.",
+    "oleanderhoist.node.servernotices",
+)
 STORE_LOST = define(
     420,
     "store.lost",
--- a/oleanderhoist/node/coordinator.py
+++ b/oleanderhoist/node/coordinator.py
@@ -93,6 +93,7 @@
                     data_center=server.data_center,
                     slots=server.slots,
                     service_seconds=hosted.queue.service_seconds,
+                    started_ms=server.started_ms,
                 )
                 for server in self.servers_of(name)
             ]
@@ -163,6 +164,26 @@
             )
         self.advance(hosted, now)
 
+    def limit(
+        self, name: str, server: str, started_ms: int, rate: float | None
+    ) -> None:
+        """Paces the requests to a server of a slot queue.
+
+        Args:
+            name: Name of the slot queue.
+            server: Id of the server.
+            started_ms: Start time of the process that named the limit; what it
+                said does not hold for a later one.
+            rate: Requests per second; None ends the limit.
+        """
+        hosted = self.get(name)
+        known = hosted.queue.servers.get(server)
+        if known is None or known.started_ms != started_ms:
+            return
+        now = self.clock.monotonic()
+        known.limit(rate, now)
+        self.advance(hosted, now)
+
     def cancel(self, name: str, requester: str, id: int) -> None:
         """Drops a request, and frees its slot if it was granted one."""
         hosted = self.hosted.get(name)
@@ -204,9 +225,12 @@
             self.wake.clear()
 
     def service_times_ms(self) -> dict[str, float]:
-        """Returns service times in milliseconds, by server, of keyed queues."""
+        """Returns service times in milliseconds, by server, of keyed queues.
+
+        A server that limits its rate seems slower, as its slots allow less.
+        """
         return {
-            server.id: round(server.service_seconds * 1000, 1)
+            server.id: round(server.seconds_per_slot() * 1000, 1)
             for name, hosted in self.hosted.items()
             if name.startswith(KEYED_PREFIX)
             for server in hosted.queue.servers.values()
--- a/oleanderhoist/node/datagrams.py
+++ b/oleanderhoist/node/datagrams.py
@@ -75,7 +75,7 @@
             message = wire.decode(data)
         except wire.DecodeError as error:
             MALFORMED.inc()
-            log.write(
+            log.write_limited(
                 events.DATAGRAM_MALFORMED, peer=addr[0], reason=str(error)
             )
             return
--- a/oleanderhoist/node/forwarder.py
+++ b/oleanderhoist/node/forwarder.py
@@ -273,7 +273,7 @@
         started_at = time.monotonic()
         result: outcomes.Outcome | jobs.FailedAttempt | None = None
         try:
-            result = await self.exchange(job, server)
+            result = await self.exchange(job, server, grant.queue)
             return result
         finally:
             elapsed = time.monotonic() - started_at
@@ -315,10 +315,11 @@
         return remaining <= RESPONSE_SLACK_SECONDS
 
     async def exchange(
-        self, job: jobs.Job, server: cluster.Server
+        self, job: jobs.Job, server: cluster.Server, queue: str
     ) -> outcomes.Outcome | jobs.FailedAttempt:
         """Performs one exchange and classifies the response."""
-        remaining = job.deadline - self.clock.monotonic()
+        sent_at = self.clock.monotonic()
+        remaining = job.deadline - sent_at
         if remaining <= 0:
             return jobs.FailedAttempt(
                 failure=retry.Failure.NOT_SENT, code=codes.TOO_LATE
@@ -351,6 +352,9 @@
             )
         except exchanges.ExchangeError as error:
             return results.classify_error(job, server, error)
+        self.slot_client.notices.record(
+            queue, server, self.platform.server_notice(response), sent_at
+        )
         kind = self.platform.classify(response)
         return results.classify_response(job, server, response, kind)
 
--- /dev/null
+++ b/oleanderhoist/node/servernotices.py
@@ -0,0 +1,179 @@
+"""What servers say of themselves in their answers, told to coordinators.
+
+A limit that a server names holds for all routers together, so the coordinator
+of its slot queue paces the requests. It is told of every answer that names a
+limit, so a datagram may be lost and the coordinator may restart. Each router
+remembers the limits that it heard, for a new coordinator and for requests that
+do not reach one.
+"""
+
+import dataclasses
+
+from oleanderhoist import clock
+from oleanderhoist import events
+from oleanderhoist import log
+from oleanderhoist import ports
+from oleanderhoist.node import coordinator
+from oleanderhoist.node import datagrams
+from oleanderhoist.node import state
+from oleanderhoist.node import wire
+from oleanderhoist.policy import cluster
+from oleanderhoist.policy import serverlimit
+
+
+@dataclasses.dataclass(kw_only=True)
+class HeardLimit:
+    """A limit that a server named to this router.
+
+    Attributes:
+        server: The server, as listed when it named the limit.
+        queue: Slot queue of the server.
+        limit: Requests per second that it takes from all routers together.
+        heard_at: When it last named a limit, in seconds.
+        told: Address of the coordinator that was told of it last.
+    """
+
+    server: cluster.Server
+    queue: str
+    limit: float
+    heard_at: float
+    told: str = ""
+
+
+class ServerNotices:
+    """Records what servers say to this router, and tells coordinators.
+
+    Args:
+        datagrams: Datagrams to the other routers.
+        coordinator: The slot queues that this router coordinates.
+        state: Current snapshot.
+        clock: Time source.
+
+    Attributes:
+        limits: The limits that were heard, by id of the server.
+    """
+
+    def __init__(
+        self,
+        *,
+        datagrams: datagrams.DatagramEndpoint,
+        coordinator: coordinator.Coordinator,
+        state: state.State,
+        clock: clock.Clock,
+    ):
+        self.datagrams = datagrams
+        self.coordinator = coordinator
+        self.state = state
+        self.clock = clock
+        self.limits: dict[str, HeardLimit] = {}
+        state.snapshot_listeners.append(self.update)
+        datagrams.handlers[wire.ServerLimit] = self.on_server_limit
+
+    def record(
+        self,
+        queue: str,
+        server: cluster.Server,
+        notice: ports.ServerNotice,
+        sent_at: float,
+    ) -> None:
+        """Records what an answer says.
+
+        Args:
+            queue: Slot queue of the server.
+            server: The server that answered.
+            notice: What it said.
+            sent_at: When the request was sent, in seconds.
+        """
+        known = self.limits.get(server.id)
+        if notice.limit is None:
+            # An answer to an earlier request may have been overtaken.
+            if known is not None and sent_at >= known.heard_at:
+                del self.limits[server.id]
+                self.log_limit(server, None)
+                self.send(queue, server, None)
+            return
+        if known is None or known.limit != notice.limit:
+            self.log_limit(server, notice.limit)
+        heard = HeardLimit(
+            server=server,
+            queue=queue,
+            limit=notice.limit,
+            heard_at=self.clock.monotonic(),
+        )
+        self.limits[server.id] = heard
+        self.tell(heard)
+
+    def log_limit(self, server: cluster.Server, limit: float | None) -> None:
+        """Logs a limit that has begun, changed or ended."""
+        log.write_limited(
+            events.SERVER_LIMITED, server=server.id, per_second=limit
+        )
+
+    def tell(self, heard: HeardLimit) -> None:
+        """Tells the coordinator of a server's slot queue of its limit."""
+        heard.told = self.send(heard.queue, heard.server, heard.limit)
+
+    def send(
+        self, queue: str, server: cluster.Server, limit: float | None
+    ) -> str:
+        """Sends a limit, or its end, to the coordinator of a slot queue.
+
+        Returns:
+            The address of the coordinator; empty without one.
+        """
+        address = self.state.snapshot.coordinator(queue)
+        message = wire.ServerLimit(
+            queue=queue,
+            server=server.id,
+            started_ms=server.started_ms,
+            per_second=limit,
+        )
+        if address == self.datagrams.address:
+            self.on_server_limit(address, message)
+        elif address:
+            self.datagrams.send(address, message)
+        return address
+
+    def on_server_limit(self, peer: str, message: wire.ServerLimit) -> None:
+        """Applies a limit to a slot queue that this router coordinates."""
+        rate = message.per_second
+        if rate is not None:
+            rate = serverlimit.share(rate, 1)
+        self.coordinator.limit(
+            message.queue, message.server, message.started_ms, rate
+        )
+
+    def apply_shares(self, queue: str) -> None:
+        """Limits the servers of a queue to this router's share of their rate.
+
+        For requests that don't reach the queue's coordinator.
+        """
+        self.drop_ended()
+        routers = len(self.state.snapshot.members)
+        for heard in self.limits.values():
+            if heard.queue == queue:
+                self.coordinator.limit(
+                    queue,
+                    heard.server.id,
+                    heard.server.started_ms,
+                    serverlimit.share(heard.limit, routers),
+                )
+
+    def update(self, snapshot: cluster.Snapshot) -> None:
+        """Drops limits that have ended; tells new coordinators of the rest."""
+        self.drop_ended()
+        for heard in self.limits.values():
+            if snapshot.coordinator(heard.queue) != heard.told:
+                self.tell(heard)
+
+    def drop_ended(self) -> None:
+        """Drops the limits of servers that are gone or were silent for long."""
+        now = self.clock.monotonic()
+        servers = self.state.snapshot.servers
+        self.limits = {
+            id: heard
+            for id, heard in self.limits.items()
+            if now - heard.heard_at <= serverlimit.LAPSE_SECONDS
+            and id in servers
+            and servers[id].started_ms == heard.server.started_ms
+        }
--- a/oleanderhoist/node/slotclient.py
+++ b/oleanderhoist/node/slotclient.py
@@ -12,6 +12,7 @@
 from oleanderhoist.node import coordinator
 from oleanderhoist.node import datagrams
 from oleanderhoist.node import pendingslots
+from oleanderhoist.node import servernotices
 from oleanderhoist.node import state
 from oleanderhoist.node import wire
 from oleanderhoist.policy import cluster
@@ -60,6 +61,7 @@
             coordinators of the pending requests.
         slots_due: Until when requests may wait for a slot; set by a stop. The
             caller of `acquire` cancels it then.
+        notices: What servers say of themselves in their answers.
     """
 
     def __init__(
@@ -78,6 +80,12 @@
         self.suspected_until: dict[str, float] = {}
         self.cores_by_member: dict[str, float] = {}
         self.slots_due = deadline.SharedDeadline()
+        self.notices = servernotices.ServerNotices(
+            datagrams=datagrams,
+            coordinator=coordinator,
+            state=state,
+            clock=clock,
+        )
         state.snapshot_listeners.append(self.end_moved_waits)
         datagrams.handlers[wire.AcquireSlot] = self.on_acquire_slot
         datagrams.handlers[wire.SlotQueued] = self.on_slot_queued
@@ -319,7 +327,8 @@
             nonlocal verdict
             verdict = result
 
-        self.coordinator.submit(queue, request, record)
+        self.notices.apply_shares(queue)
+        wait = self.coordinator.submit(queue, request, record)
         if isinstance(verdict, slotqueue.Granted):
             return SlotGrant(
                 id=request.id,
@@ -331,7 +340,10 @@
         if isinstance(verdict, slotqueue.Refused):
             return verdict
         return slotqueue.Refused(
-            request=request, retry_after=BYPASS_RETRY_SECONDS
+            request=request,
+            retry_after=min(
+                max(BYPASS_RETRY_SECONDS, wait), slotqueue.MAX_RETRY_SECONDS
+            ),
         )
 
     def release(
--- a/oleanderhoist/node/wire.py
+++ b/oleanderhoist/node/wire.py
@@ -190,6 +190,23 @@
     id: int
 
 
+class ServerLimit(Message, tag="Limit"):
+    """A router tells a coordinator what rate a server named in an answer.
+
+    Attributes:
+        queue: Slot queue of the server.
+        server: Id of the server.
+        started_ms: Start time of its process, in milliseconds since the epoch.
+        per_second: Requests per second that it takes from all routers
+            together; None when it names no limit any more.
+    """
+
+    queue: str
+    server: str
+    started_ms: int
+    per_second: float | None
+
+
 AnyMessage = (
     MemberReport
     | Heartbeat
@@ -202,6 +219,7 @@
     | SlotRefused
     | ReleaseSlot
     | CancelAcquire
+    | ServerLimit
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/oleanderhoist/platform/headers.py
+++ b/oleanderhoist/platform/headers.py
@@ -7,4 +7,5 @@
 NOT_EXECUTED = b"not-executed"
 EXPECTED_SERVER = b"expected-instance"
 HANDOVER_TOKEN = b"handover-token"
+SERVER_LIMIT = b"server-limit"  # Requests per second.
 RETRY_AFTER = b"retry-after"
--- a/oleanderhoist/platform/protocol.py
+++ b/oleanderhoist/platform/protocol.py
@@ -1,5 +1,7 @@
 """Translates HTTP requests and responses of callers and servers."""
 
+import re
+
 from oleanderhoist import codes
 from oleanderhoist import outcomes
 from oleanderhoist import ports
@@ -9,6 +11,7 @@
 
 MIN_REMAINING_SECONDS = 0.001
 MAX_DIGITS = 15  # Of a number in a header.
+DECIMAL = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
 REPLACED_HEADERS = frozenset(
     [b"host", b"content-length", headers.REMAINING_MS, headers.EXPECTED_SERVER]
 )
@@ -82,6 +85,19 @@
     )
 
 
+def server_notice(response: messages.Response) -> ports.ServerNotice:
+    """Returns what a server says of itself in a response."""
+    limit = messages.find(response.headers, headers.SERVER_LIMIT)
+    return ports.ServerNotice(limit=parse_decimal(limit))
+
+
+def parse_decimal(text: str | None) -> float | None:
+    """Returns a decimal number of a header, or None if it is none."""
+    if text is None or not DECIMAL.fullmatch(text):
+        return None
+    return float(text)
+
+
 def to_response(outcome: outcomes.Outcome) -> messages.Response:
     """Returns the response to a caller."""
     if isinstance(outcome, outcomes.Complete):
--- /dev/null
+++ b/oleanderhoist/policy/serverlimit.py
@@ -0,0 +1,78 @@
+"""Pacing of requests to a server that limits their rate.
+
+A server in need names, in its answers, the requests per second that it takes
+from all routers together, for as long as it says so. The coordinator of its
+slot queue sees every request to it and grants slots at that rate. A router that
+does not reach the coordinator uses an equal share of the rate.
+"""
+
+import dataclasses
+
+# Requests per second that a server gets whatever it names: only its answers
+# tell when a limit ends.
+PROBE_RATE = 0.25
+BURST_SECONDS = 0.25  # Of the rate, saved up while no request waits.
+# Without an answer that names it; at the probe rate there is one in time.
+LAPSE_SECONDS = 6.0
+
+
+def share(limit: float, routers: int) -> float:
+    """Returns the rate for each of some routers, in requests per second.
+
+    Args:
+        limit: The rate that the server takes from all routers together.
+        routers: Number of routers.
+    """
+    return max(limit, PROBE_RATE) / max(1, routers)
+
+
+@dataclasses.dataclass(kw_only=True)
+class Pace:
+    """Token bucket that paces the requests to one limited server.
+
+    Attributes:
+        rate: Requests per second.
+        confirmed_at: When the server last named the limit, in seconds.
+        tokens: Requests that may be sent now; may be a fraction.
+        updated_at: When the tokens were last counted, in seconds.
+    """
+
+    rate: float
+    confirmed_at: float
+    tokens: float = 0.0
+    updated_at: float = 0.0
+
+    def __post_init__(self):
+        self.updated_at = max(self.updated_at, self.confirmed_at)
+
+    def confirm(self, rate: float, now: float) -> None:
+        """Applies the rate that the server names now."""
+        self.refill(now)
+        self.rate = rate
+        self.confirmed_at = now
+
+    def has_lapsed(self, now: float) -> bool:
+        """Returns whether the server has not named the limit for long."""
+        return now - self.confirmed_at > LAPSE_SECONDS
+
+    def allows(self, now: float) -> bool:
+        """Returns whether a request may be sent now."""
+        self.refill(now)
+        return self.tokens >= 1.0
+
+    def take(self, now: float) -> None:
+        """Counts a request that is sent."""
+        self.refill(now)
+        self.tokens -= 1.0
+
+    def seconds_until_allowed(self, now: float) -> float:
+        """Returns the time until the next request may be sent, in seconds."""
+        self.refill(now)
+        return max(0.0, (1.0 - self.tokens) / self.rate)
+
+    def refill(self, now: float) -> None:
+        """Adds the tokens of the time that has passed."""
+        elapsed = max(0.0, now - self.updated_at)
+        most = 1.0 + BURST_SECONDS * self.rate
+        self.tokens = min(most, self.tokens + elapsed * self.rate)
+        self.updated_at = now
--- a/oleanderhoist/policy/serverslots.py
+++ b/oleanderhoist/policy/serverslots.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from oleanderhoist.policy import serverlimit
+
 SERVICE_SMOOTHING = 0.08
 FAILURE_SMOOTHING = 0.15
 RATE_WINDOW_SECONDS = 0.5
@@ -37,6 +39,8 @@
         running: Requests that hold a slot, by requester and id.
         blocked_until: Until when it gets no requests.
         last_used_at: When it was last granted to a request.
+        started_ms: Start time of its process, in milliseconds since the epoch.
+        pace: Paces its requests while it limits their rate; else None.
     """
 
     id: str
@@ -50,10 +54,54 @@
     )
     blocked_until: float = 0.0
     last_used_at: float = 0.0
+    started_ms: int = 0
+    pace: serverlimit.Pace | None = None
 
     def available(self, now: float) -> bool:
         """Returns whether it can take another request."""
-        return len(self.running) < self.slots and now >= self.blocked_until
+        return (
+            len(self.running) < self.slots
+            and now >= self.blocked_until
+            and (self.pace is None or self.pace.allows(now))
+        )
+
+    def grant(
+        self, request: tuple[str, int], now: float, reclaim_at: float
+    ) -> None:
+        """Gives a request one of the slots.
+
+        Args:
+            request: Requester and id of the slot request.
+            now: Current time, in seconds.
+            reclaim_at: When the slot is freed if it has not been released.
+        """
+        self.running[request] = Running(granted_at=now, reclaim_at=reclaim_at)
+        self.last_used_at = now
+        if self.pace is not None:
+            self.pace.take(now)
+
+    def limit(self, rate: float | None, now: float) -> None:
+        """Paces the requests to a rate per second; None ends the limit."""
+        if rate is None:
+            self.pace = None
+        elif self.pace is None:
+            self.pace = serverlimit.Pace(rate=rate, confirmed_at=now)
+        else:
+            self.pace.confirm(rate, now)
+
+    def end_lapsed_limit(self, now: float) -> None:
+        """Ends a limit that the server has not named for long."""
+        if self.pace is not None and self.pace.has_lapsed(now):
+            self.pace = None
+
+    def seconds_per_slot(self) -> float:
+        """Returns the time for which a request keeps a slot from others.
+
+        It is the service time, or longer while the rate is limited.
+        """
+        if self.pace is None:
+            return self.service_seconds
+        return max(self.service_seconds, self.slots / self.pace.rate)
 
     def service_rate(self) -> float:
         """Returns the requests per second that it can complete.
@@ -63,7 +111,8 @@
         as before.
         """
         seconds = max(MIN_SLOT_SECONDS, self.slot_seconds())
-        return self.slots * (1.0 - self.failure_rate) / seconds
+        rate = self.slots * (1.0 - self.failure_rate) / seconds
+        return rate if self.pace is None else min(rate, self.pace.rate)
 
     def slot_seconds(self) -> float:
         """Returns the time that an attempt holds a slot, in seconds."""
--- a/oleanderhoist/policy/slotqueue.py
+++ b/oleanderhoist/policy/slotqueue.py
@@ -108,12 +108,15 @@
         self.arrivals: dict[int, serverslots.Arrivals] = {}
 
     def update(self, servers: list[serverslots.ServerSlots]) -> None:
-        """Replaces the usable servers, keeping the state of known ones."""
+        """Replaces the usable servers, keeping the state of known ones.
+
+        A server that has started again is not the one that was known.
+        """
         known = self.servers
         self.servers = {}
         for server in servers:
             before = known.get(server.id)
-            if before is not None:
+            if before is not None and before.started_ms == server.started_ms:
                 before.slots = server.slots
                 server = before
             self.servers[server.id] = server
@@ -164,6 +167,8 @@
         Returns:
             The verdict, or None if the request was queued.
         """
+        for server in self.servers.values():
+            server.end_lapsed_limit(now)
         on_time = now + self.service_seconds <= request.objective
         if on_time:
             arrivals = self.arrivals.setdefault(
@@ -266,10 +271,11 @@
         self, request: SlotRequest, server: serverslots.ServerSlots, now: float
     ) -> Granted:
         """Grants a request a slot."""
-        server.running[(request.requester, request.id)] = serverslots.Running(
-            granted_at=now, reclaim_at=request.deadline + RECLAIM_DELAY_SECONDS
+        server.grant(
+            (request.requester, request.id),
+            now,
+            request.deadline + RECLAIM_DELAY_SECONDS,
         )
-        server.last_used_at = now
         return Granted(request=request, server=server.id)
 
     def release(
@@ -357,6 +363,7 @@
             while queue and now + required > queue[0].deadline:
                 refused.append(self.refuse(queue.popleft(), 0.0, now))
         for server in self.servers.values():
+            server.end_lapsed_limit(now)
             for key, running in list(server.running.items()):
                 if now > running.reclaim_at:
                     del server.running[key]
--- a/oleanderhoist/ports.py
+++ b/oleanderhoist/ports.py
@@ -137,6 +137,18 @@
     UNFOUNDED = "unfounded"  # A status for "not run" without its header.
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ServerNotice:
+    """What a server says of itself in a response.
+
+    Attributes:
+        limit: Requests per second that it takes from all routers together;
+            None if it names no limit.
+    """
+
+    limit: float | None = None
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LeaseGrant:
     """A lease on a range of keys, granted to a server.
@@ -289,6 +301,9 @@
     def classify(self, response: messages.Response) -> AnswerKind:
         """Classifies a server's response."""
 
+    def server_notice(self, response: messages.Response) -> ServerNotice:
+        """Returns what a server says of itself in a response."""
+
     def to_response(self, outcome: outcomes.Outcome) -> messages.Response:
         """Returns the response to the caller for an outcome."""
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -192,6 +192,7 @@
     """Grants every request a slot of the same server."""
 
     datagrams = types.SimpleNamespace(address="10.0.0.1:1")
+    notices = test_forwarder.NO_NOTICES
 
     async def acquire(
         self, queue: str, request: slotqueue.SlotRequest
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -27,6 +27,7 @@
 REQUEST_SECONDS = 60.0
 HEDGED_SECONDS = 10.0
 HEDGE_DELAY_SECONDS = HEDGED_SECONDS / 2  # Half of the remaining time.
+NO_NOTICES = types.SimpleNamespace(record=lambda *args: None)
 MEMBER = cluster.Member(address="10.0.0.1:1", data_center="a", cores=1.0)
 
 
@@ -116,6 +117,7 @@
     """Grants a slot to the first request and refuses all later ones."""
 
     def __init__(self):
+        self.notices = NO_NOTICES
         self.datagrams = types.SimpleNamespace(address="10.0.0.1:1")
         self.request_count = 0
 
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -76,6 +76,7 @@
         queue="q", id=1, server="s", took_ms=2.5, failed=True
     ),
     datagrams.CancelAcquire(queue="q", id=1),
+    datagrams.ServerLimit(queue="q", server="s", started_ms=1, per_second=2.5),
 ]
 DATAGRAM_BYTES = """
 99a548656c6c6fa161cb3fe0000000000000020381a17092040581a173cb3ff8000000000000c3
@@ -101,6 +102,8 @@
 96a4446f6e65a17101a173cb4004000000000000c3
 
 93a643616e63656ca17101
+
+95a54c696d6974a171a17301cb4004000000000000
 """
 MESSAGES = [
     messages.Hello(
