--- a/oleanderhoist/node/core.py
+++ b/oleanderhoist/node/core.py
@@ -20,6 +20,7 @@
 from oleanderhoist.node import forwarder
 from oleanderhoist.node import frontend
 from oleanderhoist.node import slotclient
+from oleanderhoist.node import slotserver
 from oleanderhoist.node import state
 from oleanderhoist.policy import cluster
 
@@ -85,6 +86,9 @@
         self.coordinator = coordinator.Coordinator(
             state=self.state, clock=clock
         )
+        self.slot_server = slotserver.SlotServer(
+            datagrams=self.datagrams, coordinator=self.coordinator, clock=clock
+        )
         self.slot_client = slotclient.SlotClient(
             datagrams=self.datagrams,
             coordinator=self.coordinator,
--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -1,8 +1,6 @@
 """Follows the leader, falls back to the store, and stands for election."""
 
 import asyncio
-import dataclasses
-import math
 
 from oleanderhoist import clock
 from oleanderhoist import events
@@ -15,6 +13,7 @@
 from oleanderhoist.node import directory
 from oleanderhoist.node import election
 from oleanderhoist.node import forwarder
+from oleanderhoist.node import freshness
 from oleanderhoist.node import leader
 from oleanderhoist.node import leaderstore
 from oleanderhoist.node import state
@@ -23,35 +22,13 @@
 from oleanderhoist.node import wire
 from oleanderhoist.policy import candidacy
 from oleanderhoist.policy import cluster
-from oleanderhoist.policy import hashing
 from oleanderhoist.policy import leaderlease
 
 TICK_SECONDS = 0.1
 MEMBER_REPORT_INTERVAL_SECONDS = 0.5
-# For the read, and for updates missed shortly before the leader fell silent.
-STORE_READ_MARGIN_SECONDS = 0.75
-STORE_READ_JITTER_SECONDS = 0.35
-CONTRACTS_READ_MARGIN_SECONDS = 0.35  # For the read itself.
-CONTRACTS_READ_JITTER_SECONDS = 0.2
 RECORD_READ_INTERVAL_SECONDS = 0.65
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Announcement:
-    """What the leader's latest heartbeat said.
-
-    Attributes:
-        age: Age of what the leader knew, in seconds.
-        known_at: When the leader knew it to be current, on the clock that
-            counts suspended time.
-        contracts_revision: Revision of the leader's contracts.
-    """
-
-    age: float = 0.0
-    known_at: float = -math.inf
-    contracts_revision: int = 0
-
-
 class Follower:
     """Keeps the state of this router current, and leads when elected.
 
@@ -100,30 +77,19 @@
         )
         self.leader_address = ""
         self.epoch = 0
-        # A new process acts at once instead of waiting for a heartbeat.
-        self.last_heartbeat_at = (
-            clock.monotonic() - candidacy.LEADER_TIMEOUT_SECONDS
+        self.freshness = freshness.Freshness(
+            state=state,
+            clock=clock,
+            lag=lag,
+            own_address=own_member.address,
+            propagation_seconds=propagation_seconds,
         )
-        self.announced = Announcement()
         self.leader_available = False
         self.leader_resigned = False
         self.led_before = False
         self.record_watch = candidacy.RecordWatch()
         self.record_read_at = 0.0
         self.reads_immediately = not bootstrap
-        # The jitter lets most failovers end before the last routers read.
-        fraction = hashing.digest(own_member.address) / 2.0**64
-        self.store_read_after = max(
-            candidacy.LEADER_TIMEOUT_SECONDS,
-            propagation_seconds
-            - STORE_READ_MARGIN_SECONDS
-            + fraction * STORE_READ_JITTER_SECONDS,
-        )
-        self.contracts_read_after = (
-            propagation_seconds
-            - CONTRACTS_READ_MARGIN_SECONDS
-            + fraction * CONTRACTS_READ_JITTER_SECONDS
-        )
         self.ineligible_until = 0.0
         self.election = election.Election(
             platform=platform, clock=clock, own_address=own_member.address
@@ -144,7 +110,6 @@
             contract_watch=self.contract_watch,
             send_report=self.send_report,
         )
-        state.contract_listeners.append(self.confirm_contracts)
         datagrams.handlers[wire.Heartbeat] = self.on_heartbeat
         datagrams.handlers[wire.SnapshotFragment] = self.on_snapshot_fragment
         datagrams.handlers[wire.ContractsFragment] = (
@@ -153,35 +118,15 @@
         datagrams.handlers[wire.Delta] = self.on_delta
         datagrams.handlers[wire.MemberReport] = self.on_member_report
 
-    def staleness(self, now: float) -> float:
-        """Returns for how long the leader was silent or stale, in seconds.
-
-        Silence while this router's own timers were late does not count.
-        """
-        silence = now - self.last_heartbeat_at - self.lag.recent_max()
-        if self.announced.age > candidacy.STALE_AGE_SECONDS:
-            return max(silence, self.announced.age)
-        return silence
-
-    def read_store_if_due(self, now: float, staleness: float) -> None:
+    def read_store_if_due(self, now: float) -> None:
         """Starts to read the store if what this router believes is too old."""
-        if staleness > self.store_read_after or (
+        if self.freshness.store_overdue(now) or (
             self.reads_immediately and self.state.contracts is None
         ):
             self.store_reader.start_read(now)
-        elif self.contracts_overdue():
+        elif self.freshness.contracts_overdue():
             self.store_reader.start_read(now, contracts_only=True)
 
-    def contracts_overdue(self) -> bool:
-        """Returns whether this router must read its contracts itself.
-
-        A delay of its own timers is no excuse: changes apply to it, too.
-        """
-        if self.state.contracts is None:
-            return False
-        age = self.state.contracts_confirmation.age(self.clock.boottime())
-        return age > self.contracts_read_after
-
     async def run(self) -> None:
         """Follows the leader, and leads when this router is elected."""
         report_task = asyncio.create_task(
@@ -199,8 +144,8 @@
     async def step(self) -> None:
         """Checks for the leader once, and acts if it is unavailable."""
         now = self.clock.monotonic()
-        staleness = self.staleness(now)
-        self.read_store_if_due(now, staleness)
+        staleness = self.freshness.staleness(now)
+        self.read_store_if_due(now)
         if (
             staleness < candidacy.RECORD_CHECK_SECONDS
             and not self.leader_resigned
@@ -215,7 +160,7 @@
                 events.LEADER_SILENT,
                 leader=self.leader_address,
                 silent_s=round(staleness, 2),
-                age_s=round(self.announced.age, 2),
+                age_s=round(self.freshness.announced.age, 2),
             )
         await self.campaign_if_due(now)
 
@@ -237,7 +182,7 @@
         )
         if self.led_before:
             delay = 0.0  # No other router can lead sooner.
-        staleness = self.staleness(now)
+        staleness = self.freshness.staleness(now)
         if (
             not self.leader_resigned
             and staleness < candidacy.RECORD_CHECK_SECONDS + delay
@@ -263,7 +208,7 @@
             candidacy.RECORD_UNCHANGED_SECONDS
         ):
             return
-        has_leader = self.staleness(self.clock.monotonic()) < (
+        has_leader = self.freshness.staleness(self.clock.monotonic()) < (
             candidacy.LEADER_TIMEOUT_SECONDS
         )
         if has_leader and not self.leader_resigned:
@@ -334,7 +279,7 @@
             await self.leadership.resign()
         finally:
             self.leadership = None
-            self.last_heartbeat_at = self.clock.monotonic()
+            self.freshness.last_heartbeat_at = self.clock.monotonic()
             self.record_watch = candidacy.RecordWatch()
         log.write(
             events.LEADERSHIP_LOST, epoch=leader_lease.epoch, reason=reason
@@ -416,16 +361,11 @@
             self.epoch = message.epoch
             self.leader_address = peer
             self.send_report(peer)
-        self.last_heartbeat_at = self.clock.monotonic()
-        age = message.age_ms / 1000
-        self.announced = Announcement(
-            age=age,
-            known_at=self.clock.boottime() - age,
-            contracts_revision=message.contracts_revision,
-        )
-        self.state.snapshot_confirmation.confirm(self.announced.known_at)
-        self.confirm_contracts()
-        if not self.leader_available and age < candidacy.STALE_AGE_SECONDS:
+        self.freshness.hear(message)
+        if (
+            not self.leader_available
+            and self.freshness.announced.age < candidacy.STALE_AGE_SECONDS
+        ):
             self.leader_available = True
             log.write(events.LEADER_HEARD, leader=peer, epoch=message.epoch)
         if message.contracts_revision > self.state.contracts_revision:
@@ -433,11 +373,6 @@
                 self.leader_address, message.contracts_revision
             )
 
-    def confirm_contracts(self) -> None:
-        """Confirms the contracts if the leader announced no newer ones."""
-        if self.state.contracts_revision >= self.announced.contracts_revision:
-            self.state.contracts_confirmation.confirm(self.announced.known_at)
-
     def on_delta(self, peer: str, message: wire.Delta) -> None:
         """Handles a delta unless this router leads or it is outdated."""
         if self.leadership is None and message.epoch >= self.epoch:
--- /dev/null
+++ b/oleanderhoist/node/freshness.py
@@ -0,0 +1,125 @@
+"""How current the state of a follower is, by what its leader announces."""
+
+import dataclasses
+import math
+
+from oleanderhoist import clock
+from oleanderhoist import program
+from oleanderhoist.node import state
+from oleanderhoist.node import wire
+from oleanderhoist.policy import candidacy
+from oleanderhoist.policy import hashing
+
+# For the read, and for updates missed shortly before the leader fell silent.
+STORE_READ_MARGIN_SECONDS = 0.75
+# The jitter lets most failovers end before the last routers read.
+STORE_READ_JITTER_SECONDS = 0.35
+CONTRACTS_READ_MARGIN_SECONDS = 0.35  # For the read itself.
+CONTRACTS_READ_JITTER_SECONDS = 0.2
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Announcement:
+    """What the leader's latest heartbeat said.
+
+    Attributes:
+        age: Age of what the leader knew, in seconds.
+        known_at: When the leader knew it to be current, on the clock that
+            counts suspended time.
+        contracts_revision: Revision of the leader's contracts.
+    """
+
+    age: float = 0.0
+    known_at: float = -math.inf
+    contracts_revision: int = 0
+
+
+class Freshness:
+    """Tells when a follower must read the store itself.
+
+    Args:
+        state: Snapshot and contracts of this router.
+        clock: Time source.
+        lag: Delay of this router's own timers.
+        own_address: Address of this router.
+        propagation_seconds: Maximum age of the snapshot and the contracts, in
+            seconds.
+
+    Attributes:
+        announced: What the leader's latest heartbeat said.
+        last_heartbeat_at: When it arrived, on the monotonic clock.
+        store_read_after: Staleness at which everything is read, in seconds.
+        contracts_read_after: Age at which the contracts are read, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: state.State,
+        clock: clock.Clock,
+        lag: program.LoopLag,
+        own_address: str,
+        propagation_seconds: float,
+    ):
+        self.state = state
+        self.clock = clock
+        self.lag = lag
+        self.announced = Announcement()
+        # A new process acts at once instead of waiting for a heartbeat.
+        self.last_heartbeat_at = (
+            clock.monotonic() - candidacy.LEADER_TIMEOUT_SECONDS
+        )
+        fraction = hashing.digest(own_address) / 2.0**64
+        self.store_read_after = max(
+            candidacy.LEADER_TIMEOUT_SECONDS,
+            propagation_seconds
+            - STORE_READ_MARGIN_SECONDS
+            + fraction * STORE_READ_JITTER_SECONDS,
+        )
+        self.contracts_read_after = (
+            propagation_seconds
+            - CONTRACTS_READ_MARGIN_SECONDS
+            + fraction * CONTRACTS_READ_JITTER_SECONDS
+        )
+        state.contract_listeners.append(self.confirm_contracts)
+
+    def staleness(self, now: float) -> float:
+        """Returns for how long the leader was silent or stale, in seconds.
+
+        Silence while this router's own timers were late does not count.
+        """
+        silence = now - self.last_heartbeat_at - self.lag.recent_max()
+        if self.announced.age > candidacy.STALE_AGE_SECONDS:
+            return max(silence, self.announced.age)
+        return silence
+
+    def store_overdue(self, now: float) -> bool:
+        """Returns whether this router must read servers and owners itself."""
+        return self.staleness(now) > self.store_read_after
+
+    def contracts_overdue(self) -> bool:
+        """Returns whether this router must read its contracts itself.
+
+        A delay of its own timers is no excuse: changes apply to it, too.
+        """
+        if self.state.contracts is None:
+            return False
+        age = self.state.contracts_confirmation.age(self.clock.boottime())
+        return age > self.contracts_read_after
+
+    def hear(self, message: wire.Heartbeat) -> None:
+        """Records a heartbeat of the leader."""
+        self.last_heartbeat_at = self.clock.monotonic()
+        age = message.age_ms / 1000
+        self.announced = Announcement(
+            age=age,
+            known_at=self.clock.boottime() - age,
+            contracts_revision=message.contracts_revision,
+        )
+        self.state.snapshot_confirmation.confirm(self.announced.known_at)
+        self.confirm_contracts()
+
+    def confirm_contracts(self) -> None:
+        """Confirms the contracts if the leader announced no newer ones."""
+        if self.state.contracts_revision >= self.announced.contracts_revision:
+            self.state.contracts_confirmation.confirm(self.announced.known_at)
--- a/oleanderhoist/node/servernotices.py
+++ b/oleanderhoist/node/servernotices.py
@@ -9,17 +9,24 @@
 
 import dataclasses
 
+import prometheus_client
+
 from oleanderhoist import clock
 from oleanderhoist import events
 from oleanderhoist import log
 from oleanderhoist import ports
 from oleanderhoist.node import coordinator
 from oleanderhoist.node import datagrams
+from oleanderhoist.node import slotserver
 from oleanderhoist.node import state
 from oleanderhoist.node import wire
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import serverlimit
 
+LIMITED = prometheus_client.Gauge(
+    "oleander_limited_servers", "Servers that limit their rate, as heard here"
+)
+
 
 @dataclasses.dataclass(kw_only=True)
 class HeardLimit:
@@ -67,7 +74,6 @@
         self.clock = clock
         self.limits: dict[str, HeardLimit] = {}
         state.snapshot_listeners.append(self.update)
-        datagrams.handlers[wire.ServerLimit] = self.on_server_limit
 
     def record(
         self,
@@ -92,8 +98,6 @@
                 self.log_limit(server, None)
                 self.send(queue, server, None)
             return
-        if known is None or known.limit != notice.limit:
-            self.log_limit(server, notice.limit)
         heard = HeardLimit(
             server=server,
             queue=queue,
@@ -101,10 +105,13 @@
             heard_at=self.clock.monotonic(),
         )
         self.limits[server.id] = heard
+        if known is None or known.limit != notice.limit:
+            self.log_limit(server, notice.limit)
         self.tell(heard)
 
     def log_limit(self, server: cluster.Server, limit: float | None) -> None:
-        """Logs a limit that has begun, changed or ended."""
+        """Logs and counts limits after one has begun, changed or ended."""
+        LIMITED.set(len(self.limits))
         log.write_limited(
             events.SERVER_LIMITED, server=server.id, per_second=limit
         )
@@ -129,20 +136,11 @@
             per_second=limit,
         )
         if address == self.datagrams.address:
-            self.on_server_limit(address, message)
+            slotserver.apply_limit(self.coordinator, message)
         elif address:
             self.datagrams.send(address, message)
         return address
 
-    def on_server_limit(self, peer: str, message: wire.ServerLimit) -> None:
-        """Applies a limit to a slot queue that this router coordinates."""
-        rate = message.per_second
-        if rate is not None:
-            rate = serverlimit.share(rate, 1)
-        self.coordinator.limit(
-            message.queue, message.server, message.started_ms, rate
-        )
-
     def apply_shares(self, queue: str) -> None:
         """Limits the servers of a queue to this router's share of their rate.
 
@@ -177,3 +175,4 @@
             and id in servers
             and servers[id].started_ms == heard.server.started_ms
         }
+        LIMITED.set(len(self.limits))
--- a/oleanderhoist/node/slotclient.py
+++ b/oleanderhoist/node/slotclient.py
@@ -26,7 +26,6 @@
 BYPASS_RETRY_SECONDS = 0.15
 MOVES_PER_BATCH = 20
 MOVE_INTERVAL_SECONDS = 0.01
-MAX_REPORTED_WAIT_SECONDS = 60.0  # Sent in place of an infinite wait.
 
 BYPASSED = prometheus_client.Counter(
     "oleander_permits_bypassed", "Requests sent without asking a home"
@@ -87,12 +86,9 @@
             clock=clock,
         )
         state.snapshot_listeners.append(self.end_moved_waits)
-        datagrams.handlers[wire.AcquireSlot] = self.on_acquire_slot
         datagrams.handlers[wire.SlotQueued] = self.on_slot_queued
         datagrams.handlers[wire.SlotGranted] = self.on_slot_granted
         datagrams.handlers[wire.SlotRefused] = self.on_slot_refused
-        datagrams.handlers[wire.ReleaseSlot] = self.on_release_slot
-        datagrams.handlers[wire.CancelAcquire] = self.on_cancel_acquire
 
     async def acquire(
         self, queue: str, request: slotqueue.SlotRequest
@@ -406,50 +402,6 @@
         elif not pending.future.done():
             pending.future.set_result(verdict)
 
-    def on_acquire_slot(self, peer: str, message: wire.AcquireSlot) -> None:
-        """Handles the slot request of another router."""
-        now = self.clock.monotonic()
-        request = slotqueue.SlotRequest(
-            id=message.id,
-            requester=peer,
-            rank=message.rank,
-            deadline=now + message.remaining_ms / 1000,
-            objective=now + message.objective_ms / 1000,
-            data_center=message.data_center,
-            body_bytes=message.body_bytes,
-            excluded=frozenset(message.excluded),
-        )
-        if message.retransmitted:
-            self.coordinator.drop_earlier_copy(message.queue, peer, message.id)
-        wait = self.coordinator.submit(
-            message.queue, request, lambda verdict: self.reply(peer, verdict)
-        )
-        if wait:
-            self.datagrams.send(
-                peer,
-                wire.SlotQueued(
-                    id=message.id,
-                    wait_ms=round(min(wait, MAX_REPORTED_WAIT_SECONDS) * 1000),
-                ),
-            )
-
-    def reply(self, peer: str, verdict: slotqueue.Verdict) -> None:
-        """Sends a verdict to the requester."""
-        id = verdict.request.id
-        if isinstance(verdict, slotqueue.Granted):
-            self.datagrams.send(
-                peer, wire.SlotGranted(id=id, server=verdict.server)
-            )
-        else:
-            refusal = wire.SlotRefused(
-                id=id,
-                retry_ms=round(verdict.retry_after * 1000),
-                wait_ms=round(
-                    min(verdict.expected_wait, MAX_REPORTED_WAIT_SECONDS) * 1000
-                ),
-            )
-            self.datagrams.send(peer, refusal)
-
     def on_slot_queued(self, peer: str, message: wire.SlotQueued) -> None:
         """Records that a slot request is queued."""
         pending = self.pending.get(message.id)
@@ -476,22 +428,6 @@
             ),
         )
 
-    def on_release_slot(self, peer: str, message: wire.ReleaseSlot) -> None:
-        """Handles the release of a slot."""
-        seconds = message.took_ms / 1000 if message.took_ms >= 0 else None
-        self.coordinator.release(
-            message.queue,
-            peer,
-            message.id,
-            message.server,
-            seconds=seconds,
-            failed=message.failed,
-        )
-
-    def on_cancel_acquire(self, peer: str, message: wire.CancelAcquire) -> None:
-        """Drops a slot request, and frees its slot if it was granted one."""
-        self.coordinator.cancel(message.queue, peer, message.id)
-
 
 def request_stub(id: int) -> slotqueue.SlotRequest:
     """Returns a placeholder with the id of a slot request of this router."""
--- /dev/null
+++ b/oleanderhoist/node/slotserver.py
@@ -0,0 +1,109 @@
+"""Answers the slot requests of other routers."""
+
+from oleanderhoist import clock
+from oleanderhoist.node import coordinator
+from oleanderhoist.node import datagrams
+from oleanderhoist.node import wire
+from oleanderhoist.policy import serverlimit
+from oleanderhoist.policy import slotqueue
+
+MAX_REPORTED_WAIT_SECONDS = 60.0  # Sent in place of an infinite wait.
+
+
+class SlotServer:
+    """Passes other routers' datagrams to the slot queues that this one hosts.
+
+    Args:
+        datagrams: Datagrams to the other routers.
+        coordinator: The slot queues that this router coordinates.
+        clock: Time source.
+    """
+
+    def __init__(
+        self,
+        *,
+        datagrams: datagrams.DatagramEndpoint,
+        coordinator: coordinator.Coordinator,
+        clock: clock.Clock,
+    ):
+        self.datagrams = datagrams
+        self.coordinator = coordinator
+        self.clock = clock
+        datagrams.handlers[wire.AcquireSlot] = self.on_acquire_slot
+        datagrams.handlers[wire.ReleaseSlot] = self.on_release_slot
+        datagrams.handlers[wire.CancelAcquire] = self.on_cancel_acquire
+        datagrams.handlers[wire.ServerLimit] = self.on_server_limit
+
+    def on_acquire_slot(self, peer: str, message: wire.AcquireSlot) -> None:
+        """Handles the slot request of another router."""
+        now = self.clock.monotonic()
+        request = slotqueue.SlotRequest(
+            id=message.id,
+            requester=peer,
+            rank=message.rank,
+            deadline=now + message.remaining_ms / 1000,
+            objective=now + message.objective_ms / 1000,
+            data_center=message.data_center,
+            body_bytes=message.body_bytes,
+            excluded=frozenset(message.excluded),
+        )
+        if message.retransmitted:
+            self.coordinator.drop_earlier_copy(message.queue, peer, message.id)
+        wait = self.coordinator.submit(
+            message.queue, request, lambda verdict: self.reply(peer, verdict)
+        )
+        if wait:
+            self.datagrams.send(
+                peer,
+                wire.SlotQueued(
+                    id=message.id,
+                    wait_ms=round(min(wait, MAX_REPORTED_WAIT_SECONDS) * 1000),
+                ),
+            )
+
+    def reply(self, peer: str, verdict: slotqueue.Verdict) -> None:
+        """Sends a verdict to the requester."""
+        id = verdict.request.id
+        if isinstance(verdict, slotqueue.Granted):
+            self.datagrams.send(
+                peer, wire.SlotGranted(id=id, server=verdict.server)
+            )
+        else:
+            refusal = wire.SlotRefused(
+                id=id,
+                retry_ms=round(verdict.retry_after * 1000),
+                wait_ms=round(
+                    min(verdict.expected_wait, MAX_REPORTED_WAIT_SECONDS) * 1000
+                ),
+            )
+            self.datagrams.send(peer, refusal)
+
+    def on_release_slot(self, peer: str, message: wire.ReleaseSlot) -> None:
+        """Handles the release of a slot."""
+        seconds = message.took_ms / 1000 if message.took_ms >= 0 else None
+        self.coordinator.release(
+            message.queue,
+            peer,
+            message.id,
+            message.server,
+            seconds=seconds,
+            failed=message.failed,
+        )
+
+    def on_cancel_acquire(self, peer: str, message: wire.CancelAcquire) -> None:
+        """Drops a slot request, and frees its slot if it was granted one."""
+        self.coordinator.cancel(message.queue, peer, message.id)
+
+    def on_server_limit(self, peer: str, message: wire.ServerLimit) -> None:
+        """Applies a limit that a server named to another router."""
+        apply_limit(self.coordinator, message)
+
+
+def apply_limit(
+    coordinator: coordinator.Coordinator, message: wire.ServerLimit
+) -> None:
+    """Paces a server's requests at the rate that it takes from all routers."""
+    rate = message.per_second
+    if rate is not None:
+        rate = serverlimit.share(rate, 1)
+    coordinator.limit(message.queue, message.server, message.started_ms, rate)
--- a/oleanderhoist/node/storereader.py
+++ b/oleanderhoist/node/storereader.py
@@ -14,7 +14,7 @@
 
 READ_INTERVAL_SECONDS = 0.9
 BACKOFF_GROWTH = 1.5
-MAX_BACKOFF_FACTOR = 4.0
+MAX_BACKOFF_FACTOR = 3.0  # A store that is back is read within 3 s.
 STORE_VERSION = -1  # Older than every version that a leader publishes.
 
 
--- a/oleanderhoist/policy/slotqueue.py
+++ b/oleanderhoist/policy/slotqueue.py
@@ -167,8 +167,6 @@
         Returns:
             The verdict, or None if the request was queued.
         """
-        for server in self.servers.values():
-            server.end_lapsed_limit(now)
         on_time = now + self.service_seconds <= request.objective
         if on_time:
             arrivals = self.arrivals.setdefault(
--- a/tests/test_coordinator_moves.py
+++ b/tests/test_coordinator_moves.py
@@ -9,6 +9,7 @@
 from oleanderhoist import events
 from oleanderhoist.node import coordinator
 from oleanderhoist.node import slotclient
+from oleanderhoist.node import slotserver
 from oleanderhoist.node import state
 from oleanderhoist.node import wire
 from oleanderhoist.policy import cluster
@@ -83,6 +84,11 @@
             self.coordinators[name] = coordinator.Coordinator(
                 state=self.states[name], clock=self.clock
             )
+            slotserver.SlotServer(
+                datagrams=link,
+                coordinator=self.coordinators[name],
+                clock=self.clock,
+            )
             self.slot_clients[name] = slotclient.SlotClient(
                 datagrams=link,
                 coordinator=self.coordinators[name],
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -7,6 +7,7 @@
 from oleanderhoist import clock
 from oleanderhoist.node import coordinator
 from oleanderhoist.node import slotclient
+from oleanderhoist.node import slotserver
 from oleanderhoist.node import state
 from oleanderhoist.node import wire
 from oleanderhoist.policy import cluster
@@ -70,6 +71,12 @@
             )
             for name in self.links
         }
+        for name, link in self.links.items():
+            slotserver.SlotServer(
+                datagrams=link,
+                coordinator=self.coordinators[name],
+                clock=shared_clock,
+            )
         self.slot_clients = {
             name: slotclient.SlotClient(
                 datagrams=self.links[name],
--- a/tests/test_server_limit.py
+++ b/tests/test_server_limit.py
@@ -9,6 +9,7 @@
 from oleanderhoist.http import messages
 from oleanderhoist.node import coordinator
 from oleanderhoist.node import slotclient
+from oleanderhoist.node import slotserver
 from oleanderhoist.node import state
 from oleanderhoist.platform import protocol
 from oleanderhoist.policy import cluster
@@ -137,6 +138,11 @@
         self.coordinator = coordinator.Coordinator(
             state=self.state, clock=fleet.clock
         )
+        slotserver.SlotServer(
+            datagrams=self.link,
+            coordinator=self.coordinator,
+            clock=fleet.clock,
+        )
         self.client = slotclient.SlotClient(
             datagrams=self.link,
             coordinator=self.coordinator,
