Keep earlier tests' log lines out of LogTest

eliot keeps what is logged before the first destination is added and gives it to that one. test_a_caller_that_left_and_a_stop_are_told_apart failed whenever its file was the first to add one, after tests that log waits (on too: three of three runs after test_permits). The test drops these lines and checks its own as strictly as before.

--- a/tests/test_coordinator_moves.py
+++ b/tests/test_coordinator_moves.py
@@ -346,6 +346,7 @@
         self.messages: list[dict] = []
         eliot.add_destinations(self.messages.append)
         self.addCleanup(eliot.remove_destination, self.messages.append)
+        self.messages.clear()  # The first destination gets all earlier lines.
         self.routers = Routers()
         self.routers.fill(BEFORE)
         self.routers.fill(AFTER)
