--- a/oleanderhoist/entry/contracts.py
+++ b/oleanderhoist/entry/contracts.py
@@ -12,6 +12,7 @@
 from oleanderhoist.clients import table
 from oleanderhoist.entry import snapshots
 from oleanderhoist.peers import wire
+from oleanderhoist.policy import confirmation
 
 CONFIRMATION_VALID_SECONDS = 3.0
 LOAD_RETRY_SECONDS = 0.1
@@ -47,7 +48,7 @@
         self.revision = 0
         self.versions: dict[str, int] = {}
         self.by_credential: dict[str, contract.Contract] = {}
-        self.confirmed_at = -CONFIRMATION_VALID_SECONDS
+        self.confirmation = confirmation.Confirmation()
         self.admitting = False
 
     def confirm(self, message: wire.Delegation) -> None:
@@ -55,12 +56,12 @@
         if message.contracts_revision != self.revision:
             return
         age = max(0.0, self.clock.wall() - message.sent_at)
-        confirmed = self.clock.monotonic() - age
-        self.confirmed_at = max(self.confirmed_at, confirmed)
+        self.confirmation.confirm(self.clock.boottime() - age)
 
     def is_confirmed(self) -> bool:
         """Returns whether the contracts are confirmed, and logs changes."""
-        age = self.clock.monotonic() - self.confirmed_at
+        now = self.clock.boottime()
+        age = self.confirmation.age(now)
         confirmed = (
             bool(self.by_credential) and age <= CONFIRMATION_VALID_SECONDS
         )
@@ -70,7 +71,12 @@
             event = events.ENTRY_WITHDRAWN
             if confirmed:
                 event = events.ENTRY_READMITTED
-            log.write(event, revision=self.revision, age=age)
+            age_ms = self.confirmation.age_ms(now)
+            log.write(
+                event,
+                revision=self.revision,
+                age=None if age_ms is None else age_ms / 1000,
+            )
         return confirmed
 
     def find(self, credential: str) -> contract.Contract | None:
--- a/oleanderhoist/entry/snapshots.py
+++ b/oleanderhoist/entry/snapshots.py
@@ -8,6 +8,7 @@
 from oleanderhoist import log
 from oleanderhoist.peers import conversion
 from oleanderhoist.peers import wire
+from oleanderhoist.policy import confirmation
 from oleanderhoist.policy import topology
 
 STALE_AFTER_SECONDS = 1.2
@@ -86,7 +87,7 @@
         self.delegation = Delegation()
         self.leader_address = ""
         self.leader_heard_at = 0.0
-        self.confirmed_at = 0.0
+        self.confirmation = confirmation.Confirmation()
         self.changed = asyncio.Event()
 
     def adopt(self, message: wire.Snapshot) -> bool:
@@ -125,7 +126,7 @@
         self.leader_heard_at = self.clock.monotonic()
         current_version = (self.snapshot.epoch, self.snapshot.revision)
         if current_version >= (message.epoch, message.revision):
-            self.confirmed_at = self.leader_heard_at
+            self.confirmation.confirm(self.clock.boottime())
             self.delegation = Delegation(
                 epoch=message.epoch,
                 sequence=message.sequence,
@@ -135,7 +136,8 @@
 
     def is_stale(self) -> bool:
         """Returns whether no leader has confirmed the snapshot recently."""
-        return self.clock.monotonic() - self.confirmed_at > STALE_AFTER_SECONDS
+        age = self.confirmation.age(self.clock.boottime())
+        return age > STALE_AFTER_SECONDS
 
     def coordinated_servers(self) -> list[topology.Server]:
         """Returns the servers that this entry coordinates."""
