Let the soak limit servers, and judge the rates that they named

limit-server makes a server name 0.5, 2 or 5 requests a second for 5 to 12 s; the checker counts what it ran in 4 s from 3 s after the first notice on, in time without faults.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -35,6 +35,8 @@
 MAX_STOP_SECONDS = 7.0  # A longer graceful stop is a violation.
 SERVER_DRAIN_SECONDS = 2.5  # A draining server still serves.
 MAX_SERIES_GAP_SECONDS = 4.0  # Between stops in series that overlap.
+LIMITS = (0.5, 2.0, 5.0)  # Requests per second.
+LIMIT_SECONDS = (5.0, 12.0)
 REPEATED_SIGNAL_SHARE = 0.4  # Of stops in series.
 MAX_REPEATED_SIGNAL_SECONDS = 4.0
 
@@ -311,6 +313,29 @@
     injector.restarting.discard(name)
 
 
+@FAULTS.register("limit-server")
+async def limit_server(injector: Injector) -> None:
+    """Makes a server name the rate that it takes; planned maintenance."""
+    name = injector.pick_process("td")
+    if name is None:
+        return
+    injector.restarting.add(name)  # No other fault picks it.
+    limit = injector.rng.choice(LIMITS)
+    address = injector.system.real[name]
+    await injector.system.call(address, "PUT", "/limit", limit)
+    began = time.monotonic()
+    injector.log.append(f"{began:.2f} limit {name} to {limit} a second")
+    await asyncio.sleep(injector.rng.uniform(*LIMIT_SECONDS))
+    injector.checker.limits.append(
+        invariants.Limit(
+            server=name, rate=limit, begin=began, end=time.monotonic()
+        )
+    )
+    await injector.system.call(address, "PUT", "/limit", None)
+    injector.restarting.discard(name)
+    injector.log.append(f"{time.monotonic():.2f} end of the limit of {name}")
+
+
 @FAULTS.register("change-contracts")
 async def change_contracts(injector: Injector) -> None:
     """Adds a route; the version rises by a random step; planned maintenance."""
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -12,6 +12,10 @@
 RELOAD_EFFECT_SECONDS = 2.0
 RESPONSE_SECONDS = 0.5  # From the end of the work to the caller's answer.
 LEASE_SLACK_SECONDS = 0.02  # Journal lines are timestamped after the event.
+LIMIT_NOTICE_SECONDS = 3.0  # From a limit's begin until it must be kept.
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_RATIO = 1.5
+LIMIT_EXTRA = 5
 DRAIN_GRACE_SECONDS = 2.0
 MAX_APPLY_SECONDS = 2.0
 FAULT_EFFECT_SECONDS = 3.0  # Time bounds apply again after this time.
@@ -64,6 +68,16 @@
     fence: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Limit:
+    """Time span in which a server names the rate of requests that it takes."""
+
+    server: str
+    rate: float
+    begin: float
+    end: float
+
+
 class Checker:
     """Records what callers and servers saw, and collects violations.
 
@@ -76,6 +90,7 @@
         contract_changes: Time of each change of the contracts, by version.
         stops: Router and time of each graceful stop.
         reloads: Router and time of each reload.
+        limits: Limits that servers named.
         faults: Begin, end and name of each fault.
     """
 
@@ -90,6 +105,7 @@
         self.contract_changes: dict[int, float] = {}
         self.stops: list[tuple[str, float]] = []
         self.reloads: list[tuple[str, float]] = []
+        self.limits: list[Limit] = []
         self.faults: list[tuple[float, float, str]] = []
 
     def is_fault_free(self, begin: float, end: float) -> bool:
@@ -189,8 +205,31 @@
                     f"not run: {answer.id} got {answer.status}, {executed}"
                 )
             self.check_lost(answer)
+        for limit in self.limits:
+            self.check_limit(limit)
         return self.violations
 
+    def check_limit(self, limit: Limit) -> None:
+        """Checks that a server got no more than it takes, once it said so."""
+        times = sorted(
+            at
+            for executed in self.executions.values()
+            for server, at in executed
+            if server == limit.server
+            and limit.begin + LIMIT_NOTICE_SECONDS <= at < limit.end
+        )
+        allowed = LIMIT_RATIO * limit.rate * LIMIT_WINDOW_SECONDS + LIMIT_EXTRA
+        for start in times:
+            end = start + LIMIT_WINDOW_SECONDS
+            count = sum(start <= at < end for at in times)
+            if count > allowed and self.is_fault_free(limit.begin, end):
+                self.violations.append(
+                    f"limit: {limit.server} got {count} requests from "
+                    f"{start - limit.begin:.2f} s after it named "
+                    f"{limit.rate} a second"
+                )
+                return
+
     def check_lost(self, answer: Answer) -> None:
         """Checks that planned work cost no request that a router had read.
 
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -5,7 +5,7 @@
 ``PUT /faults`` sets the number of faults still to inject: ``shed`` (rejected
 requests), ``unsigned`` (responses without a signature) and ``truncate``
 (executed requests whose connection is aborted before the response). ``PUT
-/limit`` sets the rate that it names in all answers to requests, or null;
+/limit`` sets the rate that it names in all answers to requests, or ends it;
 ``GET /arrivals`` returns when requests arrived, and whether it named a rate. A
 request may say in its query how long it takes: ``?work_ms=1500``.
 
@@ -63,7 +63,7 @@
             self.faults.update(json.loads(body))
             return messages.json_response(self.faults)
         if request.path == "/limit":
-            self.limit = json.loads(body)
+            self.limit = json.loads(body) if body else None
             return messages.json_response(self.limit)
         if request.path == "/arrivals":
             return messages.json_response(self.arrivals)
