Fetch contracts that a router rejected itself only once

It knows the revision from its own log line; the leader's datagrams still bring the contracts if they can be applied.

--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -368,7 +368,8 @@
         ):
             self.leader_available = True
             log.write(events.LEADER_HEARD, leader=peer, epoch=message.epoch)
-        if message.contracts_revision > self.state.contracts_revision:
+        known = max(self.state.contracts_revision, self.state.rejected_revision)
+        if message.contracts_revision > known:
             self.updates.start_contracts_fetch(
                 self.leader_address, message.contracts_revision
             )
--- a/oleanderhoist/node/leader.py
+++ b/oleanderhoist/node/leader.py
@@ -121,8 +121,8 @@
         Raises:
             ExceptionGroup: With the reason why the leadership ended.
         """
-        LEADING.set(1)
         await self.read_first()
+        LEADING.set(1)
         try:
             async with asyncio.TaskGroup() as group:
                 self.task_group = group
--- a/tests/test_contract_age.py
+++ b/tests/test_contract_age.py
@@ -153,6 +153,20 @@
 
         self.assertEqual([], self.outdated_without(hinder))
 
+    def test_contracts_that_a_router_rejects_are_read_again_and_again(self):
+        def hinder(one: follower.Follower) -> None:
+            revision = self.world.contracts_document.revision + 1
+            one.state.reject_contracts(
+                ports.TermsError("unknown field", revision=revision)
+            )
+            one.updates.start_contracts_fetch = lambda leader, revision: (
+                fetched.append(one.own_member.address)
+            )
+
+        fetched: list[str] = []
+        self.outdated_without(hinder)
+        self.assertEqual([], fetched)
+
 
 class FeedTest(unittest.IsolatedAsyncioTestCase):
     """Waiting for a change ends although no answer comes."""
