Report a limited server's whole rate, and trust its own answers only

Two faults of the pacing, found in the review of the diff. A router that bypassed a coordinator paced its own queue at its share of the limit and reported that as the server's speed: the leader would have seen a 28th of the capacity and moved keys away. The pace keeps limit and number of routers apart; reports have the former. And an answer that may not be the server's (421, unsigned, 503 without its word) ended a limit; only kinds that are certainly its own tell anything now. test_a_share_of_the_limit_looks_like_a_slower_server fails without the first.

--- a/oleanderhoist/node/coordinator.py
+++ b/oleanderhoist/node/coordinator.py
@@ -165,7 +165,13 @@
         self.advance(hosted, now)
 
     def limit(
-        self, name: str, server: str, started_ms: int, rate: float | None
+        self,
+        name: str,
+        server: str,
+        started_ms: int,
+        limit: float | None,
+        *,
+        routers: int = 1,
     ) -> None:
         """Paces the requests to a server of a slot queue.
 
@@ -174,14 +180,15 @@
             server: Id of the server.
             started_ms: Start time of the process that named the limit; what it
                 said does not hold for a later one.
-            rate: Requests per second; None ends the limit.
+            limit: Requests per second from all routers; None ends the limit.
+            routers: Number of routers that share the limit equally.
         """
         hosted = self.get(name)
         known = hosted.queue.servers.get(server)
         if known is None or known.started_ms != started_ms:
             return
         now = self.clock.monotonic()
-        known.limit(rate, now)
+        known.limit(limit, now, routers=routers)
         self.advance(hosted, now)
 
     def cancel(self, name: str, requester: str, id: int) -> None:
--- a/oleanderhoist/node/forwarder.py
+++ b/oleanderhoist/node/forwarder.py
@@ -36,6 +36,13 @@
 RESPONSE_SLACK_SECONDS = 0.08
 KEYED_HEDGE_FACTOR = 2.0
 
+# Kinds of responses that are certainly the server's own.
+SERVER_ANSWERS = (
+    ports.AnswerKind.ANSWERED,
+    ports.AnswerKind.FAILED,
+    ports.AnswerKind.REFUSED,
+)
+
 SENDS = prometheus_client.Counter(
     "oleander_sends", "Requests sent to servers by result", ["result"]
 )
@@ -352,10 +359,11 @@
             )
         except exchanges.ExchangeError as error:
             return results.classify_error(job, server, error)
-        self.slot_client.notices.record(
-            queue, server, self.platform.server_notice(response), sent_at
-        )
         kind = self.platform.classify(response)
+        if kind in SERVER_ANSWERS:
+            self.slot_client.notices.record(
+                queue, server, self.platform.server_notice(response), sent_at
+            )
         return results.classify_response(job, server, response, kind)
 
 
--- a/oleanderhoist/node/servernotices.py
+++ b/oleanderhoist/node/servernotices.py
@@ -17,7 +17,6 @@
 from oleanderhoist import ports
 from oleanderhoist.node import coordinator
 from oleanderhoist.node import datagrams
-from oleanderhoist.node import slotserver
 from oleanderhoist.node import state
 from oleanderhoist.node import wire
 from oleanderhoist.policy import cluster
@@ -129,15 +128,15 @@
             The address of the coordinator; empty without one.
         """
         address = self.state.snapshot.coordinator(queue)
-        message = wire.ServerLimit(
-            queue=queue,
-            server=server.id,
-            started_ms=server.started_ms,
-            per_second=limit,
-        )
         if address == self.datagrams.address:
-            slotserver.apply_limit(self.coordinator, message)
+            self.coordinator.limit(queue, server.id, server.started_ms, limit)
         elif address:
+            message = wire.ServerLimit(
+                queue=queue,
+                server=server.id,
+                started_ms=server.started_ms,
+                per_second=limit,
+            )
             self.datagrams.send(address, message)
         return address
 
@@ -154,7 +153,8 @@
                     queue,
                     heard.server.id,
                     heard.server.started_ms,
-                    serverlimit.share(heard.limit, routers),
+                    heard.limit,
+                    routers=routers,
                 )
 
     def update(self, snapshot: cluster.Snapshot) -> None:
--- a/oleanderhoist/node/slotserver.py
+++ b/oleanderhoist/node/slotserver.py
@@ -4,7 +4,6 @@
 from oleanderhoist.node import coordinator
 from oleanderhoist.node import datagrams
 from oleanderhoist.node import wire
-from oleanderhoist.policy import serverlimit
 from oleanderhoist.policy import slotqueue
 
 MAX_REPORTED_WAIT_SECONDS = 60.0  # Sent in place of an infinite wait.
@@ -96,14 +95,9 @@
 
     def on_server_limit(self, peer: str, message: wire.ServerLimit) -> None:
         """Applies a limit that a server named to another router."""
-        apply_limit(self.coordinator, message)
-
-
-def apply_limit(
-    coordinator: coordinator.Coordinator, message: wire.ServerLimit
-) -> None:
-    """Paces a server's requests at the rate that it takes from all routers."""
-    rate = message.per_second
-    if rate is not None:
-        rate = serverlimit.share(rate, 1)
-    coordinator.limit(message.queue, message.server, message.started_ms, rate)
+        self.coordinator.limit(
+            message.queue,
+            message.server,
+            message.started_ms,
+            message.per_second,
+        )
--- a/oleanderhoist/policy/serverlimit.py
+++ b/oleanderhoist/policy/serverlimit.py
@@ -16,28 +16,20 @@
 LAPSE_SECONDS = 6.0
 
 
-def share(limit: float, routers: int) -> float:
-    """Returns the rate for each of some routers, in requests per second.
-
-    Args:
-        limit: The rate that the server takes from all routers together.
-        routers: Number of routers.
-    """
-    return max(limit, PROBE_RATE) / max(1, routers)
-
-
 @dataclasses.dataclass(kw_only=True)
 class Pace:
     """Token bucket that paces the requests to one limited server.
 
     Attributes:
-        rate: Requests per second.
+        limit: Requests per second that it takes from all routers together.
+        routers: Number of routers that share this limit equally.
         confirmed_at: When the server last named the limit, in seconds.
         tokens: Requests that may be sent now; may be a fraction.
         updated_at: When the tokens were last counted, in seconds.
     """
 
-    rate: float
+    limit: float
+    routers: int
     confirmed_at: float
     tokens: float = 0.0
     updated_at: float = 0.0
@@ -45,10 +37,21 @@
     def __post_init__(self):
         self.updated_at = max(self.updated_at, self.confirmed_at)
 
-    def confirm(self, rate: float, now: float) -> None:
-        """Applies the rate that the server names now."""
+    @property
+    def rate(self) -> float:
+        """Requests per second that this router may send."""
+        return self.total_rate / max(1, self.routers)
+
+    @property
+    def total_rate(self) -> float:
+        """Requests per second that all routers together may send."""
+        return max(self.limit, PROBE_RATE)
+
+    def confirm(self, limit: float, routers: int, now: float) -> None:
+        """Applies the limit that the server names now."""
         self.refill(now)
-        self.rate = rate
+        self.limit = limit
+        self.routers = routers
         self.confirmed_at = now
 
     def has_lapsed(self, now: float) -> bool:
--- a/oleanderhoist/policy/serverslots.py
+++ b/oleanderhoist/policy/serverslots.py
@@ -80,14 +80,24 @@
         if self.pace is not None:
             self.pace.take(now)
 
-    def limit(self, rate: float | None, now: float) -> None:
-        """Paces the requests to a rate per second; None ends the limit."""
-        if rate is None:
+    def limit(
+        self, limit: float | None, now: float, *, routers: int = 1
+    ) -> None:
+        """Paces the requests to the limit that the server names.
+
+        Args:
+            limit: Requests per second from all routers; None ends the limit.
+            now: Current time, in seconds.
+            routers: Number of routers that share the limit equally.
+        """
+        if limit is None:
             self.pace = None
         elif self.pace is None:
-            self.pace = serverlimit.Pace(rate=rate, confirmed_at=now)
+            self.pace = serverlimit.Pace(
+                limit=limit, routers=routers, confirmed_at=now
+            )
         else:
-            self.pace.confirm(rate, now)
+            self.pace.confirm(limit, routers, now)
 
     def end_lapsed_limit(self, now: float) -> None:
         """Ends a limit that the server has not named for long."""
@@ -97,11 +107,12 @@
     def seconds_per_slot(self) -> float:
         """Returns the time for which a request keeps a slot from others.
 
-        It is the service time, or longer while the rate is limited.
+        It is the service time, or longer while the server limits the rate of
+        all routers together.
         """
         if self.pace is None:
             return self.service_seconds
-        return max(self.service_seconds, self.slots / self.pace.rate)
+        return max(self.service_seconds, self.slots / self.pace.total_rate)
 
     def service_rate(self) -> float:
         """Returns the requests per second that it can complete.
--- a/tests/test_capped.py
+++ b/tests/test_capped.py
@@ -14,6 +14,7 @@
 WINDOW_SECONDS = 4.0
 MAX_IN_WINDOW = 1.5 * LIMIT * WINDOW_SECONDS + 5
 MIN_USED = 0.6  # Of what the servers take.
+KEY_STEP = 40_503  # Spreads successive keys over all servers.
 ROUTERS = (2, 3, 4)
 
 
@@ -32,7 +33,7 @@
             status = await self.system.send(
                 f"request-{number}",
                 router=ROUTERS[number % len(ROUTERS)],
-                key=number * 257 % 65_536,
+                key=number * KEY_STEP % 65_536,
             )
         except exchanges.ExchangeError:
             status = 0
--- a/tests/test_server_limit.py
+++ b/tests/test_server_limit.py
@@ -341,6 +341,18 @@
             self.arrivals_between(16.0, 20.0), 4 * UNPACED_PER_SECOND
         )
 
+    def test_a_share_of_the_limit_looks_like_a_slower_server(self):
+        router = next(iter(self.fleet.routers.values()))
+        for routers in (1, ROUTERS):
+            router.coordinator.limit(QUEUE, "s", 1, LIMIT, routers=routers)
+            slots = router.coordinator.get(QUEUE).queue.servers["s"]
+            slots.last_used_at = self.fleet.loop.now
+            self.assertAlmostEqual(
+                SERVER.slots * 1000 / LIMIT,
+                router.coordinator.service_times_ms()["s"],
+                places=1,
+            )
+
 
 class NoticeTest(unittest.TestCase):
     """The header is decoded once, or ignored."""
