Restart a placer's leader that fails while it loads its state

A record of an entry without a field raised KeyError there; the placer went on leading and did nothing, without a line.

test_placer_errors failed before.

--- a/oleanderhoist/placer/leader.py
+++ b/oleanderhoist/placer/leader.py
@@ -78,7 +78,9 @@
 
     def start(self) -> None:
         """Starts the leadership."""
-        self.tasks.append(asyncio.create_task(self.run()))
+        self.tasks.append(
+            asyncio.create_task(program.supervise("leading", self.run))
+        )
 
     def stop(self) -> None:
         """Ends the leadership."""
