Run the placer's test of errors in a process of its own

It is tests/placer_errors.py now, run by tests/test_placer.py as other tests of entry and placer are, with a second test: a leader that stops loads no more. Without the supervision the first of the two fails.

--- a/tests/test_placer_errors.py
+++ b/tests/placer_errors.py
@@ -46,6 +46,15 @@
         leading.stop()
         self.assertTrue(leading.loaded)
 
+    async def test_a_leader_that_stops_goes_on_loading(self):
+        leading = LoadingLeader()
+        leading.start()
+        await asyncio.sleep(0.0)
+        leading.stop()
+        await asyncio.sleep(LOADED_SECONDS)
+        self.assertEqual(1, leading.load_count)
+        self.assertFalse(leading.loaded)
+
 
 if __name__ == "__main__":
     unittest.main()
