Plan moves of keys for all servers at once, from loads with bounds

Cause: a key's rate was an average over 0.7 s, and a gap of 0.2 in utilisation between two servers started a move. At ten requests a second chance alone makes such a gap.

Change: loads are counts in batches, joined for as long as they agree, with the bounds of a Poisson mean. A plan looks at all servers: the densest run of keys with the wanted load leaves, a key that is too hot for its owner goes to the fastest server, a lost owner's range is divided by load, and keys that have moved stay for 2 s. A move must gain more requests, over the time that the load has been steady, than it disturbs.

--- a/oleanderhoist/node/leader.py
+++ b/oleanderhoist/node/leader.py
@@ -400,7 +400,7 @@
         """Records the load that a member observed."""
         for pool, requested_keys in requested.items():
             if pool in self.rebalancers:
-                self.rebalancers[pool].rates.add(requested_keys)
+                self.rebalancers[pool].key_counter.add(requested_keys)
         for pool_rebalancer in self.rebalancers.values():
             for id, milliseconds in service_ms.items():
                 if id in pool_rebalancer.servers:
--- a/oleanderhoist/node/rebalancer.py
+++ b/oleanderhoist/node/rebalancer.py
@@ -18,17 +18,17 @@
 from oleanderhoist.node import leasemanager
 from oleanderhoist.policy import balance
 from oleanderhoist.policy import cluster
+from oleanderhoist.policy import keyload
 from oleanderhoist.policy import keys
 from oleanderhoist.policy import leaderlease
-from oleanderhoist.policy import rates
 
 PLAN_INTERVAL_SECONDS = 0.2
-RATE_UPDATE_INTERVAL_SECONDS = 0.4
+COUNT_INTERVAL_SECONDS = 0.4
+HOLD_SECONDS = 2.0  # For which keys that have moved for load stay.
 SETTLE_SECONDS = 0.8  # Without server changes, before the first assignment.
 REVOKE_ATTEMPTS = 2
 DEFAULT_SERVICE_MS = 100.0
 MIN_SERVICE_MS = 1.0
-IDLE_KEY_RATE = 1e-6  # Requests per second; added for each key of a range.
 
 Spawn = Callable[[Coroutine], object]
 
@@ -77,7 +77,10 @@
             key_range.owner for key_range in recorded_ranges if key_range.owner
         }
         self.active_moves: list[balance.Move] = []
-        self.rates = rates.KeyRates()
+        self.recent_moves: list[tuple[float, balance.Move]] = []
+        self.key_counter = keyload.KeyCounter()
+        self.key_counts = self.key_counter.counts()
+        self.counts_changed = False
         self.service_ms: dict[str, float] = {}
         self.settled_at = 0.0
 
@@ -171,12 +174,13 @@
 
     async def run(self) -> None:
         """Plans moves until cancelled."""
-        rates_updated_at = 0.0
+        counted_at = 0.0
         while True:
             now = self.clock.boottime()
-            if now - rates_updated_at >= RATE_UPDATE_INTERVAL_SECONDS:
-                self.rates.advance(now)
-                rates_updated_at = now
+            if now - counted_at >= COUNT_INTERVAL_SECONDS:
+                self.key_counts = self.key_counter.advance(now)
+                self.counts_changed = True
+                counted_at = now
             if self.key_map is None:
                 await self.assign_initial_keys(now)
             else:
@@ -207,45 +211,53 @@
         for key_range in self.key_map.ranges:
             if key_range.owner in self.servers:
                 self.lease_manager(key_range.owner)
-        self.evict(usable)
-        busy = frozenset(
-            id
-            for move in self.active_moves
-            for id in (move.source, move.target)
-        )
-        moves = balance.plan(
-            self.published_map(),
-            self.rates.rates,
-            self.capacities(self.move_targets()),
-            busy=busy,
-        )
-        for move in moves:
+        lost = [
+            key_range
+            for key_range in self.recorded_map().ranges
+            if key_range.owner not in usable and not self.is_moving(key_range)
+        ]
+        if lost or self.counts_changed:
+            planner = self.planner(now)
+            self.place(planner, lost)
+            self.spread_load(planner, now)
+
+    def place(self, planner: balance.Planner, lost: list[keys.Range]) -> None:
+        """Starts to move ranges whose owner is lost or leaving."""
+        for key_range in lost:
+            for move in planner.place(key_range):
+                self.start_move(move, "owner lost or leaving")
+
+    def spread_load(self, planner: balance.Planner, now: float) -> None:
+        """Starts to move keys of servers with too much load."""
+        if not self.counts_changed:
+            return
+        self.counts_changed = False
+        for move in planner.plan():
+            self.recent_moves.append((now, move))
             self.start_move(move, "load")
 
-    def evict(self, usable: dict[str, cluster.Server]) -> None:
-        """Assigns ranges whose owner is missing, unreachable or leaving."""
-        capacities = self.capacities(self.move_targets())
-        loads = balance.loads(self.published_map(), self.rates.rates)
+    def planner(self, now: float) -> balance.Planner:
+        """Returns a planner for whom the moves under way are already made."""
+        self.recent_moves = [
+            (moved_at, move)
+            for moved_at, move in self.recent_moves
+            if now - moved_at < HOLD_SECONDS or move in self.active_moves
+        ]
+        key_map = self.recorded_map()
         for move in self.active_moves:
-            key_range = keys.Range(start=move.start, end=move.end)
-            loads[move.target] = loads.get(move.target, 0.0) + balance.load_of(
-                key_range, self.rates.rates
-            )
-        for key_range in self.published_map().ranges:
-            if key_range.owner in usable or self.is_moving(key_range):
-                continue
-            load = balance.load_of(key_range, self.rates.rates)
-            target = balance.least_utilised(loads, capacities, load)
-            loads[target] = (
-                loads.get(target, 0.0) + load + key_range.size * IDLE_KEY_RATE
-            )
-            move = balance.Move(
-                start=key_range.start,
-                end=key_range.end,
-                source=key_range.owner,
-                target=target,
-            )
-            self.start_move(move, "owner lost or leaving")
+            key_map = key_map.assign(move.start, move.end, move.target)
+        held = [move.key_range for _, move in self.recent_moves]
+        held += [
+            move.key_range
+            for move in self.active_moves
+            if move.key_range not in held
+        ]
+        return balance.Planner(
+            key_map=key_map,
+            counts=self.key_counts,
+            capacities=self.capacities(self.move_targets()),
+            held=held,
+        )
 
     def is_moving(self, key_range: keys.Range) -> bool:
         """Returns whether some of the keys are being moved."""
@@ -366,9 +378,8 @@
         usable = self.usable()
         if move.target in usable or not usable:
             return move.target
-        loads = balance.loads(self.published_map(), self.rates.rates)
-        capacities = self.capacities(self.move_targets())
-        return balance.least_utilised(loads, capacities, 0.0) or ""
+        planner = self.planner(self.clock.boottime())
+        return min(planner.capacities, key=planner.idle_utilisation, default="")
 
     async def hand_over(
         self, manager: leasemanager.LeaseManager, move: balance.Move
--- a/oleanderhoist/policy/balance.py
+++ b/oleanderhoist/policy/balance.py
@@ -1,19 +1,37 @@
 """Moves keys between the servers of a keyed pool to balance their load.
 
-A few adjacent keys may get much of a pool's traffic, and change within
-seconds. Their owner's queue then fills while other servers idle. Segments are
-split off at the ends of an owner's ranges, so that hot adjacent keys are spread
-over several servers in a few rounds.
+A few adjacent keys, or a single one, may get much of a pool's traffic, and
+change within seconds. Their owner then turns requests away while other servers
+idle. A plan looks at all servers at once: hot keys are cut out of the ranges
+around them and spread over several servers, and a key that is too hot for its
+owner goes to the fastest server, whose other keys then leave it.
+
+Loads are counts of few events. A move is therefore planned only if it helps
+even where the source's load is at its lower bound and the target's at its upper
+one, and if it is expected to help more requests than it disturbs.
 """
 
+import bisect
+from collections.abc import Iterator
 import dataclasses
+import heapq
+import itertools
 
+from oleanderhoist.policy import eventrate
+from oleanderhoist.policy import keyload
+from oleanderhoist.policy import keyruns
 from oleanderhoist.policy import keys
 
-MIN_UTILISATION = 0.45
-MIN_UTILISATION_GAP = 0.2
-MAX_MOVES = 4  # Per round.
-SUFFICIENT_FRACTION = 0.9  # Of the load to move.
+EASY_UTILISATION = 0.5  # Up to here requests hardly wait for each other.
+MIN_TARGET_UTILISATION = 0.75  # Targets may be filled up to here.
+MIN_MOVES = 4  # Per plan.
+SERVERS_PER_MOVE = 4  # Larger pools may have more moves per plan.
+MOVE_SECONDS = 0.1  # For which keys that move have no owner.
+MOVE_REQUESTS = 1.0  # Fixed cost of a move, in requests.
+HOT_KEYS = 3  # Single keys of a server that are considered.
+MAX_PIECES = 8  # Into which the range of a lost owner is divided.
+MIN_CAPACITY = 1e-3  # Requests per second.
+IDLE_KEY_RATE = 1e-6  # Requests per second; added for each key of a range.
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -23,7 +41,7 @@
     Attributes:
         start: First key.
         end: Last key.
-        source: Current owner.
+        source: Current owner; empty without one.
         target: New owner.
     """
 
@@ -32,158 +50,347 @@
     source: str
     target: str
 
+    @property
+    def key_range(self) -> keys.Range:
+        """The keys that move."""
+        return keys.Range(start=self.start, end=self.end)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Candidate:
+    """A range that may leave its owner.
+
+    Attributes:
+        key_range: The keys.
+        rate: Their requests per second.
+        targets: Servers that may take them.
+    """
+
+    key_range: keys.Range
+    rate: float
+    targets: list[str]
+
 
-def plan(
-    key_map: keys.KeyMap,
-    rates: dict[int, float],
-    capacities: dict[str, float],
-    *,
-    busy: frozenset[str] = frozenset(),
-) -> list[Move]:
-    """Returns the moves that even out utilisation.
+class Planner:
+    """Plans moves on a picture in which those under way are already made.
 
     Args:
-        key_map: Current owners.
-        rates: Requests per second by key.
+        key_map: The owners; keys that are being moved count as their target's.
+        counts: Requests by key.
         capacities: Requests per second that each usable server can complete.
-        busy: Servers that already take part in a move.
+        held: Ranges that may not move now, without overlaps.
     """
-    known = loads(key_map, rates)
-    server_loads = {server: known.get(server, 0.0) for server in capacities}
-    owners = {key_range.owner for key_range in key_map.ranges}
-    free = [s for s in capacities if s not in busy]
-    moves: list[Move] = []
-    while len(moves) < MAX_MOVES and len(free) > 1:
-        free.sort(key=lambda s: (server_loads[s] / capacities[s], s in owners))
-        target, source = free[0], free[-1]
-        move = plan_move(
-            key_map, rates, capacities, server_loads, source, target
+
+    def __init__(
+        self,
+        *,
+        key_map: keys.KeyMap,
+        counts: keyload.KeyCounts,
+        capacities: dict[str, float],
+        held: list[keys.Range],
+    ):
+        self.key_map = key_map
+        self.counts = counts
+        self.capacities = {
+            server: max(MIN_CAPACITY, capacity)
+            for server, capacity in capacities.items()
+        }
+        self.held = sorted(held, key=lambda key_range: key_range.start)
+        self.owned: dict[str, list[keys.Range]] = {s: [] for s in capacities}
+        for key_range in key_map.ranges:
+            self.owned.setdefault(key_range.owner, []).append(key_range)
+        self.loads = {
+            server: counts.load_of(key_ranges)
+            for server, key_ranges in self.owned.items()
+        }
+        self.estimates = {s: load.estimate() for s, load in self.loads.items()}
+        self.target_utilisation = self.find_target_utilisation()
+
+    def find_target_utilisation(self) -> float:
+        """Returns the utilisation up to which targets are filled."""
+        total_rate = sum(e.rate.value for e in self.estimates.values())
+        total_capacity = sum(self.capacities.values())
+        return max(
+            MIN_TARGET_UTILISATION,
+            total_rate / max(MIN_CAPACITY, total_capacity),
         )
-        if move is None:
-            break
-        moves.append(move)
-        free.remove(source)
-        free.remove(target)
-    return moves
-
-
-def plan_move(
-    key_map: keys.KeyMap,
-    rates: dict[int, float],
-    capacities: dict[str, float],
-    loads: dict[str, float],
-    source: str,
-    target: str,
-) -> Move | None:
-    """Returns the move that evens out two servers, or None if not needed."""
-    high = loads[source] / capacities[source]
-    low = loads[target] / capacities[target]
-    if not key_map.owned_by(target):
-        return initial_move(key_map, rates, loads[source], source, target)
-    if high < MIN_UTILISATION or high - low < MIN_UTILISATION_GAP:
-        return None
-    load_to_move = (high - low) / (
-        1 / capacities[source] + 1 / capacities[target]
-    )
-    best: tuple[float, int, int] | None = None
-    for key_range in key_map.owned_by(source):
-        for start, end, load in end_segments(key_range, rates, load_to_move):
-            if best is None or load > best[0]:
-                best = (load, start, end)
-    if best is None or best[0] <= 0:
-        return None
-    return Move(start=best[1], end=best[2], source=source, target=target)
-
-
-def initial_move(
-    key_map: keys.KeyMap,
-    rates: dict[int, float],
-    load: float,
-    source: str,
-    target: str,
-) -> Move | None:
-    """Returns the move that gives a new server up to half of another's load.
-
-    The keys come from the range with the most load. If no loaded segment of it
-    is small enough, half of its keys move.
-    """
-    owned = key_map.owned_by(source)
-    if not owned:
-        return None
-    key_range = max(owned, key=lambda r: (load_of(r, rates), r.size))
-    segments = end_segments(key_range, rates, load / 2)
-    if segments:
-        start, end, _ = max(segments, key=lambda segment: segment[2])
-        return Move(start=start, end=end, source=source, target=target)
-    if key_range.size < 2:
-        return None
-    middle = (key_range.start + key_range.end + 1) // 2
-    return Move(start=middle, end=key_range.end, source=source, target=target)
-
-
-def load_of(key_range: keys.Range, rates: dict[int, float]) -> float:
-    """Returns the requests per second of a range of keys."""
-    return sum(
-        r for k, r in rates.items() if key_range.start <= k <= key_range.end
-    )
 
+    def plan(self) -> list[Move]:
+        """Returns the moves that are worth their cost, at most some."""
+        moves = self.first_moves()
+        most = max(MIN_MOVES, len(self.capacities) // SERVERS_PER_MOVE)
+        sources = [(-self.low_strain(s), s) for s in self.capacities]
+        heapq.heapify(sources)
+        while sources and len(moves) < most:
+            queued_strain, source = heapq.heappop(sources)
+            strain = self.low_strain(source)
+            if strain < -queued_strain:
+                heapq.heappush(sources, (-strain, source))
+                continue
+            # No move saves more than the whole strain.
+            if strain * self.rate(source).seconds <= MOVE_REQUESTS:
+                continue
+            move = self.hot_key_move(source) or self.best_move(source)
+            if move is not None:
+                self.apply(move)
+                moves.append(move)
+                for server in (move.source, move.target):
+                    heapq.heappush(sources, (-self.low_strain(server), server))
+        return moves
 
-def loads(key_map: keys.KeyMap, rates: dict[int, float]) -> dict[str, float]:
-    """Returns the requests per second of each owner."""
-    totals: dict[str, float] = {}
-    for key, rate in rates.items():
-        owner = key_map.find(key).owner
-        totals[owner] = totals.get(owner, 0.0) + rate
-    return totals
+    def rate(self, server: str) -> eventrate.Rate:
+        """Returns the rate of requests for a server's keys."""
+        return self.estimates[server].rate
 
+    def low_strain(self, server: str) -> float:
+        """Returns the strain of a server at the lower bound of its load."""
+        return self.strain(server, self.rate(server).low)
 
-def end_segments(
-    key_range: keys.Range, rates: dict[int, float], load_to_move: float
-) -> list[tuple[int, int, float]]:
-    """Returns segments at both ends of a range, each within the load to move.
+    def strain(self, server: str, rate: float) -> float:
+        """Returns the requests per second that a server is expected to fail.
 
-    Returns:
-        First key, last key and load of each segment.
-    """
-    loaded = sorted(
-        key for key in rates if key_range.start <= key <= key_range.end
-    )
-    segments = []
-    last, load = take_keys(loaded, rates, load_to_move)
-    if load:
-        segments.append((key_range.start, last, load))
-    first, load = take_keys(loaded[::-1], rates, load_to_move)
-    if load:
-        segments.append((first, key_range.end, load))
-    return segments
-
-
-def take_keys(
-    loaded: list[int], rates: dict[int, float], load_to_move: float
-) -> tuple[int, float]:
-    """Takes keys in order until they have about the load to move.
-
-    Returns:
-        The last key taken and the load up to it; -1 and 0 if no key fits.
-    """
-    load = 0.0
-    last = -1
-    for key in loaded:
-        if load + rates[key] > load_to_move:
-            break
-        load += rates[key]
-        last = key
-        if load >= load_to_move * SUFFICIENT_FRACTION:
-            break
-    return last, load
-
-
-def least_utilised(
-    loads: dict[str, float], capacities: dict[str, float], load: float
-) -> str | None:
-    """Returns the server that is least utilised once a load is added to it."""
-    if not capacities:
-        return None
-    return min(
-        capacities, key=lambda s: (loads.get(s, 0.0) + load) / capacities[s]
+        The fraction of additional requests that suffer grows from none at
+        EASY_UTILISATION to all at full utilisation.
+        """
+        capacity = self.capacities[server]
+        excess = rate / capacity - EASY_UTILISATION
+        room = 1.0 - EASY_UTILISATION
+        if excess <= 0:
+            return 0.0
+        if excess <= room:
+            return capacity * excess**2 / (2 * room)
+        return capacity * (excess - room / 2)
+
+    def best_move(self, source: str) -> Move | None:
+        """Returns the move from a server that helps most, or None."""
+        best: tuple[float, Move] | None = None
+        seconds = self.rate(source).seconds
+        for candidate in self.candidates(source):
+            cost = MOVE_REQUESTS + MOVE_SECONDS * candidate.rate
+            for target in candidate.targets:
+                gain = self.gain(candidate.rate, source, target) * seconds
+                if gain > cost and (best is None or gain - cost > best[0]):
+                    best = (gain - cost, to_move(candidate, source, target))
+        return best[1] if best else None
+
+    def hot_key_move(self, source: str) -> Move | None:
+        """Returns the move of a key that its owner is too slow for, or None.
+
+        It goes to the fastest server, which other plans relieve of its other
+        keys. No order of moves that each help by themselves leads there.
+        """
+        weights = self.weights(source)
+        requested = itertools.chain.from_iterable(self.runs(source))
+        key = max(requested, key=lambda k: weights.get(k, 0), default=None)
+        target = max(
+            (s for s in self.capacities if self.low_utilisation(s) < 1),
+            key=lambda server: self.capacities[server],
+            default=None,
+        )
+        if key is None or target is None:
+            return None
+        seconds = self.rate(source).seconds
+        rate = eventrate.Rate(events=weights.get(key, 0), seconds=seconds)
+        served = min(rate.low, self.capacities[target])
+        gain = served - self.capacities[source]
+        disturbed = rate.value + self.rate(target).value
+        if gain * seconds <= MOVE_REQUESTS + MOVE_SECONDS * disturbed:
+            return None
+        return Move(start=key, end=key, source=source, target=target)
+
+    def gain(self, moved: float, source: str, target: str) -> float:
+        """Returns the requests per second that a move saves, at least.
+
+        Args:
+            moved: Requests per second of the keys that move.
+            source: Their owner.
+            target: The new owner.
+        """
+        low = self.rate(source).low
+        high = self.rate(target).high
+        saved = self.strain(source, low) - self.strain(
+            source, max(0.0, low - moved)
+        )
+        added = self.strain(target, high + moved) - self.strain(target, high)
+        return saved - added
+
+    def candidates(self, source: str) -> Iterator[Candidate]:
+        """Yields the ranges that may leave a server."""
+        others = [server for server in self.capacities if server != source]
+        if not others:
+            return
+        target = min(others, key=self.high_utilisation)
+        weights = self.weights(source)
+        seconds = self.rate(source).seconds
+        wanted = self.wanted(source, target) * seconds
+        runs = list(self.runs(source))
+        for key in heapq.nlargest(
+            HOT_KEYS,
+            itertools.chain.from_iterable(runs),
+            key=lambda key: weights.get(key, 0),
+        ):
+            if weights.get(key, 0) > wanted:
+                yield Candidate(
+                    key_range=keys.Range(start=key, end=key),
+                    rate=weights[key] / seconds,
+                    targets=others,
+                )
+        found = [keyruns.densest(run, weights, wanted) for run in runs]
+        best = max((run for run in found if run is not None), default=None)
+        if best is not None:
+            key_range = keys.Range(start=best.start, end=best.end)
+            yield Candidate(
+                key_range=key_range,
+                rate=self.requests(key_range, weights) / seconds,
+                targets=[target],
+            )
+
+    def high_utilisation(self, server: str) -> float:
+        """Returns a server's utilisation at the upper bound of its load."""
+        return self.rate(server).high / self.capacities[server]
+
+    def wanted(self, source: str, target: str) -> float:
+        """Returns the load that should move, in requests per second.
+
+        It evens out the two servers, or fills the target.
+        """
+        own, other = self.capacities[source], self.capacities[target]
+        low = self.rate(source).low / own
+        high = self.high_utilisation(target)
+        even = (low - high) / (1 / own + 1 / other)
+        return max(0.0, min(even, (self.target_utilisation - high) * other))
+
+    def weights(self, server: str) -> dict[int, int]:
+        """Returns requests by key, in the batches that count for a server."""
+        return self.counts.weights(self.estimates[server].batches)
+
+    def requests(self, key_range: keys.Range, weights: dict[int, int]) -> int:
+        """Returns the requests for a range of keys."""
+        first, end = self.counts.indices(key_range)
+        return sum(weights.get(key, 0) for key in self.counts.keys[first:end])
+
+    def runs(self, server: str) -> Iterator[list[int]]:
+        """Yields the requested keys of a server, as a move may cover them.
+
+        Keys that may not move, and other servers' keys, are between the runs.
+        """
+        for key_range in self.owned[server]:
+            first, end = self.counts.indices(key_range)
+            run: list[int] = []
+            for key in self.counts.keys[first:end]:
+                if run and self.is_held(run[-1], key):
+                    yield run
+                    run = []
+                if not self.is_held(key, key):
+                    run.append(key)
+            if run:
+                yield run
+
+    def is_held(self, start: int, end: int) -> bool:
+        """Returns whether a range has keys that may not move."""
+        index = bisect.bisect_right(
+            self.held, end, key=lambda key_range: key_range.start
+        )
+        return index > 0 and self.held[index - 1].end >= start
+
+    def apply(self, move: Move) -> None:
+        """Makes a move in this picture; its keys may not move again."""
+        load = self.counts.load_of([move.key_range])
+        for server, sign in ((move.source, -1), (move.target, 1)):
+            if server in self.loads:
+                self.loads[server] = self.loads[server].plus(load, sign)
+                self.estimates[server] = self.loads[server].estimate()
+        self.key_map = self.key_map.assign(move.start, move.end, move.target)
+        for server in (move.source, move.target):
+            self.owned[server] = self.key_map.owned_by(server)
+        bisect.insort(
+            self.held, move.key_range, key=lambda key_range: key_range.start
+        )
+
+    def first_moves(self) -> list[Move]:
+        """Returns moves that give keys to servers without any."""
+        moves = []
+        for target in [s for s in self.capacities if not self.owned[s]]:
+            move = self.first_move(target)
+            if move is not None:
+                self.apply(move)
+                moves.append(move)
+        return moves
+
+    def first_move(self, target: str) -> Move | None:
+        """Returns a move of up to half of the busiest server's load."""
+        sources = [s for s in self.capacities if self.owned[s]]
+        source = max(sources, key=self.low_utilisation, default=None)
+        if source is None:
+            return None
+        weights = self.weights(source)
+        wanted = (
+            sum(weights.get(k, 0) for r in self.runs(source) for k in r) / 2
+        )
+        found = [keyruns.densest(r, weights, wanted) for r in self.runs(source)]
+        best = max((run for run in found if run is not None), default=None)
+        if best is not None:
+            return Move(
+                start=best.start, end=best.end, source=source, target=target
+            )
+        widest = max(self.owned[source], key=lambda key_range: key_range.size)
+        if widest.size < 2 or self.is_held(widest.start, widest.end):
+            return None
+        middle = (widest.start + widest.end + 1) // 2
+        return Move(start=middle, end=widest.end, source=source, target=target)
+
+    def low_utilisation(self, server: str) -> float:
+        """Returns a server's utilisation at the lower bound of its load."""
+        return self.rate(server).low / self.capacities[server]
+
+    def place(self, key_range: keys.Range) -> list[Move]:
+        """Returns moves that divide a lost owner's range among servers."""
+        weights = self.counts.weights(len(self.counts.batches))
+        moves: list[Move] = []
+        start = key_range.start
+        while start <= key_range.end and self.capacities:
+            rest = keys.Range(start=start, end=key_range.end)
+            target = min(self.capacities, key=self.idle_utilisation)
+            end = key_range.end
+            if len(moves) < MAX_PIECES - 1:
+                end = self.end_of_piece(rest, target, weights)
+            move = Move(
+                start=start, end=end, source=key_range.owner, target=target
+            )
+            self.apply(move)
+            moves.append(move)
+            start = end + 1
+        return moves
+
+    def end_of_piece(
+        self, rest: keys.Range, target: str, weights: dict[int, int]
+    ) -> int:
+        """Returns the last key that a target has room for."""
+        room = (
+            self.target_utilisation * self.capacities[target]
+            - self.rate(target).value
+        )
+        seconds = self.counts.seconds(len(self.counts.batches))
+        wanted = max(room * seconds, self.requests(rest, weights) / MAX_PIECES)
+        first, end = self.counts.indices(rest)
+        ordered = self.counts.keys[first:end]
+        last = keyruns.last_within(ordered, weights, wanted)
+        if not ordered or last == ordered[-1]:
+            return rest.end
+        return ordered[0] if last is None else last
+
+    def idle_utilisation(self, server: str) -> float:
+        """Returns a utilisation in which keys without requests count, too."""
+        owned_keys = sum(key_range.size for key_range in self.owned[server])
+        rate = self.rate(server).value + owned_keys * IDLE_KEY_RATE
+        return rate / self.capacities[server]
+
+
+def to_move(candidate: Candidate, source: str, target: str) -> Move:
+    """Returns the move of a candidate to one of its targets."""
+    return Move(
+        start=candidate.key_range.start,
+        end=candidate.key_range.end,
+        source=source,
+        target=target,
     )
