--- a/oleanderhoist/node/state.py
+++ b/oleanderhoist/node/state.py
@@ -49,6 +49,7 @@
         before = self.snapshot
         if snapshot.epoch < before.epoch:
             return
+        snapshot.reuse_coordinators(before)
         self.snapshot = snapshot
         self.snapshot_changed.set()
         self.snapshot_changed = asyncio.Event()
--- a/oleanderhoist/policy/cluster.py
+++ b/oleanderhoist/policy/cluster.py
@@ -82,6 +82,11 @@
         """Cache of the coordinator of each slot queue."""
         return {}
 
+    def reuse_coordinators(self, before: "Snapshot") -> None:
+        """Takes over the coordinators of a snapshot with the same members."""
+        if self.cores_by_member == before.cores_by_member:
+            self.coordinators.update(before.coordinators)
+
     @functools.cached_property
     def cores_by_member(self) -> dict[str, float]:
         """CPU cores of each member, by address."""
--- a/oleanderhoist/policy/keys.py
+++ b/oleanderhoist/policy/keys.py
@@ -63,25 +63,36 @@
         Ranges are split where needed; adjacent ranges with the same owner are
         merged.
         """
-        changed: list[Range] = []
-        for key_range in self.ranges:
-            if key_range.end < start or key_range.start > end:
-                changed.append(key_range)
-                continue
-            if key_range.start < start:
-                changed.append(dataclasses.replace(key_range, end=start - 1))
-            if key_range.start <= start <= key_range.end:
-                changed.append(
-                    Range(
-                        start=start,
-                        end=end,
-                        owner=owner,
-                        lease_expires_at_ms=lease_expires_at_ms,
-                    )
-                )
-            if key_range.end > end:
-                changed.append(dataclasses.replace(key_range, start=end + 1))
-        return KeyMap(ranges=merge_adjacent(changed))
+        first = bisect.bisect_right(self.starts, start) - 1
+        last = bisect.bisect_right(self.starts, end) - 1
+        # Ranges next to the changed ones may merge with them.
+        unchanged_before = max(0, first - 1)
+        unchanged_after = last + 2
+        changed = self.ranges[unchanged_before:first]
+        if self.ranges[first].start < start:
+            changed.append(
+                dataclasses.replace(self.ranges[first], end=start - 1)
+            )
+        changed.append(
+            Range(
+                start=start,
+                end=end,
+                owner=owner,
+                lease_expires_at_ms=lease_expires_at_ms,
+            )
+        )
+        if self.ranges[last].end > end:
+            changed.append(
+                dataclasses.replace(self.ranges[last], start=end + 1)
+            )
+        changed.extend(self.ranges[last + 1 : unchanged_after])
+        return KeyMap(
+            ranges=[
+                *self.ranges[:unchanged_before],
+                *merge_adjacent(changed),
+                *self.ranges[unchanged_after:],
+            ]
+        )
 
 
 def merge_adjacent(ranges: list[Range]) -> list[Range]:
