Tell a full server from a failing one, and slow work from no answer

Cause: servers of some services never respond to what they cannot queue. To a router this was a failed server, after the whole deadline. The service time that would tell it apart began at 0.1 s for every server and took dozens of answers to become true, so a server that nobody had measured looked like the fastest, and a hot key was moved there.

Change: service times are averages of all answers until there are enough to smooth, with a mean deviation; before the first answer they follow the objective of the request. Others are told of one that rests on four answers or more. A grant says after which time an unanswered request counts as silent (RFC 6298). A silent one is told to the coordinator; two in a row make the server count as full: it gets one request at a time until it answers, and isn't blocked as failing. A lookup is then repeated at once if its second run can be of use, out of the retry budget; an order stays unknown and is never sent again. Arrivals are counted over several service times, and a queue is overloaded only if it surely is. Log: 417, 418; counter oleander_silent_requests.

Load pattern: new-coordinator in bench.patterns. Wire: two more fields of SlotGranted, which earlier versions ignore, and ServerSilent.

--- a/bench/lanes.py
+++ b/bench/lanes.py
@@ -92,8 +92,9 @@
     ):
         self.pattern = pattern
         self.rng = random.Random(seed)
+        assumed_seconds = pattern.assumed_seconds or pattern.service_seconds
         self.queue = rivals.POLICIES.get(policy)(
-            service_seconds=pattern.service_seconds
+            service_seconds=assumed_seconds
         )
         self.queue.update(
             [
@@ -101,7 +102,7 @@
                     id=f"s{n}",
                     data_center=self.data_center(n),
                     slots=pattern.slots,
-                    service_seconds=pattern.service_seconds,
+                    service_seconds=assumed_seconds,
                 )
                 for n in range(len(pattern.server_speeds))
             ]
--- a/bench/patterns.py
+++ b/bench/patterns.py
@@ -15,6 +15,8 @@
         server_speeds: Relative speed of each server.
         slots: Slots of each server.
         service_seconds: Mean service time at a relative speed of 1.
+        assumed_seconds: Service time that the slot queue begins with, in
+            seconds; the true one by default.
         objective_seconds: Objective of the urgent rank.
         deadline_seconds: Time after which callers of the urgent rank give up.
         rate_per_second: Requests of the urgent rank outside of the burst.
@@ -41,6 +43,7 @@
     server_speeds: tuple[float, ...] = (0.7, 0.7, 1.6) * 3
     slots: int = 3
     service_seconds: float = 0.078
+    assumed_seconds: float | None = None
     objective_seconds: float = 0.25
     deadline_seconds: float = 1.0
     rate_per_second: float = 240.0
@@ -125,6 +128,16 @@
         data_centers=4,
         body_bytes=60_000,
     ),
+    Pattern(
+        name="new-coordinator",
+        server_speeds=(1.0,),
+        service_seconds=0.31,
+        assumed_seconds=0.1,
+        objective_seconds=1.0,
+        deadline_seconds=5.0,
+        rate_per_second=20.0,
+        duration_seconds=3.0,
+    ),
 ]
 
 
--- a/oleanderhoist/events.py
+++ b/oleanderhoist/events.py
@@ -12,7 +12,7 @@
 
     Attributes:
         number: Stable number.
-        name: Eliot message type.
+        name: Message type of the line.
         text: When the event is logged.
         source: Module that makes the decision.
     """
@@ -241,6 +241,20 @@
     "together, or none any more: `per_second`.",
     "oleanderhoist.node.servernotices",
 )
+REQUEST_SILENT = define(
+    417,
+    "request.silent",
+    "A server has not answered a request for longer than it usually takes: "
+    "its service time, and after which time the request counts as silent.",
+    "oleanderhoist.node.forwarder",
+)
+SERVER_FULL = define(
+    418,
+    "server.full",
+    "A server left several requests unanswered in a row: it counts as full and "
+    "gets one request at a time until it answers.",
+    "oleanderhoist.node.coordinator",
+)
 STORE_LOST = define(
     420,
     "store.lost",
--- a/oleanderhoist/node/coordinator.py
+++ b/oleanderhoist/node/coordinator.py
@@ -191,6 +191,25 @@
         known.limit(limit, now, routers=routers)
         self.advance(hosted, now)
 
+    def record_silence(self, name: str, server: str) -> None:
+        """Counts a request that a server has not answered as it usually does.
+
+        Its slots and its queue may be full of requests that this router does
+        not know of.
+        """
+        hosted = self.hosted.get(name)
+        known = hosted.queue.servers.get(server) if hosted else None
+        if known is None:
+            return
+        known.silent.record(self.clock.monotonic(), known.service_seconds)
+        if known.silent.is_full:
+            log.write_limited(
+                events.SERVER_FULL,
+                server=server,
+                silent=known.silent.requests,
+                service_ms=round(known.service_seconds * 1000),
+            )
+
     def cancel(self, name: str, requester: str, id: int) -> None:
         """Drops a request, and frees its slot if it was granted one."""
         hosted = self.hosted.get(name)
@@ -255,5 +274,6 @@
             for name, hosted in self.hosted.items()
             if name.startswith(KEYED_PREFIX)
             for server in hosted.queue.servers.values()
-            if server.last_used_at
+            if server.answers >= serverslots.MIN_ANSWERS
+            or server.pace is not None
         }
--- a/oleanderhoist/node/forwarder.py
+++ b/oleanderhoist/node/forwarder.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import math
 import time
 
 import prometheus_client
@@ -25,6 +26,7 @@
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import keys
 from oleanderhoist.policy import retry
+from oleanderhoist.policy import silence
 from oleanderhoist.policy import slotqueue
 
 CONNECT_TIMEOUT_SECONDS = 0.25
@@ -46,6 +48,10 @@
 SENDS = prometheus_client.Counter(
     "oleander_sends", "Requests sent to servers by result", ["result"]
 )
+SILENT = prometheus_client.Counter(
+    "oleander_silent_requests",
+    "Requests that a server did not answer as it usually does",
+)
 SERVER_SECONDS = prometheus_client.Histogram(
     "oleander_server_seconds", "Time from sending to a server's answer"
 )
@@ -146,9 +152,11 @@
         first = next(iter(attempts))
         try:
             hedge_at = asyncio.get_running_loop().time() + self.hedge_delay(job)
+            job.hedge_timeout = deadline.CatchUpTimeout(hedge_at)
             with contextlib.suppress(TimeoutError):
-                async with deadline.CatchUpTimeout(hedge_at):
+                async with job.hedge_timeout:
                     await asyncio.wait(attempts)
+            job.hedge_timeout = None
             if first.done() or not self.may_hedge(job):
                 return await first
             log.write_limited(
@@ -157,6 +165,7 @@
             attempts.add(asyncio.create_task(self.attempt(job)))
             return await first_answer(job, first, attempts)
         finally:
+            job.hedge_timeout = None
             for task in attempts:
                 task.cancel()
 
@@ -279,6 +288,7 @@
         """Sends a request to a server and releases its slot."""
         started_at = time.monotonic()
         result: outcomes.Outcome | jobs.FailedAttempt | None = None
+        silence_timer = self.watch_silence(job, grant)
         try:
             result = await self.exchange(job, server, grant.queue)
             return result
@@ -288,6 +298,11 @@
             failed = isinstance(result, jobs.FailedAttempt) or (
                 result is None and self.is_overdue(job)
             )
+            # A full server stays silent; it is not down.
+            if self.is_silent(silence_timer) and not has_response(result):
+                failed = False
+            if silence_timer is not None:
+                silence_timer.cancel()
             self.slot_client.release(
                 grant, seconds=elapsed if answered else None, failed=failed
             )
@@ -313,6 +328,41 @@
                 else "",
             )
 
+    def watch_silence(
+        self, job: jobs.Job, grant: slotclient.SlotGrant
+    ) -> asyncio.TimerHandle | None:
+        """Starts a timer for the case that the server does not respond."""
+        if math.isinf(grant.silent_after):
+            return None
+        return asyncio.get_running_loop().call_later(
+            grant.silent_after, self.on_silence, job, grant
+        )
+
+    def is_silent(self, timer: asyncio.TimerHandle | None) -> bool:
+        """Returns whether the timer of a request's silence has run out."""
+        now = asyncio.get_running_loop().time()
+        return timer is not None and now >= timer.when()
+
+    def on_silence(self, job: jobs.Job, grant: slotclient.SlotGrant) -> None:
+        """Tells the coordinator that a server is silent; may hedge at once."""
+        SILENT.inc()
+        log.write_limited(
+            events.REQUEST_SILENT,
+            request=job.head.id,
+            server=grant.server,
+            service_ms=round(grant.service_seconds * 1000),
+            silent_ms=round(grant.silent_after * 1000),
+        )
+        self.slot_client.report_silence(grant)
+        now = self.clock.monotonic()
+        useful = silence.is_repeat_useful(
+            mean=grant.service_seconds,
+            objective=job.objective - now,
+            remaining=job.deadline - now,
+        )
+        if job.hedge_timeout is not None and useful:
+            job.hedge_timeout.reschedule(asyncio.get_running_loop().time())
+
     def is_overdue(self, job: jobs.Job) -> bool:
         """Returns whether a request's time is up, or nearly so.
 
@@ -366,6 +416,15 @@
         return results.classify_response(job, server, response, kind)
 
 
+def has_response(
+    result: outcomes.Outcome | jobs.FailedAttempt | None,
+) -> bool:
+    """Returns whether a server responded, if only in part, to an attempt."""
+    if isinstance(result, jobs.FailedAttempt):
+        return result.code is not codes.TIMED_OUT
+    return result is not None
+
+
 async def first_answer(
     job: jobs.Job, first: asyncio.Task, attempts: set[asyncio.Task]
 ) -> outcomes.Outcome | jobs.FailedAttempt:
--- a/oleanderhoist/node/jobs.py
+++ b/oleanderhoist/node/jobs.py
@@ -4,6 +4,7 @@
 import random
 
 from oleanderhoist import codes
+from oleanderhoist import deadline
 from oleanderhoist import outcomes
 from oleanderhoist import ports
 from oleanderhoist.http import messages
@@ -36,6 +37,8 @@
         completed: Its outcome once a server has answered; None before.
         failure_response: The latest response in which a server reported a
             failure; None without one.
+        hedge_timeout: Ends the wait before a hedged attempt; None if there is
+            no such wait.
     """
 
     request: messages.Request
@@ -52,6 +55,7 @@
     possible_runs: int = 0
     completed: outcomes.Complete | None = None
     failure_response: messages.Response | None = None
+    hedge_timeout: deadline.CatchUpTimeout | None = None
 
     @property
     def maybe_run(self) -> bool:
--- a/oleanderhoist/node/slotclient.py
+++ b/oleanderhoist/node/slotclient.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 
 import prometheus_client
 
@@ -42,12 +43,17 @@
         coordinator: Address of the router that granted it; the own address
             after a bypass.
         server: Id of the server.
+        service_seconds: Mean service time of the server, in seconds.
+        silent_after: Time after which an unanswered request counts as silent,
+            in seconds.
     """
 
     id: int
     queue: str
     coordinator: str
     server: str
+    service_seconds: float = 0.0
+    silent_after: float = math.inf
 
 
 class SlotClient:
@@ -319,12 +325,7 @@
                 pendingslots.WaitResult.REFUSED, self.clock.monotonic()
             )
             return verdict
-        return SlotGrant(
-            id=request.id,
-            queue=queue,
-            coordinator=coordinator_address,
-            server=verdict.server,
-        )
+        return to_grant(queue, coordinator_address, verdict)
 
     def suspect(self, coordinator_address: str, queue: str) -> None:
         """Bypasses a coordinator for a while, since it did not reply."""
@@ -350,12 +351,7 @@
         self.notices.apply_shares(queue)
         wait = self.coordinator.submit(queue, request, record)
         if isinstance(verdict, slotqueue.Granted):
-            return SlotGrant(
-                id=request.id,
-                queue=queue,
-                coordinator=self.datagrams.address,
-                server=verdict.server,
-            )
+            return to_grant(queue, self.datagrams.address, verdict)
         self.coordinator.cancel(queue, request.requester, request.id)
         if isinstance(verdict, slotqueue.Refused):
             return verdict
@@ -399,6 +395,16 @@
             ),
         )
 
+    def report_silence(self, grant: SlotGrant) -> None:
+        """Tells the coordinator that a server leaves a request unanswered."""
+        if grant.coordinator == self.datagrams.address:
+            self.coordinator.record_silence(grant.queue, grant.server)
+        else:
+            self.datagrams.send(
+                grant.coordinator,
+                wire.ServerSilent(queue=grant.queue, server=grant.server),
+            )
+
     def cancel(self, coordinator_address: str, queue: str, id: int) -> None:
         """Cancels a slot request."""
         if coordinator_address == self.datagrams.address:
@@ -434,12 +440,16 @@
 
     def on_slot_granted(self, peer: str, message: wire.SlotGranted) -> None:
         """Handles a slot grant."""
-        self.resolve(
-            peer,
-            slotqueue.Granted(
-                request=request_stub(message.id), server=message.server
-            ),
+        silent_after = math.inf
+        if message.silent_ms:
+            silent_after = message.silent_ms / 1000
+        granted = slotqueue.Granted(
+            request=request_stub(message.id),
+            server=message.server,
+            service_seconds=message.service_ms / 1000,
+            silent_after=silent_after,
         )
+        self.resolve(peer, granted)
 
     def on_slot_refused(self, peer: str, message: wire.SlotRefused) -> None:
         """Handles the refusal of a slot request."""
@@ -453,6 +463,20 @@
         )
 
 
+def to_grant(
+    queue: str, coordinator_address: str, granted: slotqueue.Granted
+) -> SlotGrant:
+    """Returns the grant of a coordinator's verdict."""
+    return SlotGrant(
+        id=granted.request.id,
+        queue=queue,
+        coordinator=coordinator_address,
+        server=granted.server,
+        service_seconds=granted.service_seconds,
+        silent_after=granted.silent_after,
+    )
+
+
 def request_stub(id: int) -> slotqueue.SlotRequest:
     """Returns a placeholder with the id of a slot request of this router."""
     return slotqueue.SlotRequest(
--- a/oleanderhoist/node/slotserver.py
+++ b/oleanderhoist/node/slotserver.py
@@ -1,5 +1,7 @@
 """Answers the slot requests of other routers."""
 
+import math
+
 from oleanderhoist import clock
 from oleanderhoist.node import coordinator
 from oleanderhoist.node import datagrams
@@ -32,6 +34,7 @@
         datagrams.handlers[wire.ReleaseSlot] = self.on_release_slot
         datagrams.handlers[wire.CancelAcquire] = self.on_cancel_acquire
         datagrams.handlers[wire.ServerLimit] = self.on_server_limit
+        datagrams.handlers[wire.ServerSilent] = self.on_server_silent
 
     def on_acquire_slot(self, peer: str, message: wire.AcquireSlot) -> None:
         """Handles the slot request of another router.
@@ -72,9 +75,16 @@
         """Sends a verdict to the requester."""
         id = verdict.request.id
         if isinstance(verdict, slotqueue.Granted):
-            self.datagrams.send(
-                peer, wire.SlotGranted(id=id, server=verdict.server)
+            silent_ms = 0
+            if math.isfinite(verdict.silent_after):
+                silent_ms = round(verdict.silent_after * 1000)
+            grant = wire.SlotGranted(
+                id=id,
+                server=verdict.server,
+                service_ms=round(verdict.service_seconds * 1000),
+                silent_ms=silent_ms,
             )
+            self.datagrams.send(peer, grant)
         else:
             refusal = wire.SlotRefused(
                 id=id,
@@ -101,6 +111,10 @@
         """Drops a slot request, and frees its slot if it was granted one."""
         self.coordinator.cancel(message.queue, peer, message.id)
 
+    def on_server_silent(self, peer: str, message: wire.ServerSilent) -> None:
+        """Counts a request that a server left unanswered."""
+        self.coordinator.record_silence(message.queue, message.server)
+
     def on_server_limit(self, peer: str, message: wire.ServerLimit) -> None:
         """Applies a limit that a server named to another router."""
         self.coordinator.limit(
--- a/oleanderhoist/node/wire.py
+++ b/oleanderhoist/node/wire.py
@@ -153,10 +153,20 @@
 
 
 class SlotGranted(Message, tag="Slot"):
-    """The coordinator grants a slot."""
+    """The coordinator grants a slot.
+
+    Attributes:
+        id: Id of the slot request.
+        server: Id of the server.
+        service_ms: Mean service time of the server, in milliseconds.
+        silent_ms: Time after which an unanswered request counts as silent, in
+            milliseconds; 0 if it is not known.
+    """
 
     id: int
     server: str
+    service_ms: int = 0
+    silent_ms: int = 0
 
 
 class SlotRefused(Message, tag="Refusal"):
@@ -207,6 +217,18 @@
     per_second: float | None
 
 
+class ServerSilent(Message, tag="Silent"):
+    """A router tells a coordinator that a server left a request unanswered.
+
+    Attributes:
+        queue: Slot queue of the server.
+        server: Id of the server.
+    """
+
+    queue: str
+    server: str
+
+
 AnyMessage = (
     MemberReport
     | Heartbeat
@@ -220,6 +242,7 @@
     | ReleaseSlot
     | CancelAcquire
     | ServerLimit
+    | ServerSilent
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/oleanderhoist/policy/eventrate.py
+++ b/oleanderhoist/policy/eventrate.py
@@ -103,6 +103,11 @@
         self.weight = self.weight_at(now) + 1.0
         self.updated_at = now
 
+    def set_window(self, window: float) -> None:
+        """Changes the window; the rate stays what it is."""
+        self.weight *= window / self.window
+        self.window = window
+
     def weight_at(self, now: float) -> float:
         """Returns the sum of the weights at a time."""
         elapsed = max(0.0, now - self.updated_at)
--- a/oleanderhoist/policy/keyload.py
+++ b/oleanderhoist/policy/keyload.py
@@ -8,7 +8,9 @@
 from oleanderhoist.policy import eventrate
 from oleanderhoist.policy import keys
 
-MAX_SECONDS = 4.0
+# Older batches are joined in pairs, so that few batches reach far back.
+BATCHES_PER_LENGTH = 4
+LENGTHS = 3  # From the shortest to the longest, each twice the one before.
 MIN_SECONDS = 0.7  # Of any estimate; routers report twice a second.
 
 
@@ -24,6 +26,13 @@
     counts: collections.Counter[int]
     seconds: float
 
+    def joined(self, other: "Batch") -> "Batch":
+        """Returns the requests of two adjacent times."""
+        return Batch(
+            counts=self.counts + other.counts,
+            seconds=self.seconds + other.seconds,
+        )
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Load:
@@ -123,11 +132,17 @@
 
 
 class KeyCounter:
-    """Counts requests by key over the last seconds."""
+    """Counts requests by key over the last seconds.
+
+    Attributes:
+        batches: Batches by length, the newest first; the shortest come first.
+    """
 
     def __init__(self):
         self.open_counts: collections.Counter[int] = collections.Counter()
-        self.batches: collections.deque[Batch] = collections.deque()
+        self.batches: list[collections.deque[Batch]] = [
+            collections.deque() for _ in range(LENGTHS)
+        ]
         self.closed_at: float | None = None
 
     def add(self, requested: list[int]) -> None:
@@ -135,17 +150,23 @@
         self.open_counts.update(requested)
 
     def advance(self, now: float) -> KeyCounts:
-        """Closes a batch, drops batches that are too old; returns the rest."""
+        """Closes a batch, joins or drops old ones; returns the rest."""
         if self.closed_at is not None and now > self.closed_at:
-            self.batches.appendleft(
+            self.batches[0].appendleft(
                 Batch(counts=self.open_counts, seconds=now - self.closed_at)
             )
         self.open_counts = collections.Counter()
         self.closed_at = now
-        while sum(batch.seconds for batch in self.batches) > MAX_SECONDS:
-            self.batches.pop()
+        for number, batches in enumerate(self.batches):
+            if len(batches) <= BATCHES_PER_LENGTH:
+                break
+            oldest, older = batches.pop(), batches.pop()
+            if number + 1 < LENGTHS:
+                self.batches[number + 1].appendleft(older.joined(oldest))
         return self.counts()
 
     def counts(self) -> KeyCounts:
         """Returns the requests of the closed batches."""
-        return KeyCounts(batches=list(self.batches))
+        return KeyCounts(
+            batches=[batch for batches in self.batches for batch in batches]
+        )
--- a/oleanderhoist/policy/serverslots.py
+++ b/oleanderhoist/policy/serverslots.py
@@ -1,13 +1,15 @@
-"""Slots, speed and failures of one server, and arrival rates, as measured."""
+"""Slots, speed and failures of one server, as measured."""
 
 import dataclasses
+import math
 
 from oleanderhoist.policy import serverlimit
+from oleanderhoist.policy import silence
 
 SERVICE_SMOOTHING = 0.08
 FAILURE_SMOOTHING = 0.15
-RATE_WINDOW_SECONDS = 0.5
 MIN_SLOT_SECONDS = 0.002  # No attempt completes sooner.
+MIN_ANSWERS = 4  # That a service time rests on before others rely on it.
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -31,7 +33,8 @@
         id: Id of the server.
         data_center: Data centre of the server.
         slots: Requests that it runs concurrently.
-        service_seconds: Smoothed service time, in seconds.
+        service_seconds: Smoothed service time, in seconds; an assumption
+            before the first answer.
         occupied_seconds: Smoothed time that an attempt holds a slot, in
             seconds; short when the server rejects requests immediately.
             None until an attempt has ended.
@@ -41,6 +44,10 @@
         last_used_at: When it was last granted to a request.
         started_ms: Start time of its process, in milliseconds since the epoch.
         pace: Paces its requests while it limits their rate; else None.
+        answers: Number of answers that the service time rests on.
+        attempts: Number of attempts that have ended.
+        deviation_seconds: Smoothed deviation of the service time, in seconds.
+        silent: Which of its requests it has not answered as it usually does.
     """
 
     id: str
@@ -56,12 +63,17 @@
     last_used_at: float = 0.0
     started_ms: int = 0
     pace: serverlimit.Pace | None = None
+    answers: int = 0
+    attempts: int = 0
+    deviation_seconds: float = 0.0
+    silent: silence.Silence = dataclasses.field(default_factory=silence.Silence)
 
     def available(self, now: float) -> bool:
         """Returns whether it can take another request."""
         return (
             len(self.running) < self.slots
             and now >= self.blocked_until
+            and self.silent.allows(now)
             and (self.pace is None or self.pace.allows(now))
         )
 
@@ -77,6 +89,7 @@
         """
         self.running[request] = Running(granted_at=now, reclaim_at=reclaim_at)
         self.last_used_at = now
+        self.silent.grant(now, self.service_seconds)
         if self.pace is not None:
             self.pace.take(now)
 
@@ -147,36 +160,48 @@
                 the server's speed.
             failed: Whether the attempt failed.
         """
+        self.attempts += 1
         before = self.slot_seconds()
-        self.occupied_seconds = before + (occupied - before) * SERVICE_SMOOTHING
+        self.occupied_seconds = before + (occupied - before) * weight(
+            self.attempts, SERVICE_SMOOTHING
+        )
         if seconds is not None:
-            self.service_seconds += (
-                seconds - self.service_seconds
-            ) * SERVICE_SMOOTHING
+            self.record_service(seconds)
         if failed or seconds is not None:
             self.failure_rate += (
                 float(failed) - self.failure_rate
             ) * FAILURE_SMOOTHING
 
+    def record_service(self, seconds: float) -> None:
+        """Updates the service time with that of an answered request."""
+        self.answers += 1
+        step = weight(self.answers, SERVICE_SMOOTHING)
+        deviation = abs(seconds - self.service_seconds)
+        if self.answers == 1:
+            deviation = seconds / 2
+        self.deviation_seconds += (deviation - self.deviation_seconds) * step
+        self.service_seconds += (seconds - self.service_seconds) * step
+        self.silent.end()
+
+    def silent_after(self) -> float:
+        """Returns how long a request usually takes at most, in seconds.
+
+        It is not known before there are some answers.
+        """
+        if self.answers < MIN_ANSWERS:
+            return math.inf
+        return silence.response_timeout(
+            self.service_seconds, self.deviation_seconds
+        )
 
-@dataclasses.dataclass(kw_only=True)
-class Arrivals:
-    """Arrival rate of one rank, decaying over a time window.
-
-    Attributes:
-        recent: Arrivals in the window that ends at `last`.
-        last: Time of the last arrival.
-    """
 
-    recent: float = 0.0
-    last: float = 0.0
+def weight(count: int, smoothing: float) -> float:
+    """Returns the weight of the newest of some measurements in their average.
 
-    def rate(self, now: float) -> float:
-        """Returns the arrivals per second."""
-        remaining = max(0.0, 1.0 - (now - self.last) / RATE_WINDOW_SECONDS)
-        return self.recent * remaining / RATE_WINDOW_SECONDS
+    The first ones count equally, so that an assumed value is soon forgotten.
 
-    def count(self, now: float) -> None:
-        """Counts an arrival."""
-        self.recent = self.rate(now) * RATE_WINDOW_SECONDS + 1.0
-        self.last = now
+    Args:
+        count: Number of measurements, including the newest.
+        smoothing: Weight once there are many.
+    """
+    return max(1 / count, smoothing)
--- a/oleanderhoist/policy/slotqueue.py
+++ b/oleanderhoist/policy/slotqueue.py
@@ -14,9 +14,14 @@
 import collections
 import dataclasses
 
+from oleanderhoist.policy import eventrate
 from oleanderhoist.policy import serverslots
 
 DEFAULT_SERVICE_SECONDS = 0.1
+# Of the objective of the first request; assumed before the first answer.
+ASSUMED_SERVICE_FRACTION = 0.25
+RATE_WINDOW_SERVICES = 4.0  # Service times over which arrivals are counted.
+MIN_RATE_WINDOW_SECONDS = 0.5
 BLOCK_FAILURE_RATE = 0.6
 BLOCK_SECONDS = 0.7
 EXPLORE_IDLE_SECONDS = 1.5
@@ -70,10 +75,20 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Granted:
-    """A request was granted a slot of a server."""
+    """A request was granted a slot of a server.
+
+    Attributes:
+        request: The request.
+        server: Id of the server.
+        service_seconds: Its mean service time, in seconds.
+        silent_after: Time after which an unanswered request counts as silent,
+            in seconds.
+    """
 
     request: SlotRequest
     server: str
+    service_seconds: float = DEFAULT_SERVICE_SECONDS
+    silent_after: float = float("inf")
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -104,9 +119,10 @@
     def __init__(self, *, service_seconds: float = DEFAULT_SERVICE_SECONDS):
         self.servers: dict[str, serverslots.ServerSlots] = {}
         self.service_seconds = service_seconds
+        self.answers = 0
         self.queues: dict[int, collections.deque[SlotRequest]] = {}
         self.overdue: collections.deque[SlotRequest] = collections.deque()
-        self.arrivals: dict[int, serverslots.Arrivals] = {}
+        self.arrivals: dict[int, eventrate.DecayingRate] = {}
 
     def update(self, servers: list[serverslots.ServerSlots]) -> None:
         """Replaces the usable servers, keeping the state of known ones.
@@ -138,11 +154,22 @@
             below: Counts only ranks that are more urgent than this one.
         """
         return sum(
-            arrivals.rate(now)
+            arrivals.rate(now).value
             for rank, arrivals in self.arrivals.items()
             if below is None or rank < below
         )
 
+    def is_overloaded(self, now: float) -> bool:
+        """Returns whether more arrives for sure than can be completed."""
+        rates = [arrivals.rate(now) for arrivals in self.arrivals.values()]
+        if not rates:
+            return False
+        total = eventrate.Rate(
+            events=sum(rate.events for rate in rates),
+            seconds=max(rate.seconds for rate in rates),
+        )
+        return total.low > OVERLOAD_RATIO * self.service_rate(now)
+
     def queued_ahead(self, rank: int) -> int:
         """Returns how many waiting requests precede a new one of a rank."""
         return sum(len(q) for r, q in self.queues.items() if r <= rank)
@@ -194,12 +221,10 @@
         Returns:
             The verdict, or None if the request was queued.
         """
-        on_time = now + self.service_seconds <= request.objective
-        if on_time:
-            arrivals = self.arrivals.setdefault(
-                request.rank, serverslots.Arrivals()
-            )
-            arrivals.count(now)
+        if not self.answers:
+            self.assume_service(request, now)
+        if now + self.service_seconds <= request.objective:
+            self.count_arrival(request.rank, now)
         # A free slot suits no queued request, so taking it overtakes none.
         server = self.choose(request, now)
         if server is not None:
@@ -217,6 +242,35 @@
             return self.submit_overdue(request, now)
         return self.refuse(request, wait, now)
 
+    def assume_service(self, request: SlotRequest, now: float) -> None:
+        """Assumes a service time, as callers set objectives in view of it."""
+        self.service_seconds = max(
+            self.service_seconds,
+            ASSUMED_SERVICE_FRACTION * (request.objective - now),
+        )
+        for server in self.servers.values():
+            if not server.answers:
+                server.service_seconds = self.service_seconds
+
+    def count_arrival(self, rank: int, now: float) -> None:
+        """Counts a request that could meet its objective.
+
+        Slow servers complete few requests in a second, so their arrivals are
+        counted over a longer time.
+        """
+        arrivals = self.arrivals.get(rank)
+        if arrivals is None:
+            arrivals = self.arrivals[rank] = eventrate.DecayingRate(
+                window=MIN_RATE_WINDOW_SECONDS
+            )
+        arrivals.count(now)
+        arrivals.set_window(
+            max(
+                MIN_RATE_WINDOW_SECONDS,
+                RATE_WINDOW_SERVICES * self.service_seconds,
+            )
+        )
+
     def spare_rate(self, now: float) -> float:
         """Returns the service rate that requests on time leave unused."""
         return max(
@@ -244,7 +298,7 @@
         """
         slack = max(0.0, request.objective - now - self.service_seconds)
         retry = max(MIN_RETRY_SECONDS, wait - slack)
-        if self.arrival_rate(now) > OVERLOAD_RATIO * self.service_rate(now):
+        if self.is_overloaded(now):
             retry = MAX_RETRY_SECONDS
         return Refused(
             request=request,
@@ -301,7 +355,12 @@
             now,
             request.deadline + RECLAIM_DELAY_SECONDS,
         )
-        return Granted(request=request, server=server.id)
+        return Granted(
+            request=request,
+            server=server.id,
+            service_seconds=server.service_seconds,
+            silent_after=server.silent_after(),
+        )
 
     def release(
         self,
@@ -324,10 +383,11 @@
         if failed and known.failure_rate > BLOCK_FAILURE_RATE:
             self.block(known, now)
         if seconds is not None:
-            step = (
-                seconds - self.service_seconds
-            ) * serverslots.SERVICE_SMOOTHING
-            self.service_seconds += step
+            self.answers += 1
+            step = serverslots.weight(
+                self.answers, serverslots.SERVICE_SMOOTHING
+            )
+            self.service_seconds += (seconds - self.service_seconds) * step
 
     def block(self, server: serverslots.ServerSlots, now: float) -> None:
         """Stops sending requests to a failing server for a while.
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -7,7 +7,10 @@
 (executed requests whose connection is aborted before the response). ``PUT
 /limit`` sets the rate that it names in all answers to requests, or ends it;
 ``GET /arrivals`` returns when requests arrived, and whether it named a rate. A
-request may say in its query how long it takes: ``?work_ms=1500``.
+request may say in its query how long it takes: ``?work_ms=1500``. ``PUT
+/capacity`` sets how many requests it runs and queues; it never responds to any
+that it cannot queue, nor to what follows on their connection. ``GET /dropped``
+returns how many these were.
 
 With ``--journal`` it writes a JSON line for each executed request and for each
 lease change at the sampled keys, with times of the monotonic clock.
@@ -26,6 +29,7 @@
 WAKE_UP_SECONDS = 0.05
 FREEZE_THRESHOLD_SECONDS = 0.2
 CATCH_UP_SECONDS = 0.3  # Time to handle what arrived during a freeze.
+MAX_CONCURRENT = 1_000_000  # Unless a capacity is set.
 SAMPLED_KEYS = range(0, 65_536, 2048)  # Keys whose leases are in the journal.
 
 
@@ -46,6 +50,10 @@
         self.ran: list[str] = []
         self.limit: float | None = None
         self.arrivals: list[tuple[float, bool]] = []
+        self.slots = asyncio.Semaphore(MAX_CONCURRENT)
+        self.max_accepted = MAX_CONCURRENT
+        self.accepted = 0
+        self.dropped = 0
         self.faults = {"shed": 0, "unsigned": 0, "truncate": 0}
 
     async def handle(self, request: messages.Request) -> messages.Response:
@@ -65,6 +73,13 @@
         if request.path == "/limit":
             self.limit = json.loads(body) if body else None
             return messages.json_response(self.limit)
+        if request.path == "/capacity":
+            capacity = json.loads(body)
+            self.slots = asyncio.Semaphore(capacity["slots"])
+            self.max_accepted = capacity["slots"] + capacity["queue"]
+            return messages.json_response(capacity)
+        if request.path == "/dropped":
+            return messages.json_response(self.dropped)
         if request.path == "/arrivals":
             return messages.json_response(self.arrivals)
         if request.path == "/grant":
@@ -72,7 +87,7 @@
         if request.path == "/release":
             return self.release(json.loads(body))
         self.arrivals.append((time.monotonic(), self.limit is not None))
-        response = await self.execute(request, body)
+        response = await self.queue(request, body)
         if self.limit is not None:
             response.headers.append((b"server-limit", b"%.2f" % self.limit))
         return response
@@ -153,6 +168,20 @@
         self.faults[fault] -= 1
         return True
 
+    async def queue(
+        self, request: messages.Request, body: bytes
+    ) -> messages.Response:
+        """Executes a request in a slot; never returns if the queue is full."""
+        if self.accepted >= self.max_accepted:
+            self.dropped += 1
+            await asyncio.Event().wait()
+        self.accepted += 1
+        try:
+            async with self.slots:
+                return await self.execute(request, body)
+        finally:
+            self.accepted -= 1
+
     async def execute(
         self, request: messages.Request, body: bytes
     ) -> messages.Response:
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -7,6 +7,8 @@
 
 import unittest
 
+import msgspec
+
 from oleanderhoist import ports
 from oleanderhoist.node import contractcodec
 from oleanderhoist.node import fragments
@@ -70,13 +72,14 @@
         retransmitted=True,
     ),
     datagrams.SlotQueued(id=1, wait_ms=2),
-    datagrams.SlotGranted(id=1, server="s"),
+    datagrams.SlotGranted(id=1, server="s", service_ms=2, silent_ms=3),
     datagrams.SlotRefused(id=1, retry_ms=2, wait_ms=3),
     datagrams.ReleaseSlot(
         queue="q", id=1, server="s", took_ms=2.5, failed=True
     ),
     datagrams.CancelAcquire(queue="q", id=1),
     datagrams.ServerLimit(queue="q", server="s", started_ms=1, per_second=2.5),
+    datagrams.ServerSilent(queue="q", server="s"),
 ]
 DATAGRAM_BYTES = """
 99a548656c6c6fa161cb3fe0000000000000020381a17092040581a173cb3ff8000000000000c3
@@ -95,7 +98,7 @@
 
 93a757616974696e670102
 
-93a4536c6f7401a173
+95a4536c6f7401a1730203
 
 94a75265667573616c010203
 
@@ -104,7 +107,14 @@
 93a643616e63656ca17101
 
 95a54c696d6974a171a17301cb4004000000000000
+
+93a653696c656e74a171a173
 """
+# Of versions whose messages had fewer fields; these have their defaults.
+EARLIER_DATAGRAMS = [
+    (datagrams.SlotGranted(id=1, server="s"), "93a4536c6f7401a173")
+]
+
 MESSAGES = [
     messages.Hello(
         entry="e",
@@ -268,6 +278,25 @@
             self.assertEqual(data, datagrams.encode(message))
             self.assertEqual(message, datagrams.decode(data))
 
+    def test_datagrams_of_earlier_versions_are_read(self):
+        for message, data in EARLIER_DATAGRAMS:
+            self.assertEqual(message, datagrams.decode(bytes.fromhex(data)))
+
+    def test_earlier_versions_ignore_later_fields(self):
+        message = datagrams.SlotGranted(
+            id=1, server="s", service_ms=2, silent_ms=3
+        )
+        earlier = msgspec.defstruct(
+            "SlotGranted",
+            [("id", int), ("server", str)],
+            tag="Slot",
+            array_like=True,
+        )
+        decoded = msgspec.msgpack.decode(
+            datagrams.encode(message), type=earlier
+        )
+        self.assertEqual((1, "s"), (decoded.id, decoded.server))
+
     def test_messages_of_entries_and_placers_are_encoded_as_before(self):
         expected = unhex(MESSAGE_BYTES)
         for message, data in zip(MESSAGES, expected, strict=True):
