--- a/bench/lanes.py
+++ b/bench/lanes.py
@@ -17,7 +17,7 @@
 from bench import patterns
 from bench import rivals
 from oleanderhoist.policy import serverslots
-from oleanderhoist.policy import slotqueue
+from oleanderhoist.policy import slotrequests
 
 LATE_WORTH = 0.2  # Of an answer after its objective; a punctual one counts 1.
 MAX_RETRY_WAIT_FRACTION = 1 / 3  # Of the time that remains to the deadline.
@@ -186,7 +186,7 @@
         caller = self.callers[id]
         if now >= caller.leaves_at:
             return
-        request = slotqueue.SlotRequest(
+        request = slotrequests.SlotRequest(
             id=id,
             requester="a",
             rank=caller.rank,
@@ -201,10 +201,10 @@
         if verdict is not None:
             self.handle_verdict(verdict, now)
 
-    def handle_verdict(self, verdict: slotqueue.Verdict, now: float) -> None:
+    def handle_verdict(self, verdict: slotrequests.Verdict, now: float) -> None:
         """Starts a granted request, or retries a refused one."""
         id = verdict.request.id
-        if isinstance(verdict, slotqueue.Granted):
+        if isinstance(verdict, slotrequests.Granted):
             data_center = self.queue.servers[verdict.server].data_center
             self.result.cross_center += (
                 data_center != verdict.request.data_center
@@ -254,7 +254,9 @@
             seconds *= SLOW_SERVICE_FACTOR
         return seconds / self.pattern.server_speeds[number]
 
-    def on_failure(self, granted: slotqueue.Granted) -> Callable[[float], None]:
+    def on_failure(
+        self, granted: slotrequests.Granted
+    ) -> Callable[[float], None]:
         """Returns the action for a failed request at a server."""
 
         def action(now: float) -> None:
@@ -268,7 +270,7 @@
         return action
 
     def on_completion(
-        self, granted: slotqueue.Granted, began: float
+        self, granted: slotrequests.Granted, began: float
     ) -> Callable[[float], None]:
         """Returns the action for a completed request."""
 
--- a/bench/rivals.py
+++ b/bench/rivals.py
@@ -11,6 +11,7 @@
 from oleanderhoist.policy import registry
 from oleanderhoist.policy import serverslots
 from oleanderhoist.policy import slotqueue
+from oleanderhoist.policy import slotrequests
 
 MAX_QUEUED = 12  # Requests that wait for one server before more are refused.
 RETRY_SECONDS = 0.05
@@ -28,13 +29,13 @@
 class FirstCome(slotqueue.SlotQueue):
     """First come, first served, in one bounded queue."""
 
-    def rank_of(self, request: slotqueue.SlotRequest) -> int:
+    def rank_of(self, request: slotrequests.SlotRequest) -> int:
         """Returns the rank by which a request is queued."""
         return 0
 
     def submit(
-        self, request: slotqueue.SlotRequest, now: float
-    ) -> slotqueue.Verdict | None:
+        self, request: slotrequests.SlotRequest, now: float
+    ) -> slotrequests.Verdict | None:
         """Grants or queues a request unless the queue is full."""
         server = (
             None if self.queued_ahead(ALL_RANKS) else self.choose(request, now)
@@ -42,7 +43,9 @@
         if server is not None:
             return self.grant(request, server, now)
         if self.queued_ahead(ALL_RANKS) >= MAX_QUEUED * len(self.servers):
-            return slotqueue.Refused(request=request, retry_after=RETRY_SECONDS)
+            return slotrequests.Refused(
+                request=request, retry_after=RETRY_SECONDS
+            )
         queue = self.queues.setdefault(
             self.rank_of(request), collections.deque()
         )
@@ -54,7 +57,7 @@
 class StrictPriority(FirstCome):
     """Strict priority: the most urgent rank first, whatever its objective."""
 
-    def rank_of(self, request: slotqueue.SlotRequest) -> int:
+    def rank_of(self, request: slotrequests.SlotRequest) -> int:
         """Returns the rank by which a request is queued."""
         return request.rank
 
@@ -72,7 +75,7 @@
         super().__init__(service_seconds=service_seconds)
         self.rng = random.Random(1)
         self.queues_by_server: dict[
-            str, collections.deque[slotqueue.SlotRequest]
+            str, collections.deque[slotrequests.SlotRequest]
         ] = collections.defaultdict(collections.deque)
 
     def load(self, server: serverslots.ServerSlots, now: float) -> int:
@@ -85,20 +88,22 @@
         return self.rng.sample(servers, min(2, len(servers)))
 
     def submit(
-        self, request: slotqueue.SlotRequest, now: float
-    ) -> slotqueue.Verdict | None:
+        self, request: slotrequests.SlotRequest, now: float
+    ) -> slotrequests.Verdict | None:
         """Sends a request to a server, or refuses it if its queue is full."""
         server = min(self.candidates(), key=lambda s: self.load(s, now))
         if len(server.running) < server.slots:
             return self.grant(request, server, now)
         if len(self.queues_by_server[server.id]) >= MAX_QUEUED:
-            return slotqueue.Refused(request=request, retry_after=RETRY_SECONDS)
+            return slotrequests.Refused(
+                request=request, retry_after=RETRY_SECONDS
+            )
         self.queues_by_server[server.id].append(request)
         return None
 
-    def grant_waiting(self, now: float) -> list[slotqueue.Verdict]:
+    def grant_waiting(self, now: float) -> list[slotrequests.Verdict]:
         """Grants each server's free slots to the requests in its queue."""
-        verdicts: list[slotqueue.Verdict] = list(self.expire(now))
+        verdicts: list[slotrequests.Verdict] = list(self.expire(now))
         for server in self.servers.values():
             queue = self.queues_by_server[server.id]
             while queue and len(server.running) < server.slots:
--- a/oleanderhoist/node/coordinator.py
+++ b/oleanderhoist/node/coordinator.py
@@ -13,6 +13,7 @@
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import serverslots
 from oleanderhoist.policy import slotqueue
+from oleanderhoist.policy import slotrequests
 
 TICK_SECONDS = 0.02
 NO_SERVER_RETRY_SECONDS = 0.1
@@ -23,7 +24,7 @@
     "oleander_lane_verdicts", "Asks by verdict", ["verdict"]
 )
 
-Reply = Callable[[slotqueue.Verdict], None]
+Reply = Callable[[slotrequests.Verdict], None]
 
 
 def queue_name(pool: str, server: cluster.Server | None) -> str:
@@ -104,13 +105,13 @@
         for request in hosted.queue.drain():
             self.deliver(
                 hosted,
-                slotqueue.Refused(
+                slotrequests.Refused(
                     request=request, retry_after=NO_SERVER_RETRY_SECONDS
                 ),
             )
 
     def submit(
-        self, name: str, request: slotqueue.SlotRequest, reply: Reply
+        self, name: str, request: slotrequests.SlotRequest, reply: Reply
     ) -> float:
         """Submits a request; `reply` is called with the verdict.
 
@@ -127,7 +128,9 @@
         self.wake.set()
         return hosted.queue.expected_wait(request.rank, now)
 
-    def deliver(self, hosted: HostedQueue, verdict: slotqueue.Verdict) -> None:
+    def deliver(
+        self, hosted: HostedQueue, verdict: slotrequests.Verdict
+    ) -> None:
         """Delivers a verdict to the requester."""
         request = verdict.request
         VERDICTS.labels(type(verdict).__name__).inc()
--- a/oleanderhoist/node/forwarder.py
+++ b/oleanderhoist/node/forwarder.py
@@ -27,7 +27,7 @@
 from oleanderhoist.policy import keys
 from oleanderhoist.policy import retry
 from oleanderhoist.policy import silence
-from oleanderhoist.policy import slotqueue
+from oleanderhoist.policy import slotrequests
 
 CONNECT_TIMEOUT_SECONDS = 0.25
 # Longest idle time of a reused connection.
@@ -230,9 +230,9 @@
         """Acquires a slot, or returns the outcome without one."""
         target = await self.find_queue(job)
         if target is None:
-            return results.no_server_outcome(job)
+            return results.no_server_outcome(job, self.clock.monotonic())
         queue, _ = target
-        request = slotqueue.SlotRequest(
+        request = slotrequests.SlotRequest(
             id=next(self.ids),
             requester=self.slot_client.datagrams.address,
             rank=job.work.rank,
@@ -244,7 +244,7 @@
             request_id=job.head.id,
         )
         verdict = await self.slot_client.acquire(queue, request)
-        if isinstance(verdict, slotqueue.Refused):
+        if isinstance(verdict, slotrequests.Refused):
             return results.refused_outcome(
                 job, queue, self.state.snapshot.coordinator(queue), verdict
             )
--- a/oleanderhoist/node/pendingslots.py
+++ b/oleanderhoist/node/pendingslots.py
@@ -6,7 +6,7 @@
 
 from oleanderhoist import events
 from oleanderhoist import log
-from oleanderhoist.policy import slotqueue
+from oleanderhoist.policy import slotrequests
 
 MIN_LOGGED_WAIT_SECONDS = 0.05  # A refusal at once takes less.
 
@@ -37,11 +37,11 @@
             reports that it has queued the slot request.
     """
 
-    request: slotqueue.SlotRequest
+    request: slotrequests.SlotRequest
     queue: str
     coordinator: str
     started_at: float
-    future: asyncio.Future[slotqueue.Verdict | None]
+    future: asyncio.Future[slotrequests.Verdict | None]
     expected_wait: float | None = None
 
     def log_end(self, result: WaitResult, now: float) -> None:
--- a/oleanderhoist/node/results.py
+++ b/oleanderhoist/node/results.py
@@ -7,10 +7,10 @@
 from oleanderhoist.http import messages
 from oleanderhoist.node import jobs
 from oleanderhoist.policy import cluster
+from oleanderhoist.policy import leaderlease
 from oleanderhoist.policy import retry
 from oleanderhoist.policy import slotqueue
-
-NO_OWNER_RETRY_SECONDS = 0.5
+from oleanderhoist.policy import slotrequests
 
 
 def final_outcome(
@@ -82,21 +82,34 @@
     )
 
 
-def no_server_outcome(job: jobs.Job) -> outcomes.NotRun | jobs.FailedAttempt:
-    """Returns the outcome when no server can be sent the request."""
+def no_server_outcome(
+    job: jobs.Job, now: float
+) -> outcomes.NotRun | jobs.FailedAttempt:
+    """Returns the outcome when no server can be sent the request.
+
+    Args:
+        job: The request.
+        now: Current time, in seconds.
+    """
     if job.maybe_run:
         return jobs.FailedAttempt(
             failure=retry.Failure.OUTCOME_UNKNOWN, code=codes.LOST
         )
+    # A key whose owner is lost has none until its lease has expired, half of
+    # which is still to come on average.
+    retry_after = min(
+        leaderlease.LEASE_SECONDS / 2,
+        slotqueue.RETRY_FRACTION * (job.deadline - now),
+    )
     return outcomes.NotRun(
         code=codes.NO_OWNER,
         detail=f"pool {job.pool}",
-        retry_after=NO_OWNER_RETRY_SECONDS,
+        retry_after=max(slotqueue.MIN_RETRY_SECONDS, retry_after),
     )
 
 
 def refused_outcome(
-    job: jobs.Job, queue: str, coordinator: str, verdict: slotqueue.Refused
+    job: jobs.Job, queue: str, coordinator: str, verdict: slotrequests.Refused
 ) -> outcomes.Outcome:
     """Returns the outcome of a refused slot request."""
     if job.maybe_run:
--- a/oleanderhoist/node/slotclient.py
+++ b/oleanderhoist/node/slotclient.py
@@ -18,6 +18,7 @@
 from oleanderhoist.node import wire
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import slotqueue
+from oleanderhoist.policy import slotrequests
 
 REPLY_TIMEOUT_SECONDS = 0.06
 REPLY_ATTEMPTS = 2  # About 1 % of datagrams are lost even without a fault.
@@ -97,8 +98,8 @@
         datagrams.handlers[wire.SlotRefused] = self.on_slot_refused
 
     async def acquire(
-        self, queue: str, request: slotqueue.SlotRequest
-    ) -> SlotGrant | slotqueue.Refused:
+        self, queue: str, request: slotrequests.SlotRequest
+    ) -> SlotGrant | slotrequests.Refused:
         """Acquires a slot.
 
         A coordinator that does not reply is suspected for a while. The slot is
@@ -129,10 +130,10 @@
         self,
         coordinator_address: str,
         queue: str,
-        request: slotqueue.SlotRequest,
+        request: slotrequests.SlotRequest,
         *,
         retransmitted: bool,
-    ) -> SlotGrant | slotqueue.Refused | None:
+    ) -> SlotGrant | slotrequests.Refused | None:
         """Requests a slot from one coordinator.
 
         Args:
@@ -207,7 +208,7 @@
         self,
         coordinator_address: str,
         queue: str,
-        request: slotqueue.SlotRequest,
+        request: slotrequests.SlotRequest,
         *,
         retransmitted: bool = False,
     ) -> None:
@@ -290,9 +291,9 @@
         self,
         coordinator_address: str,
         queue: str,
-        request: slotqueue.SlotRequest,
+        request: slotrequests.SlotRequest,
         pending: pendingslots.PendingSlotRequest,
-    ) -> SlotGrant | slotqueue.Refused | None:
+    ) -> SlotGrant | slotrequests.Refused | None:
         """Waits for the verdict of a slot request.
 
         Returns:
@@ -320,7 +321,7 @@
                 pendingslots.WaitResult.MOVED, self.clock.monotonic()
             )
             return None
-        if isinstance(verdict, slotqueue.Refused):
+        if isinstance(verdict, slotrequests.Refused):
             pending.log_end(
                 pendingslots.WaitResult.REFUSED, self.clock.monotonic()
             )
@@ -338,24 +339,24 @@
         self.suspected_until[coordinator_address] = until
 
     def bypass(
-        self, queue: str, request: slotqueue.SlotRequest
-    ) -> SlotGrant | slotqueue.Refused:
+        self, queue: str, request: slotrequests.SlotRequest
+    ) -> SlotGrant | slotrequests.Refused:
         """Chooses a server locally, without the coordinator."""
         BYPASSED.inc()
-        verdict: slotqueue.Verdict | None = None
+        verdict: slotrequests.Verdict | None = None
 
-        def record(result: slotqueue.Verdict) -> None:
+        def record(result: slotrequests.Verdict) -> None:
             nonlocal verdict
             verdict = result
 
         self.notices.apply_shares(queue)
         wait = self.coordinator.submit(queue, request, record)
-        if isinstance(verdict, slotqueue.Granted):
+        if isinstance(verdict, slotrequests.Granted):
             return to_grant(queue, self.datagrams.address, verdict)
         self.coordinator.cancel(queue, request.requester, request.id)
-        if isinstance(verdict, slotqueue.Refused):
+        if isinstance(verdict, slotrequests.Refused):
             return verdict
-        return slotqueue.Refused(
+        return slotrequests.Refused(
             request=request,
             retry_after=min(
                 max(BYPASS_RETRY_SECONDS, wait), slotqueue.MAX_RETRY_SECONDS
@@ -415,7 +416,7 @@
             )
 
     def resolve(
-        self, coordinator_address: str, verdict: slotqueue.Verdict
+        self, coordinator_address: str, verdict: slotrequests.Verdict
     ) -> None:
         """Delivers a coordinator's verdict to the pending slot request.
 
@@ -427,7 +428,7 @@
         if pending is None:
             return
         if pending.coordinator != coordinator_address:
-            if isinstance(verdict, slotqueue.Granted):
+            if isinstance(verdict, slotrequests.Granted):
                 self.cancel(coordinator_address, pending.queue, id)
         elif not pending.future.done():
             pending.future.set_result(verdict)
@@ -443,7 +444,7 @@
         silent_after = math.inf
         if message.silent_ms:
             silent_after = message.silent_ms / 1000
-        granted = slotqueue.Granted(
+        granted = slotrequests.Granted(
             request=request_stub(message.id),
             server=message.server,
             service_seconds=message.service_ms / 1000,
@@ -455,7 +456,7 @@
         """Handles the refusal of a slot request."""
         self.resolve(
             peer,
-            slotqueue.Refused(
+            slotrequests.Refused(
                 request=request_stub(message.id),
                 retry_after=message.retry_ms / 1000,
                 expected_wait=message.wait_ms / 1000,
@@ -464,7 +465,7 @@
 
 
 def to_grant(
-    queue: str, coordinator_address: str, granted: slotqueue.Granted
+    queue: str, coordinator_address: str, granted: slotrequests.Granted
 ) -> SlotGrant:
     """Returns the grant of a coordinator's verdict."""
     return SlotGrant(
@@ -477,8 +478,8 @@
     )
 
 
-def request_stub(id: int) -> slotqueue.SlotRequest:
+def request_stub(id: int) -> slotrequests.SlotRequest:
     """Returns a placeholder with the id of a slot request of this router."""
-    return slotqueue.SlotRequest(
+    return slotrequests.SlotRequest(
         id=id, requester="", rank=0, deadline=0.0, objective=0.0
     )
--- a/oleanderhoist/node/slotserver.py
+++ b/oleanderhoist/node/slotserver.py
@@ -6,7 +6,7 @@
 from oleanderhoist.node import coordinator
 from oleanderhoist.node import datagrams
 from oleanderhoist.node import wire
-from oleanderhoist.policy import slotqueue
+from oleanderhoist.policy import slotrequests
 
 MAX_REPORTED_WAIT_SECONDS = 60.0  # Sent in place of an infinite wait.
 
@@ -50,7 +50,7 @@
                 return
             self.coordinator.drop_earlier_copy(message.queue, peer, message.id)
         now = self.clock.monotonic()
-        request = slotqueue.SlotRequest(
+        request = slotrequests.SlotRequest(
             id=message.id,
             requester=peer,
             rank=message.rank,
@@ -71,10 +71,10 @@
         milliseconds = round(min(wait, MAX_REPORTED_WAIT_SECONDS) * 1000)
         self.datagrams.send(peer, wire.SlotQueued(id=id, wait_ms=milliseconds))
 
-    def reply(self, peer: str, verdict: slotqueue.Verdict) -> None:
+    def reply(self, peer: str, verdict: slotrequests.Verdict) -> None:
         """Sends a verdict to the requester."""
         id = verdict.request.id
-        if isinstance(verdict, slotqueue.Granted):
+        if isinstance(verdict, slotrequests.Granted):
             silent_ms = 0
             if math.isfinite(verdict.silent_after):
                 silent_ms = round(verdict.silent_after * 1000)
--- a/oleanderhoist/policy/eventrate.py
+++ b/oleanderhoist/policy/eventrate.py
@@ -12,6 +12,7 @@
 
 # Of a normal distribution: a bound is wrong in one of ten cases.
 BOUND_DEVIATIONS = 1.28
+MIN_COVERED_FRACTION = 0.2  # Of a window that has just begun.
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -83,6 +84,38 @@
     return len(counts)
 
 
+class ChangingRate:
+    """Rate of events that may change.
+
+    It is counted over a long time, and over a short one in case it changes.
+
+    Args:
+        window: The short time, in seconds.
+        factor: The long time, in short ones.
+    """
+
+    def __init__(self, *, window: float, factor: float):
+        self.factor = factor
+        self.short = DecayingRate(window=window)
+        self.long = DecayingRate(window=window * factor)
+
+    def count(self, now: float) -> None:
+        """Counts an event."""
+        self.short.count(now)
+        self.long.count(now)
+
+    def set_window(self, window: float) -> None:
+        """Changes the short time, in seconds; the rates stay what they are."""
+        self.short.set_window(window)
+        self.long.set_window(window * self.factor)
+
+    def rate(self, now: float) -> Rate:
+        """Returns the rate over the long time unless it has surely changed."""
+        recent = self.short.rate(now)
+        usual = self.long.rate(now)
+        return recent if recent.differs_from(usual) else usual
+
+
 @dataclasses.dataclass(kw_only=True)
 class DecayingRate:
     """Rate of events of which older ones count less.
@@ -92,14 +125,17 @@
             seconds.
         weight: Sum of the weights of all events, at `updated_at`.
         updated_at: When the weight was last updated, in seconds.
+        began_at: When the first event was counted, in seconds.
     """
 
     window: float
     weight: float = 0.0
     updated_at: float = 0.0
+    began_at: float = math.inf
 
     def count(self, now: float) -> None:
         """Counts an event."""
+        self.began_at = min(self.began_at, now)
         self.weight = self.weight_at(now) + 1.0
         self.updated_at = now
 
@@ -117,6 +153,10 @@
         """Returns the rate.
 
         The variance of the sum of weights is that of counting twice as many
-        events in twice the window.
+        events in twice the window. Soon after the first event, the weights
+        cover less than the window.
         """
-        return Rate(events=2 * self.weight_at(now), seconds=2 * self.window)
+        age = max(0.0, now - self.began_at) if self.weight else math.inf
+        covered = -self.window * math.expm1(-age / self.window)
+        covered = max(covered, MIN_COVERED_FRACTION * self.window)
+        return Rate(events=2 * self.weight_at(now), seconds=2 * covered)
--- a/oleanderhoist/policy/slotqueue.py
+++ b/oleanderhoist/policy/slotqueue.py
@@ -12,103 +12,32 @@
 """
 
 import collections
-import dataclasses
 
-from oleanderhoist.policy import eventrate
+from oleanderhoist.policy import demand
+from oleanderhoist.policy import serverchoice
 from oleanderhoist.policy import serverslots
+from oleanderhoist.policy import slotrequests
 
 DEFAULT_SERVICE_SECONDS = 0.1
 # Of the objective of the first request; assumed before the first answer.
 ASSUMED_SERVICE_FRACTION = 0.25
-RATE_WINDOW_SERVICES = 4.0  # Service times over which arrivals are counted.
-MIN_RATE_WINDOW_SECONDS = 0.5
+MAX_ASSUMED_SECONDS = 2.0
 BLOCK_FAILURE_RATE = 0.6
 BLOCK_SECONDS = 0.7
-EXPLORE_IDLE_SECONDS = 1.5
-MAX_EXPLORE_BYTES = 4_000
-REMOTE_PENALTY = 0.3  # Per service time of slack before the objective.
-MAX_REMOTE_PENALTY = 2.0
 OBJECTIVE_MARGIN = 1.5  # Service times; at 1, about half would be late.
-REMOTE_BYTES = 20_000  # Body size that adds 1 to a remote server's cost factor.
-LARGE_BODY_BYTES = 20_000
-LOCAL_WAIT_RESERVE = 2.2  # Service times that remain when local waiting ends.
 LOCAL_UTILISATION = 0.75  # Above this no slot may idle while requests wait.
 MAX_SKIPPED = 8  # Bounds the work of one scan of a queue.
 MIN_RETRY_SECONDS = 0.05
 MAX_RETRY_SECONDS = 2.0
+RETRY_FRACTION = 1 / 3  # Of the time left; the rest is for waiting and work.
 MAX_UTILISATION = 0.95  # Above this no overdue request is queued.
 OVERLOAD_RATIO = 1.2  # Ratio of demand to service rate that indicates a burst.
-MIN_SUCCESS_RATE = 0.1  # Bounds the cost of a failing server.
 EXPIRY_FRACTION = 0.5  # Of the service time; must remain to the deadline.
 MIN_RATE_FRACTION = 0.05  # Of the service rate; assumed for every rank.
 MIN_RATE = 1e-3  # Requests per second; assumed if no server is usable.
 RECLAIM_DELAY_SECONDS = 0.5
 
 
-@dataclasses.dataclass(kw_only=True)
-class SlotRequest:
-    """A request for a slot.
-
-    Attributes:
-        id: Unique among the requests of `requester`.
-        requester: Router that handles the request.
-        rank: Urgency; 0 is the most urgent.
-        deadline: When the caller times out, in seconds on the slot queue's
-            clock.
-        objective: Until when a response is worth most, on the same clock.
-        data_center: Data centre of the requester.
-        body_bytes: Size of the request's body.
-        excluded: Servers that the request was already sent to.
-        request_id: Id of the caller's request, for the log.
-    """
-
-    id: int
-    requester: str
-    rank: int
-    deadline: float
-    objective: float
-    data_center: str = ""
-    body_bytes: int = 0
-    excluded: frozenset[str] = frozenset()
-    request_id: str = ""
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Granted:
-    """A request was granted a slot of a server.
-
-    Attributes:
-        request: The request.
-        server: Id of the server.
-        service_seconds: Its mean service time, in seconds.
-        silent_after: Time after which an unanswered request counts as silent,
-            in seconds.
-    """
-
-    request: SlotRequest
-    server: str
-    service_seconds: float = DEFAULT_SERVICE_SECONDS
-    silent_after: float = float("inf")
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Refused:
-    """A request was refused a slot.
-
-    Attributes:
-        request: The request.
-        retry_after: Delay before the caller should retry, in seconds.
-        expected_wait: Expected wait for a free slot, in seconds.
-    """
-
-    request: SlotRequest
-    retry_after: float
-    expected_wait: float = 0.0
-
-
-Verdict = Granted | Refused
-
-
 class SlotQueue:
     """Priority queue of requests for the slots of a group of servers.
 
@@ -120,9 +49,11 @@
         self.servers: dict[str, serverslots.ServerSlots] = {}
         self.service_seconds = service_seconds
         self.answers = 0
-        self.queues: dict[int, collections.deque[SlotRequest]] = {}
-        self.overdue: collections.deque[SlotRequest] = collections.deque()
-        self.arrivals: dict[int, eventrate.DecayingRate] = {}
+        self.queues: dict[int, collections.deque[slotrequests.SlotRequest]] = {}
+        self.overdue: collections.deque[slotrequests.SlotRequest] = (
+            collections.deque()
+        )
+        self.demand = demand.Demand()
 
     def update(self, servers: list[serverslots.ServerSlots]) -> None:
         """Replaces the usable servers, keeping the state of known ones.
@@ -146,30 +77,6 @@
             if now >= s.blocked_until
         )
 
-    def arrival_rate(self, now: float, below: int | None = None) -> float:
-        """Returns the arrivals per second that could meet their objective.
-
-        Args:
-            now: Current time, in seconds.
-            below: Counts only ranks that are more urgent than this one.
-        """
-        return sum(
-            arrivals.rate(now).value
-            for rank, arrivals in self.arrivals.items()
-            if below is None or rank < below
-        )
-
-    def is_overloaded(self, now: float) -> bool:
-        """Returns whether more arrives for sure than can be completed."""
-        rates = [arrivals.rate(now) for arrivals in self.arrivals.values()]
-        if not rates:
-            return False
-        total = eventrate.Rate(
-            events=sum(rate.events for rate in rates),
-            seconds=max(rate.seconds for rate in rates),
-        )
-        return total.low > OVERLOAD_RATIO * self.service_rate(now)
-
     def queued_ahead(self, rank: int) -> int:
         """Returns how many waiting requests precede a new one of a rank."""
         return sum(len(q) for r, q in self.queues.items() if r <= rank)
@@ -188,7 +95,7 @@
     def rate_for(self, rank: int, now: float) -> float:
         """Returns the requests per second that more urgent ranks leave."""
         rate = self.service_rate(now)
-        left = rate - self.arrival_rate(now, below=rank)
+        left = rate - self.demand.rate(now, below=rank)
         return max(self.minimum_rate(now), left)
 
     def minimum_rate(self, now: float) -> float:
@@ -215,7 +122,9 @@
                 return (position + 1) / rate
         return None
 
-    def submit(self, request: SlotRequest, now: float) -> Verdict | None:
+    def submit(
+        self, request: slotrequests.SlotRequest, now: float
+    ) -> slotrequests.Verdict | None:
         """Grants, queues or refuses a request.
 
         Returns:
@@ -224,7 +133,7 @@
         if not self.answers:
             self.assume_service(request, now)
         if now + self.service_seconds <= request.objective:
-            self.count_arrival(request.rank, now)
+            self.demand.count(request.rank, now, self.service_seconds)
         # A free slot suits no queued request, so taking it overtakes none.
         server = self.choose(request, now)
         if server is not None:
@@ -242,45 +151,28 @@
             return self.submit_overdue(request, now)
         return self.refuse(request, wait, now)
 
-    def assume_service(self, request: SlotRequest, now: float) -> None:
+    def assume_service(
+        self, request: slotrequests.SlotRequest, now: float
+    ) -> None:
         """Assumes a service time, as callers set objectives in view of it."""
+        assumed = ASSUMED_SERVICE_FRACTION * (request.objective - now)
         self.service_seconds = max(
-            self.service_seconds,
-            ASSUMED_SERVICE_FRACTION * (request.objective - now),
+            self.service_seconds, min(assumed, MAX_ASSUMED_SECONDS)
         )
         for server in self.servers.values():
             if not server.answers:
                 server.service_seconds = self.service_seconds
 
-    def count_arrival(self, rank: int, now: float) -> None:
-        """Counts a request that could meet its objective.
-
-        Slow servers complete few requests in a second, so their arrivals are
-        counted over a longer time.
-        """
-        arrivals = self.arrivals.get(rank)
-        if arrivals is None:
-            arrivals = self.arrivals[rank] = eventrate.DecayingRate(
-                window=MIN_RATE_WINDOW_SECONDS
-            )
-        arrivals.count(now)
-        arrivals.set_window(
-            max(
-                MIN_RATE_WINDOW_SECONDS,
-                RATE_WINDOW_SERVICES * self.service_seconds,
-            )
-        )
-
     def spare_rate(self, now: float) -> float:
         """Returns the service rate that requests on time leave unused."""
         return max(
             0.0,
-            MAX_UTILISATION * self.service_rate(now) - self.arrival_rate(now),
+            MAX_UTILISATION * self.service_rate(now) - self.demand.rate(now),
         )
 
     def submit_overdue(
-        self, request: SlotRequest, now: float
-    ) -> Verdict | None:
+        self, request: slotrequests.SlotRequest, now: float
+    ) -> slotrequests.Verdict | None:
         """Queues or refuses a request that cannot meet its objective."""
         rate = self.spare_rate(now)
         wait = (len(self.overdue) + self.queued_ahead(request.rank) + 1) / rate
@@ -289,73 +181,58 @@
         self.overdue.append(request)
         return None
 
-    def refuse(self, request: SlotRequest, wait: float, now: float) -> Refused:
+    def refuse(
+        self, request: slotrequests.SlotRequest, wait: float, now: float
+    ) -> slotrequests.Refused:
         """Returns a refusal with the delay before a retry.
 
         Callers that retry during a burst are refused again, and few retry a
         second time, so during a burst they are told to retry late, when it
         may be over.
         """
+        latest = RETRY_FRACTION * (request.deadline - now)
+        latest = min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, latest))
         slack = max(0.0, request.objective - now - self.service_seconds)
         retry = max(MIN_RETRY_SECONDS, wait - slack)
-        if self.is_overloaded(now):
-            retry = MAX_RETRY_SECONDS
-        return Refused(
+        if self.demand.surely_exceeds(
+            OVERLOAD_RATIO * self.service_rate(now), now
+        ):
+            retry = latest
+        return slotrequests.Refused(
             request=request,
-            retry_after=min(retry, MAX_RETRY_SECONDS),
+            retry_after=min(retry, latest),
             expected_wait=wait,
         )
 
     def choose(
-        self, request: SlotRequest, now: float
+        self, request: slotrequests.SlotRequest, now: float
     ) -> serverslots.ServerSlots | None:
-        """Returns the best server with a free slot, or None if none suits."""
-        free = [s for s in self.servers.values() if s.available(now)]
-        usable = [s for s in free if s.id not in request.excluded]
-        if self.waits_for_local(request, now):
-            usable = [s for s in usable if s.data_center == request.data_center]
-            if not usable:
-                return None
-        if not usable:
-            only = len(self.servers) == 1 and free
-            return free[0] if only else None
-        idle = min(usable, key=lambda s: s.last_used_at)
-        if now - idle.last_used_at > EXPLORE_IDLE_SECONDS and may_explore(
-            request, idle
-        ):
-            return idle
-        return min(usable, key=lambda s: cost(s, request, now))
+        """Returns the best server with a free slot, or None if none suits.
 
-    def waits_for_local(self, request: SlotRequest, now: float) -> bool:
-        """Returns whether a request should wait for a local server.
-
-        When local servers are busy only briefly, waiting is cheaper than
-        sending a large body to another data centre. When the whole pool is
-        busy, leaving a remote slot idle would cost more.
+        When the whole pool is busy, leaving a remote slot idle would cost more
+        than sending a large body there.
         """
-        if request.body_bytes < LARGE_BODY_BYTES:
-            return False
-        if now + LOCAL_WAIT_RESERVE * self.service_seconds > request.objective:
-            return False
-        if self.arrival_rate(now) > LOCAL_UTILISATION * self.service_rate(now):
-            return False
-        return any(
-            server.data_center == request.data_center
-            and now >= server.blocked_until
-            and server.id not in request.excluded
-            for server in self.servers.values()
+        servers = list(self.servers.values())
+        local_only = serverchoice.may_wait_for_local(
+            servers, request, now, self.service_seconds
+        ) and self.demand.rate(now) <= LOCAL_UTILISATION * self.service_rate(
+            now
         )
+        return serverchoice.choose(servers, request, now, local_only=local_only)
 
     def grant(
-        self, request: SlotRequest, server: serverslots.ServerSlots, now: float
-    ) -> Granted:
+        self,
+        request: slotrequests.SlotRequest,
+        server: serverslots.ServerSlots,
+        now: float,
+    ) -> slotrequests.Granted:
         """Grants a request a slot."""
         server.grant(
             (request.requester, request.id),
             now,
             request.deadline + RECLAIM_DELAY_SECONDS,
         )
-        return Granted(
+        return slotrequests.Granted(
             request=request,
             server=server.id,
             service_seconds=server.service_seconds,
@@ -409,23 +286,23 @@
                     queue.remove(request)
                     return
 
-    def grant_waiting(self, now: float) -> list[Verdict]:
+    def grant_waiting(self, now: float) -> list[slotrequests.Verdict]:
         """Grants free slots to waiting requests, the most urgent first."""
-        verdicts: list[Verdict] = self.expire(now)
+        verdicts: list[slotrequests.Verdict] = self.expire(now)
         queues = [self.queues[rank] for rank in sorted(self.queues)]
         for queue in [*queues, self.overdue]:
             verdicts.extend(self.grant_from(queue, now))
         return verdicts
 
     def grant_from(
-        self, queue: collections.deque[SlotRequest], now: float
-    ) -> list[Verdict]:
+        self, queue: collections.deque[slotrequests.SlotRequest], now: float
+    ) -> list[slotrequests.Verdict]:
         """Grants free slots to the requests of one queue, in order.
 
         A request that cannot use any free slot does not block the next.
         """
-        verdicts: list[Verdict] = []
-        skipped: list[SlotRequest] = []
+        verdicts: list[slotrequests.Verdict] = []
+        skipped: list[slotrequests.SlotRequest] = []
         while queue and len(skipped) < MAX_SKIPPED and self.has_available(now):
             request = queue.popleft()
             server = self.choose(request, now)
@@ -440,9 +317,9 @@
         """Returns whether any server can take another request."""
         return any(server.available(now) for server in self.servers.values())
 
-    def expire(self, now: float) -> list[Verdict]:
+    def expire(self, now: float) -> list[slotrequests.Verdict]:
         """Refuses requests that cannot meet their deadline; reclaims slots."""
-        refused: list[Verdict] = []
+        refused: list[slotrequests.Verdict] = []
         required = EXPIRY_FRACTION * self.service_seconds
         for queue in [*self.queues.values(), self.overdue]:
             while queue and now + required > queue[0].deadline:
@@ -454,35 +331,10 @@
                     del server.running[key]
         return refused
 
-    def drain(self) -> list[SlotRequest]:
+    def drain(self) -> list[slotrequests.SlotRequest]:
         """Removes and returns all waiting requests."""
         waiting = [request for q in self.queues.values() for request in q]
         waiting.extend(self.overdue)
         self.queues.clear()
         self.overdue.clear()
         return waiting
-
-
-def may_explore(request: SlotRequest, idle: serverslots.ServerSlots) -> bool:
-    """Returns whether a request may probe a server that was idle for long."""
-    local = idle.data_center == request.data_center
-    return local or request.body_bytes < MAX_EXPLORE_BYTES
-
-
-def cost(
-    server: serverslots.ServerSlots, request: SlotRequest, now: float
-) -> float:
-    """Returns the service time of a server, weighted by failures and distance.
-
-    Distance weighs more the more slack a request has, so that it goes to a
-    local server even if a remote one is faster.
-    """
-    factor = 1.0
-    if server.data_center != request.data_center:
-        spare = (request.objective - now) / server.service_seconds - 1.0
-        penalty = REMOTE_PENALTY * max(0.0, spare)
-        factor += (
-            min(MAX_REMOTE_PENALTY, penalty) + request.body_bytes / REMOTE_BYTES
-        )
-    success_rate = max(MIN_SUCCESS_RATE, 1.0 - server.failure_rate)
-    return server.service_seconds * factor / success_rate
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -18,7 +18,7 @@
 from oleanderhoist.platform import leasechannel
 from oleanderhoist.platform import protocol
 from oleanderhoist.policy import cluster
-from oleanderhoist.policy import slotqueue
+from oleanderhoist.policy import slotrequests
 from tests import scripted
 from tests import test_forwarder
 
@@ -195,7 +195,7 @@
     notices = test_forwarder.NO_NOTICES
 
     async def acquire(
-        self, queue: str, request: slotqueue.SlotRequest
+        self, queue: str, request: slotrequests.SlotRequest
     ) -> slotclient.SlotGrant:
         """Grants a slot."""
         return slotclient.SlotGrant(
--- a/tests/test_coordinator_moves.py
+++ b/tests/test_coordinator_moves.py
@@ -12,7 +12,7 @@
 from oleanderhoist.node import state
 from oleanderhoist.node import wire
 from oleanderhoist.policy import cluster
-from oleanderhoist.policy import slotqueue
+from oleanderhoist.policy import slotrequests
 from tests import test_permits
 from tests import virtual
 
@@ -113,10 +113,10 @@
 
     def acquire(
         self, id: int, objective: float | None = None
-    ) -> Coroutine[None, None, slotclient.SlotGrant | slotqueue.Refused]:
+    ) -> Coroutine[None, None, slotclient.SlotGrant | slotrequests.Refused]:
         """Requests a slot for the requester."""
         objective = objective or self.loop.now + OBJECTIVE_SECONDS
-        request = slotqueue.SlotRequest(
+        request = slotrequests.SlotRequest(
             id=id,
             requester=REQUESTER,
             rank=0,
@@ -133,7 +133,7 @@
         for server in queue.servers.values():
             server.service_seconds = SERVICE_SECONDS
         for id in range(-SLOTS, 0):
-            request = slotqueue.SlotRequest(
+            request = slotrequests.SlotRequest(
                 id=id,
                 requester=name,
                 rank=0,
@@ -420,7 +420,7 @@
             task = await self.wait()
             self.routers.free(BEFORE)
             await task
-            late = slotqueue.SlotRequest(
+            late = slotrequests.SlotRequest(
                 id=2,
                 requester=REQUESTER,
                 rank=0,
@@ -428,7 +428,7 @@
                 objective=self.routers.loop.now,
             )
             verdict = await self.routers.client.acquire(QUEUE, late)
-            self.assertIsInstance(verdict, slotqueue.Refused)
+            self.assertIsInstance(verdict, slotrequests.Refused)
             self.check()
 
         virtual.run(play(), self.routers.loop)
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -20,7 +20,7 @@
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import contractset
 from oleanderhoist.policy import keys
-from oleanderhoist.policy import slotqueue
+from oleanderhoist.policy import slotrequests
 from tests import virtual
 
 STOP_SECONDS = 6.0
@@ -122,12 +122,12 @@
         self.request_count = 0
 
     async def acquire(
-        self, queue: str, request: slotqueue.SlotRequest
-    ) -> slotclient.SlotGrant | slotqueue.Refused:
+        self, queue: str, request: slotrequests.SlotRequest
+    ) -> slotclient.SlotGrant | slotrequests.Refused:
         """Grants a slot once."""
         self.request_count += 1
         if self.request_count > 1:
-            return slotqueue.Refused(request=request, retry_after=0.1)
+            return slotrequests.Refused(request=request, retry_after=0.1)
         return slotclient.SlotGrant(
             id=request.id, queue=queue, coordinator="", server="s"
         )
@@ -202,12 +202,12 @@
     def __init__(self, *, grants: int):
         super().__init__()
         self.grants = grants
-        self.requests: list[slotqueue.SlotRequest] = []
+        self.requests: list[slotrequests.SlotRequest] = []
         self.withdrawn = 0
 
     async def acquire(
-        self, queue: str, request: slotqueue.SlotRequest
-    ) -> slotclient.SlotGrant | slotqueue.Refused:
+        self, queue: str, request: slotrequests.SlotRequest
+    ) -> slotclient.SlotGrant | slotrequests.Refused:
         """Grants a slot, or waits."""
         self.requests.append(request)
         if len(self.requests) > self.grants:
@@ -261,8 +261,8 @@
         self.steps = iter(steps)
 
     async def acquire(
-        self, queue: str, request: slotqueue.SlotRequest
-    ) -> slotclient.SlotGrant | slotqueue.Refused:
+        self, queue: str, request: slotrequests.SlotRequest
+    ) -> slotclient.SlotGrant | slotrequests.Refused:
         """Follows the next step."""
         step = next(self.steps)
         await asyncio.sleep(step.after)
--- a/tests/test_lanes.py
+++ b/tests/test_lanes.py
@@ -6,8 +6,10 @@
 
 from bench import lanes as simulation
 from bench import patterns
+from oleanderhoist.policy import serverchoice
 from oleanderhoist.policy import serverslots
 from oleanderhoist.policy import slotqueue
+from oleanderhoist.policy import slotrequests
 
 
 def slot_queue(*servers: serverslots.ServerSlots) -> slotqueue.SlotQueue:
@@ -26,9 +28,9 @@
     )
 
 
-def slot_request(id: int, **changes: object) -> slotqueue.SlotRequest:
+def slot_request(id: int, **changes: object) -> slotrequests.SlotRequest:
     """Returns a request whose objective is 0.5 s after 10.0."""
-    request = slotqueue.SlotRequest(
+    request = slotrequests.SlotRequest(
         id=id,
         requester="x",
         rank=0,
@@ -64,7 +66,7 @@
     def test_a_burst_of_large_bodies_leaves_no_slot_idle(self):
         pattern = patterns.named("large-bodies-burst")
         ours = simulation.mean_worth(pattern, "lane")
-        with mock.patch.object(slotqueue, "LARGE_BODY_BYTES", float("inf")):
+        with mock.patch.object(serverchoice, "LARGE_BODY_BYTES", float("inf")):
             unrestricted = simulation.mean_worth(pattern, "lane")
         self.assertGreater(ours, unrestricted - 0.02)
 
@@ -119,7 +121,7 @@
         queue = slot_queue(server("s"))
         queue.submit(slot_request(1), 10.0)
         late = slot_request(2, deadline=10.15, objective=10.12)
-        self.assertIsInstance(queue.submit(late, 10.0), slotqueue.Refused)
+        self.assertIsInstance(queue.submit(late, 10.0), slotrequests.Refused)
 
     def test_urgent_work_goes_first(self):
         queue = slot_queue(server("s"))
@@ -198,7 +200,7 @@
         queue.submit(slot_request(1), 10.0)
         queue.cancel("x", 1)
         self.assertIsInstance(
-            queue.submit(slot_request(2), 10.0), slotqueue.Granted
+            queue.submit(slot_request(2), 10.0), slotrequests.Granted
         )
 
     def test_a_slot_whose_holder_vanished_is_freed_after_its_deadline(self):
@@ -206,7 +208,7 @@
         queue.submit(slot_request(1, deadline=10.2), 10.0)
         queue.grant_waiting(10.8)
         self.assertIsInstance(
-            queue.submit(slot_request(2), 10.8), slotqueue.Granted
+            queue.submit(slot_request(2), 10.8), slotrequests.Granted
         )
 
 
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -16,7 +16,7 @@
 from oleanderhoist.node import wire as datagrams
 from oleanderhoist.peers import wire as messages
 from oleanderhoist.policy import contractset
-from oleanderhoist.policy import slotqueue
+from oleanderhoist.policy import slotrequests
 
 DATAGRAMS = [
     datagrams.MemberReport(
@@ -328,8 +328,8 @@
         self.assertEqual(CONTRACTS, contractcodec.unpack(data, revision=11))
 
     def test_verdicts_keep_their_label_values(self):
-        self.assertEqual("Granted", slotqueue.Granted.__name__)
-        self.assertEqual("Refused", slotqueue.Refused.__name__)
+        self.assertEqual("Granted", slotrequests.Granted.__name__)
+        self.assertEqual("Refused", slotrequests.Refused.__name__)
 
 
 if __name__ == "__main__":
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -12,7 +12,7 @@
 from oleanderhoist.node import wire
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import serverslots
-from oleanderhoist.policy import slotqueue
+from oleanderhoist.policy import slotrequests
 
 REQUESTER = "10.0.0.1:1"
 COORDINATOR = "10.0.0.2:1"
@@ -91,10 +91,10 @@
 
     async def acquire(
         self, id: int = 1
-    ) -> slotclient.SlotGrant | slotqueue.Refused:
+    ) -> slotclient.SlotGrant | slotrequests.Refused:
         """Requests a slot."""
         now = self.clock.monotonic()
-        request = slotqueue.SlotRequest(
+        request = slotrequests.SlotRequest(
             id=id,
             requester=REQUESTER,
             rank=0,
--- a/tests/test_server_limit.py
+++ b/tests/test_server_limit.py
@@ -16,6 +16,7 @@
 from oleanderhoist.policy import serverlimit
 from oleanderhoist.policy import serverslots
 from oleanderhoist.policy import slotqueue
+from oleanderhoist.policy import slotrequests
 from tests import test_permits
 from tests import virtual
 
@@ -87,7 +88,7 @@
                     failed=False,
                     now=now,
                 )
-            request = slotqueue.SlotRequest(
+            request = slotrequests.SlotRequest(
                 id=id,
                 requester="r",
                 rank=0,
@@ -96,7 +97,7 @@
             )
             verdicts = [queue.submit(request, now), *queue.grant_waiting(now)]
             for verdict in verdicts:
-                if isinstance(verdict, slotqueue.Granted):
+                if isinstance(verdict, slotrequests.Granted):
                     granted.append(now)
                     running.append((now + SERVICE_SECONDS, verdict.request.id))
         return granted
@@ -157,7 +158,7 @@
     async def call(self, id: int) -> None:
         """Makes one request."""
         now = self.fleet.loop.now
-        request = slotqueue.SlotRequest(
+        request = slotrequests.SlotRequest(
             id=id,
             requester=self.link.address,
             rank=0,
@@ -165,7 +166,7 @@
             objective=now + OBJECTIVE_SECONDS,
         )
         verdict = await self.client.acquire(QUEUE, request)
-        if isinstance(verdict, slotqueue.Refused):
+        if isinstance(verdict, slotrequests.Refused):
             self.fleet.refused_after.append(self.fleet.loop.now - now)
             return
         sent_at = self.fleet.loop.now
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -14,7 +14,7 @@
 from oleanderhoist.node import slotclient
 from oleanderhoist.policy import serverslots
 from oleanderhoist.policy import silence
-from oleanderhoist.policy import slotqueue
+from oleanderhoist.policy import slotrequests
 from standins import platform_system
 from tests import test_forwarder
 from tests import test_lanes
@@ -54,7 +54,9 @@
         for _ in range(silence.MIN_SILENT_REQUESTS):
             known.silent.record(10.0, SERVICE_SECONDS)
         ask = test_lanes.slot_request
-        self.assertNotIsInstance(queue.submit(ask(1), 10.0), slotqueue.Granted)
+        self.assertNotIsInstance(
+            queue.submit(ask(1), 10.0), slotrequests.Granted
+        )
         probes = queue.grant_waiting(10.0 + SERVICE_SECONDS)
         self.assertEqual([1], [verdict.request.id for verdict in probes])
         queue.submit(ask(2), 10.11)
@@ -101,7 +103,7 @@
         self.failures: list[bool] = []
 
     async def acquire(
-        self, queue: str, request: slotqueue.SlotRequest
+        self, queue: str, request: slotrequests.SlotRequest
     ) -> slotclient.SlotGrant:
         """Grants a slot."""
         return slotclient.SlotGrant(
