Bound the ranges of a pool, time replies by their usual time

Change: a run takes the few keys without requests up to the next boundary along; above two ranges a server, those without load join their neighbours' owner; above four, no load moves.

Change: the timeout is that of RFC 6298, 0.06 to 0.5 s.

Change: it assumes that of the shortest; servers without an answer count as fast as the others.

Bounds of two equal rates now pass each other in one of ten cases (each bound alone was so before). Soak: servers that drop what they cannot run (fill-server).

--- a/bench/keymoves.py
+++ b/bench/keymoves.py
@@ -23,6 +23,23 @@
 MIXED_SPEEDS = (0.6, 1.0, 1.4)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class HotKeys:
+    """Adjacent keys that get an additional load for some time.
+
+    Attributes:
+        count: Number of keys.
+        rate: Requests per second for all of them.
+        start: When the load begins, in seconds.
+        end: When it ends, in seconds.
+    """
+
+    count: int
+    rate: float
+    start: float
+    end: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Pattern:
     """A load on one keyed pool.
@@ -32,10 +49,7 @@
         servers: Number of servers; their speeds are MIXED_SPEEDS in turn.
         server_rate: Requests per second that a server of speed 1 completes.
         rate: Requests per second for all keys.
-        hot_keys: Number of adjacent keys that get an additional load.
-        hot_rate: Requests per second for all of these.
-        hot_from: When the additional load begins, in seconds.
-        hot_until: When it ends, in seconds.
+        hot: Keys with an additional load.
         seconds: Length of the replay, in seconds.
     """
 
@@ -43,10 +57,7 @@
     servers: int
     server_rate: float
     rate: float
-    hot_keys: int = 0
-    hot_rate: float = 0.0
-    hot_from: float = 0.0
-    hot_until: float = 0.0
+    hot: tuple[HotKeys, ...] = ()
     seconds: float = 10.0
 
 
@@ -57,21 +68,27 @@
         servers=128,
         server_rate=10.0,
         rate=400.0,
-        hot_keys=60,
-        hot_rate=320.0,
-        hot_from=4.0,
-        hot_until=8.0,
+        hot=(HotKeys(count=60, rate=320.0, start=4.0, end=8.0),),
         seconds=8.0,
     ),
+    Pattern(
+        name="hot-places",
+        servers=128,
+        server_rate=10.0,
+        rate=300.0,
+        hot=(
+            HotKeys(count=200, rate=250.0, start=2.0, end=7.0),
+            HotKeys(count=200, rate=200.0, start=4.0, end=10.0),
+            HotKeys(count=60, rate=200.0, start=7.0, end=11.0),
+        ),
+        seconds=20.0,
+    ),
     Pattern(
         name="hot-key",
         servers=19,
         server_rate=21.0,
         rate=170.0,
-        hot_keys=1,
-        hot_rate=90.0,
-        hot_from=4.0,
-        hot_until=9.0,
+        hot=(HotKeys(count=1, rate=90.0, start=4.0, end=9.0),),
         seconds=9.0,
     ),
 )
@@ -93,6 +110,7 @@
             can complete.
         moves: Number of moves.
         moved_keys: Keys that moved, as a fraction of all keys.
+        most_ranges: Largest number of ranges.
         plan_seconds: Time that each plan took, in seconds.
     """
 
@@ -101,6 +119,7 @@
     unavoidable: float = 0.0
     moves: int = 0
     moved_keys: float = 0.0
+    most_ranges: int = 0
     plan_seconds: list[float] = dataclasses.field(default_factory=list)
 
 
@@ -124,9 +143,10 @@
         self.counter.advance(0.0)
         self.held: list[tuple[float, keys.Range]] = []
         self.backlogs = dict.fromkeys(self.capacities, 0.0)
-        self.first_hot_key = self.rng.randrange(
-            keys.KEY_COUNT - pattern.hot_keys
-        )
+        self.first_hot_keys = [
+            self.rng.randrange(keys.KEY_COUNT - hot.count)
+            for hot in pattern.hot
+        ]
         self.result = Result()
 
     def run(self) -> Result:
@@ -147,15 +167,18 @@
             self.rng.randrange(keys.KEY_COUNT)
             for _ in range(self.draw_count(pattern.rate))
         ]
-        if pattern.hot_from < now <= pattern.hot_until:
-            hot_count = self.draw_count(pattern.hot_rate)
+        for hot, first_key in zip(
+            pattern.hot, self.first_hot_keys, strict=True
+        ):
+            if not hot.start < now <= hot.end:
+                continue
+            count = self.draw_count(hot.rate)
             requested += [
-                self.first_hot_key + self.rng.randrange(pattern.hot_keys)
-                for _ in range(hot_count)
+                first_key + self.rng.randrange(hot.count) for _ in range(count)
             ]
             fastest = max(self.capacities.values()) * STEP_SECONDS
-            if pattern.hot_keys == 1:
-                self.result.unavoidable += max(0.0, hot_count - fastest)
+            if hot.count == 1:
+                self.result.unavoidable += max(0.0, count - fastest)
         self.counter.add(requested)
         loads = collections.Counter(
             self.key_map.find(key).owner for key in requested
@@ -199,6 +222,9 @@
             self.held.append((now, move.key_range))
             self.result.moves += 1
             self.result.moved_keys += move.key_range.size / keys.KEY_COUNT
+        self.result.most_ranges = max(
+            self.result.most_ranges, len(self.key_map.ranges)
+        )
 
 
 @click.command()
@@ -216,9 +242,10 @@
         moves = sum(result.moves for result in results) / seeds
         times = [t for result in results for t in result.plan_seconds]
         click.echo(
-            f"{pattern.name:8} turned away {excess / requests:.3f} "
+            f"{pattern.name:10} turned away {excess / requests:.3f} "
             f"(unavoidable {unavoidable / requests:.3f}); "
-            f"{moves:.0f} moves of {moved:.2f} times all keys; plan "
+            f"{moves:.0f} moves of {moved:.2f} times all keys; "
+            f"{max(r.most_ranges for r in results)} ranges; plan "
             f"{statistics.median(times) * 1000:.1f} ms, at most "
             f"{max(times) * 1000:.1f} ms"
         )
--- a/oleanderhoist/node/pendingslots.py
+++ b/oleanderhoist/node/pendingslots.py
@@ -35,6 +35,8 @@
         future: Receives the verdict; None if the coordinator has changed.
         expected_wait: Expected wait in seconds; None until the coordinator
             reports that it has queued the slot request.
+        replied_at: When the coordinator last replied, in seconds on the
+            monotonic clock; None before a reply.
     """
 
     request: slotrequests.SlotRequest
@@ -43,6 +45,7 @@
     started_at: float
     future: asyncio.Future[slotrequests.Verdict | None]
     expected_wait: float | None = None
+    replied_at: float | None = None
 
     def log_end(self, result: WaitResult, now: float) -> None:
         """Logs that the wait ended without a slot, unless it was short."""
--- a/oleanderhoist/node/slotclient.py
+++ b/oleanderhoist/node/slotclient.py
@@ -17,10 +17,10 @@
 from oleanderhoist.node import state
 from oleanderhoist.node import wire
 from oleanderhoist.policy import cluster
+from oleanderhoist.policy import roundtrip
 from oleanderhoist.policy import slotqueue
 from oleanderhoist.policy import slotrequests
 
-REPLY_TIMEOUT_SECONDS = 0.06
 REPLY_ATTEMPTS = 2  # About 1 % of datagrams are lost even without a fault.
 SUSPECT_SECONDS = 1.0
 WAIT_FACTOR = 2  # On the expected wait, before a coordinator is suspected.
@@ -44,6 +44,7 @@
             coordinators of the pending requests.
         slots_due: Until when requests may wait for a slot; set by a stop. The
             caller of `acquire` cancels it then.
+        reply_times: How long coordinators' replies take to reach this router.
         notices: What servers say of themselves in their answers.
     """
 
@@ -62,6 +63,7 @@
         self.pending: dict[int, pendingslots.PendingSlotRequest] = {}
         self.suspected_until: dict[str, float] = {}
         self.cores_by_member: dict[str, float] = {}
+        self.reply_times = roundtrip.RoundTrip()
         self.slots_due = deadline.SharedDeadline()
         self.notices = servernotices.ServerNotices(
             datagrams=datagrams,
@@ -226,6 +228,7 @@
             Whether there was one.
         """
         pending.expected_wait = None
+        asked_at = self.clock.monotonic()
         for attempt in range(REPLY_ATTEMPTS):
             if attempt or not asked:
                 self.send(
@@ -234,9 +237,14 @@
                     pending.request,
                     retransmitted=True,
                 )
-            await asyncio.wait([pending.future], timeout=REPLY_TIMEOUT_SECONDS)
+            timeout = self.reply_times.timeout()
+            await asyncio.wait([pending.future], timeout=timeout)
             if pending.future.done() or pending.expected_wait is not None:
+                # Which of several requests was replied to is not known.
+                if not attempt and pending.replied_at is not None:
+                    self.reply_times.record(pending.replied_at - asked_at)
                 return True
+        self.reply_times.record_loss()
         return False
 
     async def wait_in_queue(
@@ -412,6 +420,7 @@
             if isinstance(verdict, slotrequests.Granted):
                 self.cancel(coordinator_address, pending.queue, id)
         elif not pending.future.done():
+            pending.replied_at = self.clock.monotonic()
             pending.future.set_result(verdict)
 
     def on_slot_queued(self, peer: str, message: wire.SlotQueued) -> None:
@@ -419,6 +428,7 @@
         pending = self.pending.get(message.id)
         if pending is not None and pending.coordinator == peer:
             pending.expected_wait = message.wait_ms / 1000
+            pending.replied_at = self.clock.monotonic()
 
     def on_slot_granted(self, peer: str, message: wire.SlotGranted) -> None:
         """Handles a slot grant."""
--- a/oleanderhoist/policy/balance.py
+++ b/oleanderhoist/policy/balance.py
@@ -15,7 +15,6 @@
 from collections.abc import Iterator
 import dataclasses
 import heapq
-import itertools
 
 from oleanderhoist.policy import eventrate
 from oleanderhoist.policy import keyload
@@ -27,9 +26,13 @@
 MIN_MOVES = 4  # Per plan.
 SERVERS_PER_MOVE = 4  # Larger pools may have more moves per plan.
 MOVE_SECONDS = 0.1  # For which keys that move have no owner.
-MOVE_REQUESTS = 1.0  # Fixed cost of a move, in requests.
+MOVE_REQUESTS = 1.5  # Fixed cost of a move, in requests.
 HOT_KEYS = 3  # Single keys of a server that are considered.
 MAX_PIECES = 8  # Into which the range of a lost owner is divided.
+# Ranges of a server, on average. Each is renewed and recorded by itself.
+JOIN_RANGES = 2
+MAX_RANGES = 4
+MAX_JOINS = 8  # Per plan.
 MIN_CAPACITY = 1e-3  # Requests per second.
 IDLE_KEY_RATE = 1e-6  # Requests per second; added for each key of a range.
 
@@ -117,11 +120,11 @@
 
     def plan(self) -> list[Move]:
         """Returns the moves that are worth their cost, at most some."""
-        moves = self.first_moves()
+        moves = [*self.first_moves(), *self.joins()]
         most = max(MIN_MOVES, len(self.capacities) // SERVERS_PER_MOVE)
         sources = [(-self.low_strain(s), s) for s in self.capacities]
         heapq.heapify(sources)
-        while sources and len(moves) < most:
+        while sources and len(moves) < most and not self.is_divided(MAX_RANGES):
             queued_strain, source = heapq.heappop(sources)
             strain = self.low_strain(source)
             if strain < -queued_strain:
@@ -142,6 +145,54 @@
         """Returns the rate of requests for a server's keys."""
         return self.estimates[server].rate
 
+    def is_divided(self, ranges_per_server: int) -> bool:
+        """Returns whether there are more ranges than a number a server."""
+        most = ranges_per_server * len(self.capacities)
+        return len(self.key_map.ranges) > most
+
+    def joins(self) -> list[Move]:
+        """Returns moves of ranges with little load to their neighbours' owner.
+
+        They undo what former load patterns have divided.
+        """
+        moves: list[Move] = []
+        if not self.is_divided(JOIN_RANGES):
+            return moves
+        ranges = self.key_map.ranges
+        joined = 0  # The last range that joins others, or is joined.
+        for number in range(1, len(ranges) - 1):
+            before, key_range, after = ranges[number - 1 : number + 2]
+            if (
+                len(moves) == MAX_JOINS
+                or number - 1 < joined
+                or before.owner != after.owner
+                or key_range.size > min(before.size, after.size)
+                or not self.may_join(key_range, before.owner)
+            ):
+                continue
+            joined = number + 1
+            move = Move(
+                start=key_range.start,
+                end=key_range.end,
+                source=key_range.owner,
+                target=before.owner,
+            )
+            self.apply(move)
+            moves.append(move)
+        return moves
+
+    def may_join(self, key_range: keys.Range, target: str) -> bool:
+        """Returns whether a range may join those of its neighbours' owner."""
+        if (
+            target not in self.capacities
+            or key_range.owner not in self.capacities
+            or self.is_held(key_range.start, key_range.end)
+        ):
+            return False
+        rate = self.counts.load_of([key_range]).estimate().rate
+        room = EASY_UTILISATION * self.capacities[target]
+        return self.rate(target).high + rate.high <= room
+
     def low_strain(self, server: str) -> float:
         """Returns the strain of a server at the lower bound of its load."""
         return self.strain(server, self.rate(server).low)
@@ -180,7 +231,7 @@
         keys. No order of moves that each help by themselves leads there.
         """
         weights = self.weights(source)
-        requested = itertools.chain.from_iterable(self.runs(source))
+        requested = requested_keys(self.stretches(source))
         key = max(requested, key=lambda k: weights.get(k, 0), default=None)
         target = max(
             (s for s in self.capacities if self.low_utilisation(s) < 1),
@@ -223,10 +274,10 @@
         weights = self.weights(source)
         seconds = self.rate(source).seconds
         wanted = self.wanted(source, target) * seconds
-        runs = list(self.runs(source))
+        stretches = self.stretches(source)
         for key in heapq.nlargest(
             HOT_KEYS,
-            itertools.chain.from_iterable(runs),
+            requested_keys(stretches),
             key=lambda key: weights.get(key, 0),
         ):
             if weights.get(key, 0) > wanted:
@@ -235,7 +286,7 @@
                     rate=weights[key] / seconds,
                     targets=others,
                 )
-        found = [keyruns.densest(run, weights, wanted) for run in runs]
+        found = [keyruns.densest(one, weights, wanted) for one in stretches]
         best = max((run for run in found if run is not None), default=None)
         if best is not None:
             key_range = keys.Range(start=best.start, end=best.end)
@@ -269,22 +320,37 @@
         first, end = self.counts.indices(key_range)
         return sum(weights.get(key, 0) for key in self.counts.keys[first:end])
 
-    def runs(self, server: str) -> Iterator[list[int]]:
-        """Yields the requested keys of a server, as a move may cover them.
-
-        Keys that may not move, and other servers' keys, are between the runs.
-        """
+    def stretches(self, server: str) -> list[keyruns.Stretch]:
+        """Returns the requested keys of a server that may move."""
+        found = []
         for key_range in self.owned[server]:
-            first, end = self.counts.indices(key_range)
-            run: list[int] = []
-            for key in self.counts.keys[first:end]:
-                if run and self.is_held(run[-1], key):
-                    yield run
-                    run = []
-                if not self.is_held(key, key):
-                    run.append(key)
-            if run:
-                yield run
+            for start, end in self.movable_parts(key_range):
+                part = keys.Range(start=start, end=end)
+                first, last = self.counts.indices(part)
+                if first < last:
+                    found.append(
+                        keyruns.Stretch(
+                            start=start,
+                            end=end,
+                            requested=self.counts.keys[first:last],
+                        )
+                    )
+        return found
+
+    def movable_parts(self, key_range: keys.Range) -> Iterator[tuple[int, int]]:
+        """Yields first and last key of the parts of a range that may move."""
+        start = key_range.start
+        index = bisect.bisect_left(
+            self.held, start, key=lambda held_range: held_range.end
+        )
+        for held in self.held[index:]:
+            if held.start > key_range.end:
+                break
+            if start < held.start:
+                yield start, held.start - 1
+            start = max(start, held.end + 1)
+        if start <= key_range.end:
+            yield start, key_range.end
 
     def is_held(self, start: int, end: int) -> bool:
         """Returns whether a range has keys that may not move."""
@@ -324,10 +390,9 @@
         if source is None:
             return None
         weights = self.weights(source)
-        wanted = (
-            sum(weights.get(k, 0) for r in self.runs(source) for k in r) / 2
-        )
-        found = [keyruns.densest(r, weights, wanted) for r in self.runs(source)]
+        stretches = self.stretches(source)
+        wanted = sum(weights.get(k, 0) for k in requested_keys(stretches)) / 2
+        found = [keyruns.densest(one, weights, wanted) for one in stretches]
         best = max((run for run in found if run is not None), default=None)
         if best is not None:
             return Move(
@@ -386,6 +451,12 @@
         return rate / self.capacities[server]
 
 
+def requested_keys(stretches: list[keyruns.Stretch]) -> Iterator[int]:
+    """Yields the requested keys of some stretches."""
+    for stretch in stretches:
+        yield from stretch.requested
+
+
 def to_move(candidate: Candidate, source: str, target: str) -> Move:
     """Returns the move of a candidate to one of its targets."""
     return Move(
--- a/oleanderhoist/policy/eventrate.py
+++ b/oleanderhoist/policy/eventrate.py
@@ -10,8 +10,9 @@
 import functools
 import math
 
-# Of a normal distribution: a bound is wrong in one of ten cases.
-BOUND_DEVIATIONS = 1.28
+# Of a normal distribution. The bounds of two rates that are the same, with as
+# many events, pass each other in one of ten cases.
+BOUND_DEVIATIONS = 0.9
 MIN_COVERED_FRACTION = 0.2  # Of a window that has just begun.
 
 
--- a/oleanderhoist/policy/keyruns.py
+++ b/oleanderhoist/policy/keyruns.py
@@ -7,13 +7,29 @@
 SUFFICIENT_FRACTION = 0.9  # Of the wanted requests.
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Stretch:
+    """Keys of one owner that a move may cover.
+
+    Attributes:
+        start: First key.
+        end: Last key.
+        requested: The keys with requests, in order; not empty.
+    """
+
+    start: int
+    end: int
+    requested: Sequence[int]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, order=True)
 class Run:
-    """Adjacent requested keys; a better one compares greater.
+    """Adjacent keys; a better one compares greater.
 
     Attributes:
         requests: Their requests, as far as they count.
-        negative_span: Number of keys from the first to the last, negated.
+        negative_span: Number of keys between its first and its last request,
+            negated.
         start: First key.
         end: Last key.
     """
@@ -25,12 +41,12 @@
 
 
 def densest(
-    ordered: Sequence[int], weights: Mapping[int, int], wanted: float
+    stretch: Stretch, weights: Mapping[int, int], wanted: float
 ) -> Run | None:
     """Returns the shortest run of keys with about the wanted requests.
 
     Args:
-        ordered: Requested keys in order; a run contains all between its ends.
+        stretch: Where to search.
         weights: Requests by key.
         wanted: Wanted requests, which are not exceeded.
 
@@ -38,6 +54,7 @@
         The run; that with most requests if none has enough, or None if each
         key exceeds the wanted requests.
     """
+    ordered = stretch.requested
     enough = SUFFICIENT_FRACTION * wanted
     best: Run | None = None
     first = 0
@@ -52,17 +69,26 @@
             first += 1
         if first > last or not requests:
             continue
-        run = Run(
-            requests=min(requests, enough),
-            negative_span=ordered[first] - key - 1,
-            start=ordered[first],
-            end=key,
-        )
+        run = to_run(stretch, ordered[first], key, min(requests, enough))
         if best is None or run > best:
             best = run
     return best
 
 
+def to_run(stretch: Stretch, start: int, end: int, requests: float) -> Run:
+    """Returns a run from one key to another.
+
+    It includes the keys without requests up to an end of its stretch if they
+    are few, since each range is renewed and recorded by itself.
+    """
+    span = end - start + 1
+    if start == stretch.requested[0] and start - stretch.start <= span:
+        start = stretch.start
+    if end == stretch.requested[-1] and stretch.end - end <= span:
+        end = stretch.end
+    return Run(requests=requests, negative_span=-span, start=start, end=end)
+
+
 def last_within(
     ordered: Sequence[int], weights: Mapping[int, int], wanted: float
 ) -> int | None:
--- a/oleanderhoist/policy/slotqueue.py
+++ b/oleanderhoist/policy/slotqueue.py
@@ -48,6 +48,8 @@
     def __init__(self, *, service_seconds: float = DEFAULT_SERVICE_SECONDS):
         self.servers: dict[str, serverslots.ServerSlots] = {}
         self.service_seconds = service_seconds
+        self.initial_seconds = service_seconds
+        self.is_assumed = False
         self.answers = 0
         self.queues: dict[int, collections.deque[slotrequests.SlotRequest]] = {}
         self.overdue: collections.deque[slotrequests.SlotRequest] = (
@@ -154,11 +156,21 @@
     def assume_service(
         self, request: slotrequests.SlotRequest, now: float
     ) -> None:
-        """Assumes a service time, as callers set objectives in view of it."""
+        """Assumes a service time, as callers set objectives in view of it.
+
+        It is that of the shortest objective: a request that is queued in vain
+        waits, but one that is refused in vain is lost.
+        """
         assumed = ASSUMED_SERVICE_FRACTION * (request.objective - now)
-        self.service_seconds = max(
-            self.service_seconds, min(assumed, MAX_ASSUMED_SECONDS)
-        )
+        assumed = max(self.initial_seconds, min(assumed, MAX_ASSUMED_SECONDS))
+        if self.is_assumed:
+            assumed = min(assumed, self.service_seconds)
+        self.is_assumed = True
+        self.service_seconds = assumed
+        self.inform_unmeasured()
+
+    def inform_unmeasured(self) -> None:
+        """Lets servers without an answer count as fast as the others."""
         for server in self.servers.values():
             if not server.answers:
                 server.service_seconds = self.service_seconds
@@ -265,6 +277,7 @@
                 self.answers, serverslots.SERVICE_SMOOTHING
             )
             self.service_seconds += (seconds - self.service_seconds) * step
+            self.inform_unmeasured()
 
     def block(self, server: serverslots.ServerSlots, now: float) -> None:
         """Stops sending requests to a failing server for a while.
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -37,6 +37,8 @@
 MAX_SERIES_GAP_SECONDS = 4.0  # Between stops in series that overlap.
 LIMITS = (0.5, 2.0, 5.0)  # Requests per second.
 LIMIT_SECONDS = (5.0, 12.0)
+FULL_SLOTS = 1
+MANY_SLOTS = 1_000_000
 REPEATED_SIGNAL_SHARE = 0.4  # Of stops in series.
 MAX_REPEATED_SIGNAL_SECONDS = 4.0
 
@@ -336,6 +338,25 @@
     injector.log.append(f"{time.monotonic():.2f} end of the limit of {name}")
 
 
+@FAULTS.register("fill-server")
+async def fill_server(injector: Injector) -> None:
+    """Makes a server drop requests that it cannot run at once, unanswered."""
+    name = injector.pick_process("td")
+    if name is None:
+        return
+    injector.restarting.add(name)  # No other fault picks it.
+    address = injector.system.real[name]
+    async with injector.span(f"full {name}"):
+        await injector.system.call(
+            address, "PUT", "/capacity", {"slots": FULL_SLOTS, "queue": 0}
+        )
+        await asyncio.sleep(injector.duration())
+        await injector.system.call(
+            address, "PUT", "/capacity", {"slots": MANY_SLOTS, "queue": 0}
+        )
+    injector.restarting.discard(name)
+
+
 @FAULTS.register("change-contracts")
 async def change_contracts(injector: Injector) -> None:
     """Adds a route; the version rises by a random step; planned maintenance."""
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -13,6 +13,7 @@
 
 BATCH_SECONDS = 0.4
 REPLAYS = 4
+SERVERS = 128  # Of the pattern with hot places.
 OWNERS = strategies.sampled_from(["", "a", "b", "c"])
 KEYS = strategies.integers(0, keys.KEY_COUNT - 1)
 
@@ -96,6 +97,13 @@
         moved = sum(result.moved_keys for result in results) / REPLAYS
         self.assertLess(moved, 0.2)
 
+    def test_hot_places_leave_few_ranges(self):
+        for result in self.replay("hot-places"):
+            self.assertLess(
+                result.most_ranges, SERVERS * (balance.MAX_RANGES + 1)
+            )
+            self.assertLess(result.excess / result.requests, 0.1)
+
     def test_a_hot_key_gets_the_fastest_server(self):
         results = self.replay("hot-key")
         excess = sum(result.excess for result in results)
@@ -137,6 +145,16 @@
         self.assertTrue(moves)
         self.assertTrue(all(move.start >= 110 for move in moves))
 
+    def test_ranges_without_load_join_their_neighbours(self):
+        key_map = keys.divide_by_weight([("a", 1.0), ("b", 1.0)])
+        for start in range(100, 2000, 200):
+            key_map = key_map.assign(start, start + 9, "b")
+        capacities = {"a": 50.0, "b": 50.0}
+        before = len(key_map.ranges)
+        for move in planner(key_map, {5: 3}, capacities).plan():
+            key_map = key_map.assign(move.start, move.end, move.target)
+        self.assertLess(len(key_map.ranges), before - 8)
+
     def test_a_lost_owners_range_is_divided_by_load(self):
         names = [f"s{n}" for n in range(9)]
         key_map = keys.divide_by_weight([(name, 1.0) for name in names])
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -18,6 +18,7 @@
 REQUESTER = "10.0.0.1:1"
 COORDINATOR = "10.0.0.2:1"
 QUEUE = "server/s"
+LATE_REPLY_SECONDS = 0.15
 LONG_WAIT_SECONDS = 0.9  # The expected waits are 0.05 to 0.15 s.
 
 Lose = Callable[[wire.Message], bool]
@@ -168,6 +169,27 @@
         await asyncio.sleep(0.01)
         self.assertEqual(0, pair.running())
 
+    async def test_replies_that_are_always_late_are_waited_for(self):
+        pair = Pair(lose=lambda message: False)
+        to_requester = pair.links[COORDINATOR]
+        send = to_requester.send
+
+        def send_late(address: str, message: wire.Message) -> None:
+            asyncio.get_running_loop().call_later(
+                LATE_REPLY_SECONDS, send, address, message
+            )
+
+        to_requester.send = send_late
+        grants = []
+        for id in range(1, 7):
+            grants.append(await pair.acquire(id))
+            pair.slot_clients[REQUESTER].suspected_until.clear()
+            pair.slot_clients[REQUESTER].release(
+                grants[-1], seconds=0.1, failed=False
+            )
+        late = [grant.coordinator for grant in grants]
+        self.assertEqual([COORDINATOR] * 4, late[2:])
+
     async def wait_behind(self, pair: Pair, waiting: int) -> list[asyncio.Task]:
         """Lets requests wait longer than the coordinator expects."""
         for id in range(1, 3):
