--- a/bench/keymoves.py
+++ b/bench/keymoves.py
@@ -212,6 +212,7 @@
             counts=self.counter.counts(),
             capacities=self.capacities,
             held=[key_range for _, key_range in self.held],
+            measured=frozenset(self.capacities),
         )
         moves = planner.plan()
         self.result.plan_seconds.append(time.perf_counter() - started_at)
--- a/oleanderhoist/node/rebalancer.py
+++ b/oleanderhoist/node/rebalancer.py
@@ -256,6 +256,7 @@
             counts=self.key_counts,
             capacities=self.capacities(self.move_targets()),
             held=held,
+            measured=frozenset(self.service_ms),
         )
 
     def is_moving(self, key_range: keys.Range) -> bool:
--- a/oleanderhoist/policy/balance.py
+++ b/oleanderhoist/policy/balance.py
@@ -82,6 +82,8 @@
         counts: Requests by key.
         capacities: Requests per second that each usable server can complete.
         held: Ranges that may not move now, without overlaps.
+        measured: Servers whose capacity was measured; keys move for load to
+            no other ones, which may be slower than they seem.
     """
 
     def __init__(
@@ -91,6 +93,7 @@
         counts: keyload.KeyCounts,
         capacities: dict[str, float],
         held: list[keys.Range],
+        measured: frozenset[str],
     ):
         self.key_map = key_map
         self.counts = counts
@@ -98,6 +101,7 @@
             server: max(MIN_CAPACITY, capacity)
             for server, capacity in capacities.items()
         }
+        self.measured = measured
         self.held = sorted(held, key=lambda key_range: key_range.start)
         self.owned: dict[str, list[keys.Range]] = {s: [] for s in capacities}
         for key_range in key_map.ranges:
@@ -234,7 +238,11 @@
         requested = requested_keys(self.stretches(source))
         key = max(requested, key=lambda k: weights.get(k, 0), default=None)
         target = max(
-            (s for s in self.capacities if self.low_utilisation(s) < 1),
+            (
+                server
+                for server in self.capacities
+                if server in self.measured and self.low_utilisation(server) < 1
+            ),
             key=lambda server: self.capacities[server],
             default=None,
         )
@@ -267,7 +275,11 @@
 
     def candidates(self, source: str) -> Iterator[Candidate]:
         """Yields the ranges that may leave a server."""
-        others = [server for server in self.capacities if server != source]
+        others = [
+            server
+            for server in self.capacities
+            if server != source and server in self.measured
+        ]
         if not others:
             return
         target = min(others, key=self.high_utilisation)
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -62,6 +62,7 @@
     rates: dict[int, int],
     capacities: dict[str, float],
     held: tuple[keys.Range, ...] = (),
+    measured: frozenset[str] | None = None,
 ) -> balance.Planner:
     """Returns a planner for a steady load."""
     return balance.Planner(
@@ -69,6 +70,7 @@
         counts=counter(rates).counts(),
         capacities=capacities,
         held=list(held),
+        measured=frozenset(capacities) if measured is None else measured,
     )
 
 
@@ -135,6 +137,15 @@
             self.assertLess(move.end, 120)
             self.assertEqual("b", move.target)
 
+    def test_nothing_moves_to_a_server_that_nobody_has_measured(self):
+        key_map = keys.divide_by_weight([("a", 1.0), ("b", 1.0), ("c", 1.0)])
+        rates = {key: 5 for key in range(100, 120)}
+        capacities = {"a": 50.0, "b": 50.0, "c": 50.0}
+        moves = planner(
+            key_map, rates, capacities, measured=frozenset("ac")
+        ).plan()
+        self.assertEqual({"c"}, {move.target for move in moves})
+
     def test_keys_that_are_held_stay(self):
         key_map = keys.divide_by_weight([("a", 1.0), ("b", 1.0)])
         rates = {key: 5 for key in range(100, 120)}
