Bound demand from below, and let small pools have 200 ranges

Cause 1: a queue that has counted few arrivals, or many by chance, took its spare capacity for none and refused callers that came back, with seconds left. Change: demand counts at its lower bound.

Change: a pool may have 200 ranges in any case; ranges join unless that fails more requests than a move costs.

--- a/oleanderhoist/policy/balance.py
+++ b/oleanderhoist/policy/balance.py
@@ -32,6 +32,7 @@
 # Ranges of a server, on average. Each is renewed and recorded by itself.
 JOIN_RANGES = 2
 MAX_RANGES = 4
+MIN_MAX_RANGES = 200  # Of a pool; so many cost little.
 MAX_JOINS = 8  # Per plan.
 MIN_CAPACITY = 1e-3  # Requests per second.
 IDLE_KEY_RATE = 1e-6  # Requests per second; added for each key of a range.
@@ -128,7 +129,7 @@
         most = max(MIN_MOVES, len(self.capacities) // SERVERS_PER_MOVE)
         sources = [(-self.low_strain(s), s) for s in self.capacities]
         heapq.heapify(sources)
-        while sources and len(moves) < most and not self.is_divided(MAX_RANGES):
+        while sources and len(moves) < most and not self.is_full():
             queued_strain, source = heapq.heappop(sources)
             strain = self.low_strain(source)
             if strain < -queued_strain:
@@ -149,10 +150,10 @@
         """Returns the rate of requests for a server's keys."""
         return self.estimates[server].rate
 
-    def is_divided(self, ranges_per_server: int) -> bool:
-        """Returns whether there are more ranges than a number a server."""
-        most = ranges_per_server * len(self.capacities)
-        return len(self.key_map.ranges) > most
+    def is_full(self) -> bool:
+        """Returns whether there are as many ranges as may be."""
+        most = max(MIN_MAX_RANGES, MAX_RANGES * len(self.capacities))
+        return len(self.key_map.ranges) >= most
 
     def joins(self) -> list[Move]:
         """Returns moves of ranges with little load to their neighbours' owner.
@@ -160,9 +161,9 @@
         They undo what former load patterns have divided.
         """
         moves: list[Move] = []
-        if not self.is_divided(JOIN_RANGES):
-            return moves
         ranges = self.key_map.ranges
+        if len(ranges) <= JOIN_RANGES * len(self.capacities):
+            return moves
         joined = 0  # The last range that joins others, or is joined.
         for number in range(1, len(ranges) - 1):
             before, key_range, after = ranges[number - 1 : number + 2]
@@ -194,8 +195,8 @@
         ):
             return False
         rate = self.counts.load_of([key_range]).estimate().rate
-        room = EASY_UTILISATION * self.capacities[target]
-        return self.rate(target).high + rate.high <= room
+        loss = -self.gain(rate.high, key_range.owner, target) * rate.seconds
+        return loss < MOVE_REQUESTS
 
     def low_strain(self, server: str) -> float:
         """Returns the strain of a server at the lower bound of its load."""
--- a/oleanderhoist/policy/demand.py
+++ b/oleanderhoist/policy/demand.py
@@ -36,14 +36,17 @@
         )
 
     def rate(self, now: float, below: int | None = None) -> float:
-        """Returns the arrivals per second.
+        """Returns the arrivals per second, at least.
+
+        It is the lower bound: a request that is queued in vain waits, but one
+        that is refused in vain is lost.
 
         Args:
             now: Current time, in seconds.
             below: Counts only ranks that are more urgent than this one.
         """
         return sum(
-            arrivals.rate(now).value
+            arrivals.rate(now).low
             for rank, arrivals in self.arrivals.items()
             if below is None or rank < below
         )
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -18,7 +18,7 @@
 SEEDS = [29, 56, *range(24)]
 # Seeds 111 and 118 are among the few that violate a guarantee without a fencing
 # token per connection.
-RULE_SEEDS = [90, 111, 118, *range(60)]
+RULE_SEEDS = [90, 111, 118, 259, *range(60)]
 PARTITION_SEEDS = range(8)
 FAULT_SECONDS = 40
 PARTITION_SECONDS = 20
