--- a/oleanderhoist/node/rebalancer.py
+++ b/oleanderhoist/node/rebalancer.py
@@ -15,6 +15,7 @@
 from oleanderhoist import ports
 from oleanderhoist.node import leaderstore
 from oleanderhoist.node import leasemanager
+from oleanderhoist.policy import assignment
 from oleanderhoist.policy import balance
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import keyload
@@ -75,8 +76,8 @@
         self.inherited_owners = {
             key_range.owner for key_range in recorded_ranges if key_range.owner
         }
-        self.active_moves: list[balance.Move] = []
-        self.recent_moves: list[tuple[float, balance.Move]] = []
+        self.active_moves: list[assignment.Move] = []
+        self.recent_moves: list[tuple[float, assignment.Move]] = []
         self.key_counter = keyload.KeyCounter()
         self.key_counts = self.key_counter.counts()
         self.counts_changed = False
@@ -282,7 +283,7 @@
             for id, server in usable.items()
         }
 
-    def start_move(self, move: balance.Move, reason: str) -> None:
+    def start_move(self, move: assignment.Move, reason: str) -> None:
         """Starts a move."""
         self.active_moves.append(move)
         log.write(
@@ -297,7 +298,7 @@
         self.publish()
         self.spawn(self.execute_move(move))
 
-    async def execute_move(self, move: balance.Move) -> None:
+    async def execute_move(self, move: assignment.Move) -> None:
         """Revokes the keys, records the new owner and grants to it."""
         started_at = self.clock.boottime()
         token = await self.revoke(move)
@@ -323,7 +324,7 @@
         )
         self.publish()
 
-    async def revoke(self, move: balance.Move) -> str | None:
+    async def revoke(self, move: assignment.Move) -> str | None:
         """Revokes the source's lease.
 
         Returns:
@@ -335,7 +336,7 @@
         key_range = keys.Range(start=move.start, end=move.end)
         return await source.revoke(key_range, REVOKE_ATTEMPTS)
 
-    async def wait_expiry(self, move: balance.Move) -> str:
+    async def wait_expiry(self, move: assignment.Move) -> str:
         """Waits until every lease on the keys of a lost owner has expired.
 
         Records the expiry in the store's time first, and removes the owner, so
@@ -374,16 +375,20 @@
                 return token
         return ""
 
-    def replacement(self, move: balance.Move) -> str:
+    def replacement(self, move: assignment.Move) -> str:
         """Returns the target, or another server if the target was lost."""
         usable = self.usable()
         if move.target in usable or not usable:
             return move.target
         planner = self.planner(self.clock.boottime())
-        return min(planner.capacities, key=planner.idle_utilisation, default="")
+        return min(
+            planner.assignment.capacities,
+            key=planner.assignment.idle_utilisation,
+            default="",
+        )
 
     async def hand_over(
-        self, manager: leasemanager.LeaseManager, move: balance.Move
+        self, manager: leasemanager.LeaseManager, move: assignment.Move
     ) -> None:
         """Grants moved keys to their new owner at once."""
         async with manager.lock:
--- a/tests/test_flap.py
+++ b/tests/test_flap.py
@@ -5,7 +5,7 @@
 from unittest import mock
 
 from oleanderhoist.node import rebalancer
-from oleanderhoist.policy import balance
+from oleanderhoist.policy import assignment
 from tests import ownership_world
 from tests import virtual
 
@@ -26,7 +26,7 @@
 
         def record_move(
             pool_rebalancer: rebalancer.Rebalancer,
-            move: balance.Move,
+            move: assignment.Move,
             reason: str,
         ) -> None:
             if move.target == FLAPPING:
