--- a/oleanderhoist/entry/slotclient.py
+++ b/oleanderhoist/entry/slotclient.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import itertools
 
 import prometheus_client
 
@@ -10,6 +9,7 @@
 from oleanderhoist import codes
 from oleanderhoist import events
 from oleanderhoist import log
+from oleanderhoist import processids
 from oleanderhoist.entry import snapshots
 from oleanderhoist.peers import transport
 from oleanderhoist.peers import wire
@@ -103,7 +103,7 @@
         self.snapshot_store = snapshot_store
         self.transport = transport
         self.clock = clock
-        self.request_ids = itertools.count(1)
+        self.request_ids = processids.ProcessIds()
         self.pending_replies: dict[int, asyncio.Queue[wire.SlotReply]] = {}
         self.loads: dict[str, choice.Load] = {}
         self.suspected_until: dict[str, float] = {}
@@ -133,7 +133,7 @@
             slot_request: The requested slot.
             deadline: Deadline of the request in monotonic seconds.
         """
-        request_id = next(self.request_ids)
+        request_id = self.request_ids.next()
         if not self.policy.uses_coordinator():
             return SlotGrant(
                 server=slot_request.server,
--- a/oleanderhoist/node/coordinator.py
+++ b/oleanderhoist/node/coordinator.py
@@ -34,6 +34,12 @@
     return KEYED_PREFIX + server.id
 
 
+def is_in_queue(queue: str, pool: str, server: cluster.Server) -> bool:
+    """Returns whether a server of a pool belongs to a slot queue."""
+    names = (queue_name(pool, None), queue_name(pool, server))
+    return server.pool == pool and queue in names
+
+
 @dataclasses.dataclass(kw_only=True)
 class HostedQueue:
     """A slot queue and the callbacks for its verdicts.
--- a/oleanderhoist/node/forwarder.py
+++ b/oleanderhoist/node/forwarder.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import itertools
 import time
 
 import prometheus_client
@@ -87,7 +86,6 @@
         self.budget = budget
         self.data_center = data_center
         self.clients = client.Clients(connect_seconds=CONNECT_TIMEOUT_SECONDS)
-        self.ids = itertools.count(1)
         self.stopping = False
         self.slots_due = deadline.SharedDeadline()
         self.answers_due = deadline.SharedDeadline(catch_up=True)
@@ -218,6 +216,13 @@
                 code=codes.NO_SERVER,
                 detail=f"server {grant.server} left after the slot grant",
             )
+        if not coordinator.is_in_queue(grant.queue, job.pool, server):
+            self.slot_client.release(grant, seconds=None, failed=False)
+            return jobs.FailedAttempt(
+                failure=retry.Failure.NOT_SENT,
+                code=codes.NO_SERVER,
+                detail=f"server {grant.server} is not of pool {job.pool}",
+            )
         return await self.send(job, server, grant)
 
     async def acquire_slot(
@@ -229,7 +234,7 @@
             return results.no_server_outcome(job, self.clock.monotonic())
         queue, _ = target
         request = slotrequests.SlotRequest(
-            id=next(self.ids),
+            id=self.slot_client.ids.next(),
             requester=self.slot_client.datagrams.address,
             rank=job.work.rank,
             deadline=self.answers_due.limit_time(job.deadline),
--- a/oleanderhoist/node/slotclient.py
+++ b/oleanderhoist/node/slotclient.py
@@ -9,6 +9,7 @@
 from oleanderhoist import deadline
 from oleanderhoist import events
 from oleanderhoist import log
+from oleanderhoist import processids
 from oleanderhoist.node import coordinator
 from oleanderhoist.node import datagrams
 from oleanderhoist.node import pendingslots
@@ -38,6 +39,7 @@
     """Acquires and releases slots for the requests of this router.
 
     Attributes:
+        ids: Ids of the slot requests of this process.
         pending: Slot requests without a verdict, by id.
         suspected_until: Until when coordinators are bypassed, by address.
         cores_by_member: CPU cores of the members that determine the
@@ -60,6 +62,7 @@
         self.coordinator = coordinator
         self.state = state
         self.clock = clock
+        self.ids = processids.ProcessIds()
         self.pending: dict[int, pendingslots.PendingSlotRequest] = {}
         self.suspected_until: dict[str, float] = {}
         self.cores_by_member: dict[str, float] = {}
@@ -431,7 +434,14 @@
             pending.replied_at = self.clock.monotonic()
 
     def on_slot_granted(self, peer: str, message: wire.SlotGranted) -> None:
-        """Handles a slot grant."""
+        """Handles a slot grant.
+
+        One for a request of an earlier process at this address is given back.
+        """
+        if message.id not in self.pending and not self.ids.owns(message.id):
+            if message.queue:
+                self.cancel(peer, message.queue, message.id)
+            return
         silent_after = math.inf
         if message.silent_ms:
             silent_after = message.silent_ms / 1000
--- a/oleanderhoist/node/slotserver.py
+++ b/oleanderhoist/node/slotserver.py
@@ -61,7 +61,9 @@
             excluded=frozenset(message.excluded),
         )
         wait = self.coordinator.submit(
-            message.queue, request, lambda verdict: self.reply(peer, verdict)
+            message.queue,
+            request,
+            lambda verdict: self.reply(peer, message.queue, verdict),
         )
         if wait:
             self.report_wait(peer, message.id, wait)
@@ -71,7 +73,9 @@
         milliseconds = round(min(wait, MAX_REPORTED_WAIT_SECONDS) * 1000)
         self.datagrams.send(peer, wire.SlotQueued(id=id, wait_ms=milliseconds))
 
-    def reply(self, peer: str, verdict: slotrequests.Verdict) -> None:
+    def reply(
+        self, peer: str, queue: str, verdict: slotrequests.Verdict
+    ) -> None:
         """Sends a verdict to the requester."""
         id = verdict.request.id
         if isinstance(verdict, slotrequests.Granted):
@@ -83,6 +87,7 @@
                 server=verdict.server,
                 service_ms=round(verdict.service_seconds * 1000),
                 silent_ms=silent_ms,
+                queue=queue,
             )
             self.datagrams.send(peer, grant)
         else:
--- a/oleanderhoist/node/wire.py
+++ b/oleanderhoist/node/wire.py
@@ -124,7 +124,8 @@
 
     Attributes:
         queue: Name of the slot queue.
-        id: Id that is unique among the slot requests of its sender.
+        id: Id that is unique among the slot requests of its sender and of all
+            earlier processes at the sender's address.
         rank: Urgency; 0 is the most urgent.
         remaining_ms: Time until the request's deadline, in milliseconds.
         objective_ms: Time until an answer is worth less, in milliseconds.
@@ -161,12 +162,14 @@
         service_ms: Mean service time of the server, in milliseconds.
         silent_ms: Time after which an unanswered request counts as silent, in
             milliseconds; 0 if it is not known.
+        queue: Slot queue of the slot; empty from earlier versions.
     """
 
     id: int
     server: str
     service_ms: int = 0
     silent_ms: int = 0
+    queue: str = ""
 
 
 class SlotRefused(Message, tag="Refusal"):
--- a/tests/entry_tries.py
+++ b/tests/entry_tries.py
@@ -9,6 +9,7 @@
 from oleanderhoist import outcomes
 from oleanderhoist.entry import forwarder
 from oleanderhoist.entry import sending
+from oleanderhoist.entry import slotclient
 from oleanderhoist.http import exchanges
 from oleanderhoist.policy import retry
 
@@ -68,6 +69,20 @@
         self.assertEqual(codes.BAD_ANSWER, result.outcome.code)
         self.assertTrue(sender.is_suspected("s"))
 
+    # Guards against a grant for an ended entry that its successor takes.
+    def test_processes_of_one_entry_share_no_slot_request_id(self):
+        first, second = (
+            slotclient.SlotClient(
+                own_id="e",
+                snapshot_store=None,
+                transport=None,
+                clock=None,
+                policy="early-urgent",
+            )
+            for _ in range(2)
+        )
+        self.assertNotEqual(first.request_ids.next(), second.request_ids.next())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -7,6 +7,7 @@
 
 from oleanderhoist import clock
 from oleanderhoist import outcomes
+from oleanderhoist import processids
 from oleanderhoist.http import client
 from oleanderhoist.http import exchanges
 from oleanderhoist.http import messages
@@ -193,6 +194,7 @@
 
     datagrams = types.SimpleNamespace(address="10.0.0.1:1")
     notices = test_forwarder.NO_NOTICES
+    ids = processids.ProcessIds()
 
     async def acquire(
         self, queue: str, request: slotrequests.SlotRequest
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -9,7 +9,7 @@
     """The tests in the modules `tests.entry_*`."""
 
     def test_tries_are_told_truthfully(self):
-        self.run_module("tests.entry_tries", 4)
+        self.run_module("tests.entry_tries", 5)
 
     def test_an_earlier_refusal_is_not_taken_for_a_later_one(self):
         self.run_module("tests.entry_answers", 4)
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -9,6 +9,7 @@
 from oleanderhoist import codes
 from oleanderhoist import outcomes
 from oleanderhoist import ports
+from oleanderhoist import processids
 from oleanderhoist.http import exchanges
 from oleanderhoist.http import messages
 from oleanderhoist.node import budgets
@@ -118,6 +119,7 @@
 
     def __init__(self):
         self.notices = NO_NOTICES
+        self.ids = processids.ProcessIds()
         self.datagrams = types.SimpleNamespace(address="10.0.0.1:1")
         self.request_count = 0
 
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -72,7 +72,9 @@
         retransmitted=True,
     ),
     datagrams.SlotQueued(id=1, wait_ms=2),
-    datagrams.SlotGranted(id=1, server="s", service_ms=2, silent_ms=3),
+    datagrams.SlotGranted(
+        id=1, server="s", service_ms=2, silent_ms=3, queue="q"
+    ),
     datagrams.SlotRefused(id=1, retry_ms=2, wait_ms=3),
     datagrams.ReleaseSlot(
         queue="q", id=1, server="s", took_ms=2.5, failed=True
@@ -98,7 +100,7 @@
 
 93a757616974696e670102
 
-95a4536c6f7401a1730203
+96a4536c6f7401a1730203a171
 
 94a75265667573616c010203
 
@@ -112,7 +114,11 @@
 """
 # Of versions whose messages had fewer fields; these have their defaults.
 EARLIER_DATAGRAMS = [
-    (datagrams.SlotGranted(id=1, server="s"), "93a4536c6f7401a173")
+    (datagrams.SlotGranted(id=1, server="s"), "93a4536c6f7401a173"),
+    (
+        datagrams.SlotGranted(id=1, server="s", service_ms=2, silent_ms=3),
+        "95a4536c6f7401a1730203",
+    ),
 ]
 
 MESSAGES = [
