--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -113,7 +113,7 @@
     def __init__(self, address: str):
         self.client = client.Client(address=client.Address.parse(address))
 
-    def get(self, address: str) -> client.Client:
+    def get(self, address: str, id: str) -> client.Client:
         """Returns the client of the server."""
         return self.client
 
@@ -197,6 +197,7 @@
             state=request_forwarder.state,
             clock=request_forwarder.clock,
         )
+        slots.ids.process = 0  # The id of its first request is 1.
         due = loop.now + LIMIT_SECONDS
         request_forwarder.stop(slots_due=due, answers_due=due + LIMIT_SECONDS)
         request = test_forwarder.job(arrived=loop.now, objective=LIMIT_SECONDS)
