--- a/oleanderhoist/entry/renewer.py
+++ b/oleanderhoist/entry/renewer.py
@@ -216,7 +216,8 @@
     ) -> messages.Response | None:
         """Sends a PUT request; returns None if the exchange fails."""
         try:
-            return await self.clients.get(server.address).request(
+            server_client = self.clients.get(server.address, server.id)
+            return await server_client.request(
                 "PUT",
                 path,
                 timeout=SEND_TIMEOUT_SECONDS,
--- a/oleanderhoist/entry/sending.py
+++ b/oleanderhoist/entry/sending.py
@@ -104,7 +104,9 @@
         remaining = call.deadline - self.clock.monotonic()
         if remaining <= 0:
             return outcomes.NotRun(code=codes.TOO_LATE)
-        server_client = self.clients.get(target.server.address)
+        server_client = self.clients.get(
+            target.server.address, target.server.id
+        )
         # On a kept connection, a late copy of the first refusal has this id.
         fresh = not call.work.repeatable and target.server.id in call.tried
         call.tried.add(target.server.id)
--- a/oleanderhoist/http/client.py
+++ b/oleanderhoist/http/client.py
@@ -244,21 +244,30 @@
 class Clients:
     """One client for each peer, created on first use.
 
+    A peer is known by its address and its id: a connection to one at an address
+    is not used for another one there, whose answers could not be told apart.
+
     Args:
         connect_seconds: Time allowed for opening a connection, in seconds.
     """
 
     def __init__(self, *, connect_seconds: float = CONNECT_TIMEOUT_SECONDS):
         self.connect_seconds = connect_seconds
-        self.by_address: dict[str, Client] = {}
+        self.by_peer: dict[tuple[str, str], Client] = {}
         self.memory = exchanges.BodyMemory()
 
-    def get(self, address: str) -> Client:
-        """Returns the client of a peer, given as ``host:port``."""
-        if address not in self.by_address:
-            self.by_address[address] = Client(
+    def get(self, address: str, id: str) -> Client:
+        """Returns the client of a peer.
+
+        Args:
+            address: Its ``host:port``.
+            id: Its id; peers with different ids share no connection.
+        """
+        client = self.by_peer.get((address, id))
+        if client is None:
+            client = self.by_peer[(address, id)] = Client(
                 address=Address.parse(address),
                 connect_seconds=self.connect_seconds,
                 memory=self.memory,
             )
-        return self.by_address[address]
+        return client
--- a/oleanderhoist/node/forwarder.py
+++ b/oleanderhoist/node/forwarder.py
@@ -361,7 +361,8 @@
             else UNREPEATABLE_IDLE_SECONDS
         )
         try:
-            response = await self.clients.get(server.address).request(
+            server_client = self.clients.get(server.address, server.id)
+            response = await server_client.request(
                 job.request.method,
                 job.request.target,
                 timeout=remaining + RESPONSE_SLACK_SECONDS,
--- a/standins/platform_system.py
+++ b/standins/platform_system.py
@@ -295,7 +295,7 @@
         async with asyncio.timeout(START_TIMEOUT_SECONDS):
             while True:
                 try:
-                    response = await self.clients.get(address).request(
+                    response = await self.clients.get(address, "").request(
                         method, path, timeout=CALL_TIMEOUT_SECONDS, body=data
                     )
                     return response.body
--- a/tests/entry_answers.py
+++ b/tests/entry_answers.py
@@ -29,7 +29,7 @@
 
     def close(self, sender: sending.Sender) -> None:
         """Closes the connections of a sender."""
-        for peer_client in sender.clients.by_address.values():
+        for peer_client in sender.clients.by_peer.values():
             peer_client.drop_idle()
 
     def call(self, id: str) -> calls.Call:
@@ -60,6 +60,19 @@
         self.assertIsInstance(second, outcomes.Complete)
         self.assertEqual(1, peer.ran)
 
+    # Guards against a late copy of a first refusal that counts as the second.
+    async def test_a_server_of_another_id_has_connections_of_its_own(self):
+        peer = scripted.Peer(scripted.run_and_repeat_refusal)
+        await peer.start(self)
+        sender, first = self.sender(), self.target(peer)
+        second = self.target(peer)
+        second.server.id = "t"
+        call = self.call("r")
+        await sender.send(call, first)
+        outcome = await sender.send(call, second)
+        self.assertIsInstance(outcome, outcomes.Complete)
+        self.assertEqual(1, peer.ran)
+
     async def test_an_entry_does_not_believe_a_refusal_of_another_call(self):
         for id, kind in (
             ("", outcomes.Unknown),
@@ -96,7 +109,7 @@
         outcome = await sender.send(self.call("r"), self.target(peer))
         received = [chunk async for chunk in outcome.response.stream]
         self.assertEqual(body, b"".join(received))
-        self.assertFalse(sender.clients.get(peer.address).idle)
+        self.assertFalse(sender.clients.get(peer.address, "s").idle)
 
     async def test_a_server_that_breaks_streams_off_is_unjudged(self):
         data = scripted.answer(
--- a/tests/entry_leases.py
+++ b/tests/entry_leases.py
@@ -43,7 +43,7 @@
             clock=clock.Clock(),
             lag=types.SimpleNamespace(recent_max=lambda: 0.0),
         )
-        self.addCleanup(sender.clients.get(self.peer.address).drop_idle)
+        self.addCleanup(sender.clients.get(self.peer.address, "s").drop_idle)
         renewal = renewer.Renewal()
         for version in versions:
             await sender.send_lease(
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -1,6 +1,7 @@
 """Answers that servers cut short, or write once more, on real sockets."""
 
 import asyncio
+import dataclasses
 import itertools
 import types
 import unittest
@@ -208,6 +209,25 @@
         """Ignores the release."""
 
 
+class SlotsInTurn(RouterSlots):
+    """Grants a slot of one server after the other.
+
+    Args:
+        *servers: Ids of the servers.
+    """
+
+    def __init__(self, *servers: str):
+        self.servers = iter(servers)
+
+    async def acquire(
+        self, queue: str, request: slotrequests.SlotRequest
+    ) -> slotgrants.SlotGrant:
+        """Grants a slot of the next server."""
+        return dataclasses.replace(
+            await super().acquire(queue, request), server=next(self.servers)
+        )
+
+
 class RepeatedAnswerTest(unittest.IsolatedAsyncioTestCase):
     """An answer to an earlier request is not taken for the one awaited."""
 
@@ -231,7 +251,7 @@
             budget=budgets.Budgets(ratio=1.0, extra=100, state=router_state),
             data_center="a",
         )
-        peer_client = self.forwarder.clients.get(peer.address)
+        peer_client = self.forwarder.clients.get(peer.address, "s")
         self.addCleanup(peer_client.drop_idle)
         return peer
 
@@ -373,6 +393,20 @@
         self.assertEqual(1, peer.ran)
         self.assertIsInstance(outcome, outcomes.Complete)
 
+    # Guards against a late copy of a first refusal that counts as the second.
+    async def test_a_server_of_another_id_at_the_address_has_own_connections(
+        self,
+    ):
+        peer = await self.router(scripted.run_and_repeat_refusal)
+        servers = self.forwarder.state.snapshot.servers
+        servers["t"] = dataclasses.replace(servers["s"], id="t")
+        next_client = self.forwarder.clients.get(peer.address, "t")
+        self.addCleanup(next_client.drop_idle)
+        self.forwarder.slot_client = SlotsInTurn("s", "t")
+        outcome = await self.forward("r", attempts=2)
+        self.assertEqual(1, peer.ran)
+        self.assertIsInstance(outcome, outcomes.Complete)
+
     async def test_an_earlier_answer_does_not_end_a_release(self):
         running = asyncio.Event()
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -12,7 +12,7 @@
         self.run_module("tests.entry_tries", 5)
 
     def test_an_earlier_refusal_is_not_taken_for_a_later_one(self):
-        self.run_module("tests.entry_answers", 4)
+        self.run_module("tests.entry_answers", 5)
 
     def test_garbage_or_an_earlier_answer_is_not_taken_for_a_leases(self):
         self.run_module("tests.entry_leases", 2)
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -141,7 +141,7 @@
 class FailingServer:
     """A client of a server that runs requests and reports failure."""
 
-    def get(self, address: str) -> "FailingServer":
+    def get(self, address: str, id: str) -> "FailingServer":
         """Returns the client of any server."""
         return self
 
--- a/tests/test_garbage.py
+++ b/tests/test_garbage.py
@@ -183,13 +183,13 @@
         sound = await self.connect(Garbage(ANSWER, b""))
         clients = client.Clients()
         calls = [
-            clients.get(str(stuck.address)).request("GET", "/", timeout=1.5)
+            clients.get(str(stuck.address), "").request("GET", "/", timeout=1.5)
             for _ in range(16)
         ]
         tasks = [asyncio.create_task(call) for call in calls]
         await asyncio.sleep(1.0)
         failed = sum(task.done() for task in tasks)
-        response = await clients.get(str(sound.address)).request(
+        response = await clients.get(str(sound.address), "").request(
             "GET", "/", timeout=1.0
         )
         await asyncio.gather(*tasks, return_exceptions=True)
