--- a/oleanderhoist/node/leader.py
+++ b/oleanderhoist/node/leader.py
@@ -412,20 +412,7 @@
             self.clock.boottime()
         )
         for pool_rebalancer in self.rebalancers.values():
-            owners = pool_rebalancer.recorded_owners()
-            for id in owners & pool_rebalancer.lease_managers.keys():
-                expires_at = max(
-                    expires_at,
-                    pool_rebalancer.lease_managers[id].leases_expire_at,
-                )
-            if (
-                owners
-                & pool_rebalancer.inherited_owners
-                - pool_rebalancer.lease_managers.keys()
-            ):
-                expires_at = max(
-                    expires_at, self.leader_lease.predecessor_grants_expire_at()
-                )
+            expires_at = max(expires_at, pool_rebalancer.leases_expire_at())
         return self.platform.store_clock.upper_bound(expires_at)
 
     async def resign(self) -> None:
--- a/oleanderhoist/node/leasemanager.py
+++ b/oleanderhoist/node/leasemanager.py
@@ -11,6 +11,7 @@
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import keys
 from oleanderhoist.policy import leaderlease
+from oleanderhoist.policy import leaseexpiries
 
 RETRY_SECONDS = 0.15
 FENCE_LEASE_SECONDS = 0.5
@@ -50,8 +51,8 @@
         leader_lease: Leader lease of this epoch.
         clock: Time source.
         ranges: Returns the ranges that the server should own now.
-        leases_expire_at: When leases granted by earlier leaders expire, on the
-            boot-time clock, which also runs while the VM is suspended.
+        expiries: When earlier leases of the server expire, on the boot-time
+            clock, which also runs while the VM is suspended.
     """
 
     def __init__(
@@ -63,7 +64,7 @@
         leader_lease: leaderlease.LeaderLease,
         clock: clock.Clock,
         ranges: Callable[[], list[keys.Range]],
-        leases_expire_at: float,
+        expiries: leaseexpiries.LeaseExpiries,
     ):
         self.server = server
         self.channel = platform.lease_channel(server)
@@ -71,7 +72,7 @@
         self.leader_lease = leader_lease
         self.clock = clock
         self.ranges = ranges
-        self.leases_expire_at = leases_expire_at
+        self.expiries = expiries
         self.fence = 0
         self.connection_number = -1
         self.handover_tokens: dict[int, str] = {}
@@ -123,28 +124,19 @@
                 return False
             try:
                 await self.connect()
-                lease_lengths = [
-                    await self.grant(key_range) for key_range in ranges
-                ]
+                for key_range in ranges:
+                    await self.grant(key_range)
             except ports.OrderError as error:
                 self.record_failure(str(error))
                 self.replaced_answers += error.server_replaced
                 return False
             self.replaced_answers = 0 if ranges else self.replaced_answers
-            self.record_renewal(lease_lengths)
+            self.record_success()
             return True
 
-    def record_renewal(self, lease_lengths: list[float]) -> None:
-        """Records that the server was reached and all ranges were granted.
-
-        Args:
-            lease_lengths: Length of each lease as it was sent, in seconds.
-        """
-        if lease_lengths:
-            now = self.clock.boottime()
-            self.leases_expire_at = leaderlease.lease_expiry(
-                now, max(lease_lengths)
-            )
+    def record_success(self) -> None:
+        """Records that the server was reached and all ranges were granted."""
+        self.expiries.forget_ended(self.clock.boottime())
         if self.failing_since is not None:
             self.failing_since = None
             self.recovered_at = self.clock.boottime()
@@ -160,8 +152,10 @@
             self.connection_number = connection_number
             self.fence = self.fences.next()
 
-    async def grant(self, key_range: keys.Range) -> float:
-        """Grants one range; returns the lease length in seconds.
+    async def grant(self, key_range: keys.Range) -> None:
+        """Grants one range.
+
+        The lease replaces earlier ones on these keys, and on no others.
 
         Raises:
             ports.OrderError: The server did not confirm the grant.
@@ -180,7 +174,10 @@
             self.fence = self.fences.next()
             raise ports.OrderError("the server has seen a higher fence")
         self.handover_tokens.pop(key_range.start, None)
-        return lease_seconds
+        self.expiries.replace(
+            key_range,
+            leaderlease.lease_expiry(self.clock.boottime(), lease_seconds),
+        )
 
     async def send_grant(self, lease_grant: ports.LeaseGrant) -> bool:
         """Sends a grant, and records when it expires at the latest.
@@ -195,11 +192,16 @@
             return await self.channel.grant(lease_grant)
         finally:
             now = self.clock.boottime()
-            self.leases_expire_at = max(
-                self.leases_expire_at,
+            self.expiries.extend(
+                keys.Range(start=lease_grant.start, end=lease_grant.end),
                 leaderlease.lease_expiry(now, lease_grant.lease_seconds),
             )
 
+    def leases_expire_at(self) -> float:
+        """Returns when the leases on all of its ranges have expired."""
+        ranges = self.ranges() or [keys.all_keys()]
+        return max(self.expiries.latest(one) for one in ranges)
+
     def record_failure(self, reason: str) -> None:
         """Records that a renewal failed, unless the leader may not grant."""
         may_grant = self.leader_lease.may_grant(self.clock.boottime())
@@ -210,7 +212,9 @@
             events.LEASE_FAILED,
             server=self.server.id,
             fence=self.fence,
-            until_s=round(self.leases_expire_at - self.failing_since, 2),
+            until_s=round(
+                max(0.0, self.leases_expire_at() - self.failing_since), 2
+            ),
             reason=reason,
         )
 
--- a/oleanderhoist/node/rebalancer.py
+++ b/oleanderhoist/node/rebalancer.py
@@ -21,6 +21,7 @@
 from oleanderhoist.policy import keyload
 from oleanderhoist.policy import keys
 from oleanderhoist.policy import leaderlease
+from oleanderhoist.policy import leaseexpiries
 
 PLAN_INTERVAL_SECONDS = 0.2
 COUNT_INTERVAL_SECONDS = 0.4
@@ -72,6 +73,8 @@
         self.spawn = spawn
         self.servers: dict[str, cluster.Server] = {}
         self.lease_managers: dict[str, leasemanager.LeaseManager] = {}
+        # Also of servers whose lease manager was replaced.
+        self.expiries: dict[str, leaseexpiries.LeaseExpiries] = {}
         recorded_ranges = key_map.ranges if key_map else []
         self.inherited_owners = {
             key_range.owner for key_range in recorded_ranges if key_range.owner
@@ -156,9 +159,6 @@
         server = self.servers.get(id)
         if server is None:
             return None
-        expires_at = 0.0
-        if id in self.inherited_owners:
-            expires_at = self.leader_lease.predecessor_grants_expire_at()
         manager = leasemanager.LeaseManager(
             server=server,
             platform=self.platform,
@@ -166,12 +166,32 @@
             leader_lease=self.leader_lease,
             clock=self.clock,
             ranges=lambda: self.ranges_of(id),
-            leases_expire_at=expires_at,
+            expiries=self.lease_expiries(id),
         )
         self.lease_managers[id] = manager
         self.spawn(manager.run())
         return manager
 
+    def lease_expiries(self, id: str) -> leaseexpiries.LeaseExpiries:
+        """Returns when a server's leases expire; created on first use."""
+        if id not in self.expiries:
+            initial = 0.0
+            if id in self.inherited_owners:
+                initial = self.leader_lease.predecessor_grants_expire_at()
+            self.expiries[id] = leaseexpiries.LeaseExpiries(initial=initial)
+        return self.expiries[id]
+
+    def leases_expire_at(self) -> float:
+        """Returns when the leases of all recorded owners have expired."""
+        return max(
+            (
+                self.lease_expiries(key_range.owner).latest(key_range)
+                for key_range in self.recorded_map().ranges
+                if key_range.owner
+            ),
+            default=0.0,
+        )
+
     async def run(self) -> None:
         """Plans moves until cancelled."""
         counted_at = 0.0
@@ -353,10 +373,8 @@
         current = self.recorded_map().find(move.start)
         expires_at_ms = current.lease_expires_at_ms
         if current.owner:
-            expires_at = (
-                source.leases_expire_at
-                if source
-                else self.leader_lease.predecessor_grants_expire_at()
+            expires_at = self.lease_expiries(current.owner).latest(
+                move.key_range
             )
             expires_at_ms = store_clock.upper_bound(expires_at)
             self.key_map = self.recorded_map().assign(
--- a/oleanderhoist/policy/keys.py
+++ b/oleanderhoist/policy/keys.py
@@ -112,9 +112,14 @@
     return merged
 
 
+def all_keys() -> Range:
+    """Returns the range of all keys."""
+    return Range(start=0, end=KEY_COUNT - 1)
+
+
 def unowned_map() -> KeyMap:
     """Returns a map in which no key has an owner."""
-    return KeyMap(ranges=[Range(start=0, end=KEY_COUNT - 1)])
+    return KeyMap(ranges=[all_keys()])
 
 
 def divide_by_weight(servers: list[tuple[str, float]]) -> KeyMap:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -17,6 +17,7 @@
 from oleanderhoist.policy import contractset
 from oleanderhoist.policy import keys
 from oleanderhoist.policy import leaderlease
+from oleanderhoist.policy import leaseexpiries
 from tests import virtual
 
 
@@ -170,7 +171,7 @@
             leader_lease=leader_lease,
             clock=clock,
             ranges=list,
-            leases_expire_at=loop.now + 12,
+            expiries=leaseexpiries.LeaseExpiries(initial=loop.now + 12),
         )
         key_range = keys.Range(start=0, end=9)
         token = virtual.run(manager.revoke(key_range, 3), loop)
@@ -221,12 +222,12 @@
             leader_lease=leader_lease,
             clock=clock,
             ranges=lambda: [keys.Range(start=0, end=9)],
-            leases_expire_at=0.0,
+            expiries=leaseexpiries.LeaseExpiries(initial=0.0),
         )
         start = loop.now
         self.assertTrue(virtual.run(manager.renew(), loop))
         self.assertGreaterEqual(
-            manager.leases_expire_at, start + leaderlease.OUTAGE_LEASE_SECONDS
+            manager.leases_expire_at(), start + leaderlease.OUTAGE_LEASE_SECONDS
         )
 
 
--- a/tests/test_resign.py
+++ b/tests/test_resign.py
@@ -14,6 +14,7 @@
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import keys
 from oleanderhoist.policy import leaderlease
+from oleanderhoist.policy import leaseexpiries
 from tests import ownership_world
 from tests import virtual
 
@@ -397,14 +398,14 @@
             leader_lease=leader_lease,
             clock=time_source,
             ranges=lambda: [RANGE, OTHER_RANGE],
-            leases_expire_at=0.0,
+            expiries=leaseexpiries.LeaseExpiries(initial=0.0),
         )
 
     async def test_no_lease_is_granted_on_a_connection_that_took_long(self):
         manager = self.manage("connect")
         self.assertFalse(await manager.renew())
         self.assertEqual(["connect"], self.channel.sent)
-        self.assertEqual(0.0, manager.leases_expire_at)
+        self.assertEqual(0.0, manager.leases_expire_at())
         self.assertIsNone(manager.failing_since)
 
     async def test_no_further_range_is_granted(self):
