--- a/oleanderhoist/node/snapshots.py
+++ b/oleanderhoist/node/snapshots.py
@@ -1,5 +1,8 @@
 """Codec of snapshots and deltas."""
 
+import hashlib
+import itertools
+
 import msgspec
 
 from oleanderhoist.node import fragments
@@ -7,6 +10,11 @@
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import keys
 
+# Earlier builds give every snapshot that was read from the store version -1.
+MAX_CONTENT_VERSION = -2
+CONTENT_DIGEST_BYTES = 8
+CONTENT_VERSION_BITS = 62  # So that the version fits a signed integer.
+
 _ENCODER = msgspec.msgpack.Encoder()
 
 
@@ -68,6 +76,38 @@
     )
 
 
+def content_version(snapshot: cluster.Snapshot) -> int:
+    """Returns a version that only snapshots of the same content have.
+
+    It is negative, and so older than every version that a leader publishes.
+    """
+    content = [
+        sorted(
+            msgspec.to_builtins(member_item(member))
+            for member in snapshot.members.values()
+        ),
+        sorted(
+            msgspec.to_builtins(server_item(server))
+            for server in snapshot.servers.values()
+        ),
+        sorted(
+            [pool, owner_changes(key_map)]
+            for pool, key_map in snapshot.maps.items()
+        ),
+    ]
+    digest = hashlib.blake2b(
+        _ENCODER.encode(content), digest_size=CONTENT_DIGEST_BYTES
+    ).digest()
+    number = int.from_bytes(digest, "big") % (1 << CONTENT_VERSION_BITS)
+    return MAX_CONTENT_VERSION - number
+
+
+def owner_changes(key_map: keys.KeyMap) -> list[tuple[int, str]]:
+    """Returns the first key of each owner, however its keys are divided."""
+    groups = itertools.groupby(key_map.owners(), key=lambda item: item[1])
+    return [next(group) for _, group in groups]
+
+
 def pack(snapshot: cluster.Snapshot) -> list[wire.SnapshotFragment]:
     """Encodes a snapshot as fragments."""
     item = SnapshotItem(
--- a/oleanderhoist/node/storereader.py
+++ b/oleanderhoist/node/storereader.py
@@ -2,12 +2,14 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 
 from oleanderhoist import clock
 from oleanderhoist import ports
 from oleanderhoist.node import contractwatch
 from oleanderhoist.node import directory
 from oleanderhoist.node import leaderstore
+from oleanderhoist.node import snapshots
 from oleanderhoist.node import state
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import keys
@@ -15,7 +17,6 @@
 READ_INTERVAL_SECONDS = 0.9
 BACKOFF_GROWTH = 1.5
 MAX_BACKOFF_FACTOR = 3.0  # A store that is back is read within 3 s.
-STORE_VERSION = -1  # Older than every version that a leader publishes.
 
 
 class StoreReader:
@@ -125,7 +126,8 @@
     ) -> None:
         """Adopts servers and owners that differ from the current snapshot.
 
-        Equal content keeps its version, so that the next delta applies to it.
+        Equal content keeps its version, so that the next delta applies to it,
+        and different content never has the same version.
         A restarted router takes the members from the roster, so that few of
         the routers that restart together try to lead.
         """
@@ -134,13 +136,15 @@
             return
         snapshot = cluster.Snapshot(
             epoch=before.epoch,
-            version=STORE_VERSION,
             leader=before.leader,
             members=before.members or leaderstore.roster_of(rows),
             servers=servers,
             maps=maps,
         )
-        self.state.adopt_snapshot(snapshot, "store")
+        version = snapshots.content_version(snapshot)
+        self.state.adopt_snapshot(
+            dataclasses.replace(snapshot, version=version), "store"
+        )
 
 
 def same_owners(
--- a/oleanderhoist/policy/cluster.py
+++ b/oleanderhoist/policy/cluster.py
@@ -53,8 +53,9 @@
 
     Attributes:
         epoch: Increases with every change of the leader.
-        version: Increases with every change within an epoch; -1 if servers or
-            owners were read from the store.
+        version: Increases with every change within an epoch; negative if
+            servers or owners were read from the store. Snapshots of the same
+            epoch and version have the same content.
         leader: Address of the leader.
         members: Members by address.
         servers: Servers by id.
