Resign before an epoch's fencing tokens run into the next one's

After a million tokens a leader's are those of the next epoch, so its successor's grants would be refused until it has counted past them.

More bits for the count would put a new build's tokens above those of an old build that leads next. The leader resigns instead while 65,536 are left.

Test, before the change: test_a_leader_whose_fencing_tokens_are_used_up_makes_room: AssertionError: '10.0.0.3:1' == '10.0.0.3:1' (the same router leads)

--- a/oleanderhoist/node/leader.py
+++ b/oleanderhoist/node/leader.py
@@ -236,6 +236,7 @@
             now = self.clock.monotonic()
             self.remove_lost_members(now)
             self.check_reachability()
+            self.check_tokens()
             message = wire.encode(self.make_heartbeat())
             self.previous_announced_version = self.announced_version
             self.announced_version = self.version
@@ -302,6 +303,15 @@
                 f"{failing} of {len(managers)} servers unreachable"
             )
 
+    def check_tokens(self) -> None:
+        """Resigns before the fencing tokens reach those of the next epoch.
+
+        Raises:
+            ResignedError: The tokens of this epoch are used up.
+        """
+        if self.fences.is_used_up:
+            raise ResignedError("no fencing tokens are left")
+
     async def follow_directory(self) -> None:
         """Follows the directory and the contracts' pools."""
         while True:
--- a/oleanderhoist/node/leasemanager.py
+++ b/oleanderhoist/node/leasemanager.py
@@ -21,6 +21,8 @@
 # Answers of another server at the address before the server counts as gone.
 MIN_REPLACED_ANSWERS = 2
 TOKEN_COUNT_BITS = 20  # Of a fencing token; the epoch is above them.
+# Left to a leader that resigns, for what it has begun.
+RESERVED_TOKENS = 1 << 16
 STABLE_SECONDS = 2.0  # Longer than a server that flaps stays up.
 
 
@@ -31,6 +33,11 @@
     epoch: int
     count: int = 0
 
+    @property
+    def is_used_up(self) -> bool:
+        """Whether too few tokens are left below the next epoch's."""
+        return self.count >= (1 << TOKEN_COUNT_BITS) - RESERVED_TOKENS
+
     def next(self) -> int:
         """Returns a token above all earlier ones."""
         self.count += 1
