Let no entry vouch for what its killed predecessor sent

An entry keeps its id over a restart. Two servers could hold it for up to a lease's length.

A status names the process (`incarnation`, as Hello does). Once another process of an entry is heard, what was delegated to the former lasts to its limit. Earlier builds send none and are believed as before; they ignore the field.

--- a/oleanderhoist/entry/core.py
+++ b/oleanderhoist/entry/core.py
@@ -176,6 +176,7 @@
             servers=self.renewer.reports(),
             demands=self.rate_limiter.measure_demands(),
             hot={},
+            incarnation=self.incarnation,
         )
         self.transport.send(sender, status)
 
--- a/oleanderhoist/peers/wire.py
+++ b/oleanderhoist/peers/wire.py
@@ -114,7 +114,7 @@
     """An entry's reply to a Delegation, with the same `sequence`.
 
     `demands` are requests per second by "customer/work". `hot` is reserved and
-    always empty.
+    always empty. `incarnation` is that of `Hello`; 0 from earlier versions.
     """
 
     entry: str
@@ -127,6 +127,7 @@
     servers: list[ServerReport]
     demands: dict[str, float]
     hot: dict[str, dict[str, float]]
+    incarnation: int = 0
 
 
 class RateAllocation(Message, tag="Shares"):
--- a/oleanderhoist/placer/leader.py
+++ b/oleanderhoist/placer/leader.py
@@ -127,9 +127,7 @@
         now = self.clock.monotonic()
         for record in await self.table.scan(registration.ENTRIES_PREFIX):
             value = record.value
-            self.publisher.membership.join(
-                parse_entry(value), value["incarnation"], now
-            )
+            self.join(parse_entry(value), value["incarnation"], now)
         self.loaded = True
 
     def update_contracts(self) -> None:
@@ -268,7 +266,12 @@
             data_center=message.data_center,
         )
         now = self.clock.monotonic()
-        self.publisher.membership.join(entry, message.incarnation, now)
+        self.join(entry, message.incarnation, now)
+
+    def join(self, entry: topology.Entry, incarnation: int, now: float) -> None:
+        """Adds a process of an entry to the members."""
+        self.publisher.ledger.observe_process(entry.id, incarnation)
+        self.publisher.membership.join(entry, incarnation, now)
 
 
 def parse_entry(value: dict) -> topology.Entry:
--- a/oleanderhoist/placer/publisher.py
+++ b/oleanderhoist/placer/publisher.py
@@ -200,6 +200,7 @@
 
     def record_reports(self, status: wire.Status) -> None:
         """Records the reports of an entry that follows this leader."""
+        self.ledger.observe_process(status.entry, status.incarnation)
         self.ledger.acknowledge(status.entry, status.revision)
         for report in status.servers:
             for version, deadline in report.sent.items():
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -187,6 +187,7 @@
         ],
         demands={"c": 10.5},
         hot={"p": {"k": 11.5}},
+        incarnation=12,
     ),
     messages.RateAllocation(epoch=1, window=2, rates={"c": 3.5}),
     messages.Acquire(
@@ -216,8 +217,8 @@
 
 92a17897a44c656e6401020304cb4016000000000000cb401a000000000000
 
-92a1789ba6537461747573a16501020304c3cb40160000000000009195a173a2757006078108cb
-402300000000000081a163cb402500000000000081a17081a16bcb4027000000000000
+92a1789ca6537461747573a16501020304c3cb40160000000000009195a173a2757006078108cb
+402300000000000081a163cb402500000000000081a17081a16bcb40270000000000000c
 
 92a17894a6536861726573010281a163cb400c000000000000
 
@@ -236,6 +237,10 @@
 
 92a17894a953746f6f64446f776ea17001cb4004000000000000
 """
+EARLIER_STATUS = """
+92a1789ba6537461747573a16501020304c3cb40160000000000009195a173a2757006078108cb
+402300000000000081a163cb402500000000000081a17081a16bcb4027000000000000
+"""
 CONTRACTS = ports.VersionedContracts(
     contracts=contractset.build(
         version=1,
@@ -310,6 +315,11 @@
             self.assertEqual(data, messages.encode(envelope))
             self.assertEqual(envelope, messages.decode(data))
 
+    def test_messages_of_earlier_versions_are_read(self):
+        data = bytes.fromhex(EARLIER_STATUS.replace("\n", ""))
+        status = messages.decode(data).body
+        self.assertEqual(("e", 0), (status.entry, status.incarnation))
+
     def test_every_message_is_checked(self):
         for module, checked in ((datagrams, DATAGRAMS), (messages, MESSAGES)):
             self.assertEqual(
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -71,6 +71,43 @@
                 self.assertGreaterEqual(bound, latest)
 
 
+class RestartedEntryTest(unittest.TestCase):
+    """An entry is killed before it has reported all that it sent."""
+
+    def setUp(self):
+        self.book = delegations.DelegationLedger()
+        self.book.observe_process("e", 1)
+        self.book.record(
+            entry="e", server="s", version=1, revision=1, expires_at=5.0
+        )
+        self.book.report("e", "s", 1, 2.0)
+        self.book.acknowledge("e", 1)
+
+    def bound(self) -> float:
+        """Returns when the first assignment has expired."""
+        return self.book.earlier_assignments_expire_at("s", 2, 2)
+
+    # Guards against a partition that moves while an earlier lease holds.
+    def test_its_successor_does_not_vouch_for_it(self):
+        self.book.observe_process("e", 2)
+        self.book.acknowledge("e", 2)
+        self.assertEqual(5.0, self.bound())
+        self.book.observe_process("e", 1)  # A late message of the former.
+        self.book.acknowledge("e", 2)
+        self.assertEqual(5.0, self.bound())
+
+    def test_the_same_process_and_earlier_versions_are_believed(self):
+        for incarnation in (1, 0):
+            self.book.observe_process("e", incarnation)
+            self.book.acknowledge("e", 2)
+            self.assertEqual(2.0, self.bound())
+
+    def test_what_has_ended_is_forgotten(self):
+        self.book.observe_process("e", 2)
+        self.book.prune(6.0)
+        self.assertEqual(0.0, self.bound())
+
+
 class LeadershipTest(unittest.TestCase):
     """A leader's lease cannot be extended past a takeover.
 
