Bound the memory and the time that bytes without end take

Seen here before: a router of the smallest VM (152 MB, 0.3 cores) takes 126 to 194 MB beside servers whose answers don't end or stall, and other callers' requests take up to 2.7 s.

Causes: 0.5 MB in the reader and megabytes in the socket of each connection; bodies read to 4 MB whatever their head says; small bodies and answers to slow callers not counted, the latter held twice; up to 128 pieces of one body a turn.

Ruled out: heads (h11 and the checks bound them; 0.3 MB a connection with everything), the count of body bytes alone (33 MB of the 146 MB).

--- a/oleanderhoist/http/client.py
+++ b/oleanderhoist/http/client.py
@@ -45,7 +45,6 @@
     Args:
         address: The peer.
         connect_seconds: Time allowed for opening a connection, in seconds.
-        memory: Shared with other clients; own memory by default.
     """
 
     def __init__(
@@ -53,11 +52,9 @@
         *,
         address: Address,
         connect_seconds: float = CONNECT_TIMEOUT_SECONDS,
-        memory: exchanges.BodyMemory | None = None,
     ):
         self.address = address
         self.connect_seconds = connect_seconds
-        self.memory = memory or exchanges.BodyMemory()
         self.idle: collections.deque[exchanges.Connection] = collections.deque()
         self.opened = 0
 
@@ -75,6 +72,7 @@
         accept: exchanges.ResponseFilter | None = None,
         reuse_only: bool = False,
         fresh: bool = False,
+        body_limit: exchanges.BodyLimit = exchanges.default_body_limit,
     ) -> messages.Response:
         """Performs one exchange, without retries.
 
@@ -94,6 +92,8 @@
                 opening one.
             fresh: Whether to open a connection even if there is an idle one,
                 which is then closed.
+            body_limit: Returns the largest body of a response, in bytes; 0 to
+                close the connection without reading it.
 
         Returns:
             The response, complete unless it is a stream.
@@ -121,10 +121,10 @@
         running = exchanges.Exchange(
             connection=connection,
             host=host or str(self.address).encode(),
-            memory=self.memory,
             release=self.put_idle,
             due=end,
             accept=accept,
+            body_limit=body_limit,
         )
         try:
             async with deadline.CatchUpTimeout(end):
@@ -254,7 +254,6 @@
     def __init__(self, *, connect_seconds: float = CONNECT_TIMEOUT_SECONDS):
         self.connect_seconds = connect_seconds
         self.by_peer: dict[tuple[str, str], Client] = {}
-        self.memory = exchanges.BodyMemory()
 
     def get(self, address: str, id: str) -> Client:
         """Returns the client of a peer.
@@ -268,6 +267,5 @@
             client = self.by_peer[(address, id)] = Client(
                 address=Address.parse(address),
                 connect_seconds=self.connect_seconds,
-                memory=self.memory,
             )
         return client
--- a/oleanderhoist/http/exchanges.py
+++ b/oleanderhoist/http/exchanges.py
@@ -12,6 +12,7 @@
 from oleanderhoist import deadline
 from oleanderhoist.http import messages
 from oleanderhoist.http import streams
+from oleanderhoist.policy import answermemory
 
 READ_BYTES = 65_536
 # h11 takes quadratic time over a run of blanks in a head or a chunk's header.
@@ -19,16 +20,16 @@
 MAX_BLANKS_BYTES = 256
 IDLE_SECONDS = 4.0
 KEEP_ALIVE_FRACTION = 0.6
-MAX_BUFFERED_BODY_BYTES = 262_144
+MAX_BUFFERED_BODY_BYTES = 262_144  # Of an answer that may be a stream.
 # Of one exchange; a page of the platform's store is 1 MB before base64.
 MAX_BODY_BYTES = 4_194_304
 MAX_BODY_CHUNKS = 16_384
-# Of all exchanges: a fifth of the smallest VM's memory.
-MAX_TOTAL_BODY_BYTES = 33_554_432
+MAX_TOTAL_BODY_BYTES = 33_554_432  # Of all exchanges, unless it is set.
 MAX_FOREIGN_RESPONSES = 4
+MAX_FOREIGN_BYTES = 65_536
 MAX_INFORMATIONAL_RESPONSES = 8
 MAX_DETAIL_CHARS = 200  # A message of h11 may quote a whole line.
-EVENTS_PER_TURN = 128  # Of h11, before other tasks run.
+EVENTS_PER_TURN = 16  # Of h11, before other tasks run.
 
 PLACEHOLDER_HEADERS = [(b"host", b"-")]
 
@@ -37,6 +38,17 @@
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 
 ResponseFilter = Callable[[messages.Headers], messages.Match]
+# Returns the largest body of a response with this head, in bytes; 0 if the body
+# is of no use and the connection is closed instead.
+BodyLimit = Callable[[messages.Response], int]
+
+# Of the bodies of all answers in this process.
+MEMORY = answermemory.AnswerMemory(limit_bytes=MAX_TOTAL_BODY_BYTES)
+
+
+def default_body_limit(response: messages.Response) -> int:
+    """Returns the largest body of a response that any peer may send."""
+    return MAX_BODY_BYTES
 
 
 class ExchangeError(Exception):
@@ -62,17 +74,6 @@
         self.timed_out = timed_out
 
 
-@dataclasses.dataclass(kw_only=True)
-class BodyMemory:
-    """Memory that the unfinished bodies of several exchanges take.
-
-    Attributes:
-        used_bytes: Bytes received so far.
-    """
-
-    used_bytes: int = 0
-
-
 @dataclasses.dataclass(kw_only=True)
 class Connection:
     """One connection to a peer.
@@ -114,10 +115,10 @@
     Args:
         connection: The connection.
         host: Value of the Host header.
-        memory: Counts the bodies of all exchanges.
         release: Takes the connection back after a complete exchange.
         due: When the whole response is due, on the event loop's clock.
         accept: Returns which request a response names.
+        body_limit: Returns the largest body of a response.
     """
 
     def __init__(
@@ -125,16 +126,17 @@
         *,
         connection: Connection,
         host: bytes,
-        memory: BodyMemory,
         release: Callable[[Connection], None],
         due: float,
         accept: ResponseFilter | None = None,
+        body_limit: BodyLimit = default_body_limit,
     ):
         self.connection = connection
         self.host = host
-        self.memory = memory
         self.release = release
         self.accept = accept
+        self.body_limit = body_limit
+        self.max_body_bytes = MAX_FOREIGN_BYTES  # Before the response's head.
         self.due = due
         self.foreign_responses = 0
         self.informational_responses = 0
@@ -181,8 +183,12 @@
             status=head.status_code, headers=list(head.headers)
         )
         check_framing(response)
+        self.max_body_bytes = self.body_limit(response)
+        if not self.max_body_bytes:
+            self.abort()
+            return response
         if not stream and method != "HEAD":
-            check_length(response)
+            self.check_length(response)
         if not messages.find(response.headers, b"transfer-encoding"):
             self.read_bytes = READ_BYTES
         await self.read_body(response, stream)
@@ -199,20 +205,18 @@
             ExchangeError: The bodies of all exchanges take too much memory.
         """
         body = bytearray()
-        memory = self.memory
+        MEMORY.begin()
         try:
             while (chunk := await self.read_bounded_chunk()) is not None:
                 body += chunk
-                memory.used_bytes += len(chunk)
-                if len(body) <= MAX_BUFFERED_BODY_BYTES:
-                    continue
-                if stream:
+                MEMORY.grow(len(chunk))
+                if stream and len(body) > MAX_BUFFERED_BODY_BYTES:
                     response.stream = self.stream_body(response, bytes(body))
                     return
-                if memory.used_bytes > MAX_TOTAL_BODY_BYTES:
+                if not MEMORY.may_grow(len(body)):
                     raise self.failure("no memory for the rest of the body")
         finally:
-            memory.used_bytes -= len(body)
+            MEMORY.end(len(body))
         response.body = bytes(body)
 
     def finish(self, response: messages.Response) -> None:
@@ -329,12 +333,27 @@
         if chunk is not None:
             self.body_bytes += len(chunk)
             self.body_chunks += 1
-        if self.body_bytes > MAX_BODY_BYTES:
+        if self.body_bytes > self.max_body_bytes:
             raise h11.RemoteProtocolError("the body is too large")
         if self.body_chunks > MAX_BODY_CHUNKS:
             raise h11.RemoteProtocolError("the body has too many chunks")
         return chunk
 
+    def check_length(self, response: messages.Response) -> None:
+        """Checks the announced length of a body that is not streamed.
+
+        Raises:
+            h11.RemoteProtocolError: It is too large.
+        """
+        length = int(messages.find(response.headers, b"content-length") or 0)
+        if (
+            response.status not in BODILESS_STATUSES
+            and length > self.max_body_bytes
+        ):
+            raise h11.RemoteProtocolError(
+                f"a body of {length} bytes is too large"
+            )
+
     async def next_event(self) -> h11.Event:
         """Returns the next h11 event, reading from the socket as needed."""
         while True:
@@ -428,17 +447,6 @@
         raise h11.RemoteProtocolError("an answer with a length and chunks")
 
 
-def check_length(response: messages.Response) -> None:
-    """Checks the announced length of a body that is not streamed.
-
-    Raises:
-        h11.RemoteProtocolError: It is too large.
-    """
-    length = int(messages.find(response.headers, b"content-length") or 0)
-    if response.status not in BODILESS_STATUSES and length > MAX_BODY_BYTES:
-        raise h11.RemoteProtocolError(f"a body of {length} bytes is too large")
-
-
 def keep_alive_seconds(headers: messages.Headers) -> float:
     """Returns how long a connection may stay idle, by its Keep-Alive header.
 
--- a/oleanderhoist/http/serverconnection.py
+++ b/oleanderhoist/http/serverconnection.py
@@ -22,6 +22,7 @@
 from oleanderhoist.http import streams
 
 READ_BYTES = 65_536
+WRITE_BYTES = 65_536
 DEFAULT_HEAD_BYTES = 16_384
 HEAD_SECONDS = 5.0
 BODY_STALL_SECONDS = 10.0
@@ -353,12 +354,27 @@
                 async for chunk in chunks:
                     self.writer.write(self.protocol.send(h11.Data(data=chunk)))
                     await self.drain()
+        elif len(response.body) > WRITE_BYTES and method != "HEAD":
+            self.writer.write(parts.pop())
+            await self.write_long_body(response.body)
         elif response.body and method != "HEAD":
             parts.append(self.protocol.send(h11.Data(data=response.body)))
         parts.append(self.protocol.send(h11.EndOfMessage()))
         self.writer.write(b"".join(parts))
         await self.drain()
 
+    async def write_long_body(self, body: bytes) -> None:
+        """Writes a body in parts, so that there is no second copy of it."""
+        exchanges.MEMORY.begin()
+        exchanges.MEMORY.grow(len(body))
+        try:
+            for start in range(0, len(body), WRITE_BYTES):
+                part = body[start : start + WRITE_BYTES]
+                self.writer.write(self.protocol.send(h11.Data(data=part)))
+                await self.drain()
+        finally:
+            exchanges.MEMORY.end(len(body))
+
     async def drain(self) -> None:
         """Waits, with a time limit, until the socket accepts more data.
 
--- a/oleanderhoist/http/streams.py
+++ b/oleanderhoist/http/streams.py
@@ -2,9 +2,15 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
+import socket
 import weakref
 
 BUFFER_LIMIT_BYTES = 262_144
+# Of a connection to a peer: its reader stops at twice as much.
+PEER_BUFFER_LIMIT_BYTES = 32_768
+# Unread bytes in the socket count as memory, too.
+PEER_SOCKET_BUFFER_BYTES = 65_536
 
 OPENED: weakref.WeakSet[asyncio.StreamWriter] = weakref.WeakSet()
 
@@ -19,8 +25,13 @@
         on_data: Callback for the arrival of bytes; None without one.
     """
 
-    def __init__(self, *, loop: asyncio.AbstractEventLoop):
-        super().__init__(limit=BUFFER_LIMIT_BYTES, loop=loop)
+    def __init__(
+        self,
+        *,
+        loop: asyncio.AbstractEventLoop,
+        limit: int = BUFFER_LIMIT_BYTES,
+    ):
+        super().__init__(limit=limit, loop=loop)
         self.unread = 0
         self.disconnected = False
         self.on_disconnect: Callable[[], object] | None = None
@@ -75,9 +86,13 @@
         OSError: The peer refused or cannot be reached.
     """
     loop = asyncio.get_running_loop()
-    reader = Reader(loop=loop)
+    reader = Reader(loop=loop, limit=PEER_BUFFER_LIMIT_BYTES)
     protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
     transport, _ = await loop.create_connection(lambda: protocol, host, port)
+    with contextlib.suppress(OSError):
+        transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, PEER_SOCKET_BUFFER_BYTES
+        )
     writer = asyncio.StreamWriter(transport, protocol, reader, loop)
     OPENED.add(writer)
     return reader, writer
--- a/oleanderhoist/node/core.py
+++ b/oleanderhoist/node/core.py
@@ -13,6 +13,7 @@
 from oleanderhoist import program
 from oleanderhoist import settings
 from oleanderhoist.http import client
+from oleanderhoist.http import exchanges
 from oleanderhoist.node import budgets
 from oleanderhoist.node import coordinator
 from oleanderhoist.node import datagrams
@@ -38,6 +39,8 @@
 WRITE_SECONDS = 0.3  # For writing responses after the last one is due.
 MAX_CANCELLATIONS = 4
 CANCELLATION_TIMEOUT_SECONDS = 0.05
+# Of the VM's memory, for the bodies of servers' answers.
+ANSWER_MEMORY_FRACTION = 0.1
 SETTINGS_POLL_SECONDS = 2.0  # For changes of the settings without SIGHUP.
 
 
@@ -107,6 +110,9 @@
             ),
             data_center=settings.data_center,
         )
+        exchanges.MEMORY.limit_bytes = int(
+            settings.memory_bytes * ANSWER_MEMORY_FRACTION
+        )
         self.slot_client.slots_due = self.forwarder.slots_due
         self.frontend = frontend.Frontend(
             address=settings.listen,
--- a/oleanderhoist/node/forwarder.py
+++ b/oleanderhoist/node/forwarder.py
@@ -15,6 +15,7 @@
 from oleanderhoist import ports
 from oleanderhoist.http import client
 from oleanderhoist.http import exchanges
+from oleanderhoist.http import messages
 from oleanderhoist.node import budgets
 from oleanderhoist.node import coordinator
 from oleanderhoist.node import jobs
@@ -44,6 +45,15 @@
     ports.AnswerKind.REFUSED,
 )
 
+MAX_REFUSAL_BYTES = 16_384
+# Of responses that are not passed on. A refusal keeps its connection.
+BODY_LIMITS = {
+    ports.AnswerKind.UNSIGNED: 0,
+    ports.AnswerKind.UNFOUNDED: 0,
+    ports.AnswerKind.REFUSED: MAX_REFUSAL_BYTES,
+    ports.AnswerKind.NOT_OWNER: MAX_REFUSAL_BYTES,
+}
+
 SENDS = prometheus_client.Counter(
     "oleander_sends", "Requests sent to servers by result", ["result"]
 )
@@ -340,6 +350,11 @@
         remaining = job.deadline - self.clock.monotonic()
         return remaining <= RESPONSE_SLACK_SECONDS
 
+    def body_limit(self, response: messages.Response) -> int:
+        """Returns the largest body of a server's response, in bytes."""
+        kind = self.platform.classify(response)
+        return BODY_LIMITS.get(kind, exchanges.MAX_BODY_BYTES)
+
     async def exchange(
         self, job: jobs.Job, server: cluster.Server, queue: str
     ) -> outcomes.Outcome | jobs.FailedAttempt:
@@ -376,6 +391,7 @@
                     job.head.id, headers
                 ),
                 fresh=fresh,
+                body_limit=self.body_limit,
             )
         except exchanges.ExchangeError as error:
             return results.classify_error(job, server, error)
--- a/oleanderhoist/platform/leasechannel.py
+++ b/oleanderhoist/platform/leasechannel.py
@@ -16,6 +16,7 @@
 REPLACED_STATUSES = (400, 404, 421)
 GRANT_TIMEOUT_SECONDS = 0.4
 RELEASE_TIMEOUT_SECONDS = 2.5
+MAX_ANSWER_BYTES = 16_384  # Answers need no body.
 
 
 class LeaseChannel:
@@ -77,6 +78,7 @@
                     self.expected_header,
                 ],
                 body=json.dumps(body).encode(),
+                body_limit=lambda response: MAX_ANSWER_BYTES,
             )
         except exchanges.ExchangeError as error:
             raise ports.OrderError(str(error)) from error
--- a/standins/platform_system.py
+++ b/standins/platform_system.py
@@ -121,6 +121,7 @@
         interpreter: Options of the Python interpreter of routers.
         config: First configuration.
         slots: Slots of each server.
+        limits: Limits of the routers' VMs, as their settings name them.
         folder: Folder for settings and logs that is kept; None for a temporary
             one.
 
@@ -143,6 +144,7 @@
         interpreter: tuple[str, ...] = (),
         config: dict = CONFIG,
         slots: int = SERVER_SLOTS,
+        limits: dict | None = None,
         folder: pathlib.Path | None = None,
     ):
         self.subnet = subnet or process_subnet()
@@ -156,6 +158,7 @@
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.config = config
         self.slots = slots
+        self.limits = limits or {}
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = folder or pathlib.Path(self.temporary.name)
         self.folder.mkdir(parents=True, exist_ok=True)
@@ -246,6 +249,7 @@
             "zone": "z",
             "listen": {"front": f"{ip}:{FRONT_PORT}", "ready": f"{ip}:18640"},
             "internal_ports": [17620, 17635],
+            "limits": self.limits,
             "provider": {
                 "address": await self.reachable_address(
                     f"store-{number}", self.store
--- a/tests/test_garbage.py
+++ b/tests/test_garbage.py
@@ -18,6 +18,7 @@
 from oleanderhoist.node import state
 from oleanderhoist.platform import protocol
 from oleanderhoist.policy import cluster
+from standins import endless
 from tests import starvation
 from tests import test_forwarder
 
@@ -29,35 +30,12 @@
 MAX_SENT_BYTES = 12_000_000
 MAX_DETAIL_CHARS = 300
 TRICKLE_SECONDS = 0.002
-OK = b"HTTP/1.1 200 OK\r\n"
-CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+OK = endless.OK
+CHUNKED = OK + endless.CHUNKED
 ANSWER = OK + b"Content-Length: 2\r\n\r\nok"
-FOREIGN = b"HTTP/1.1 200 OK\r\nForeign: 1\r\nContent-Length: 99999999\r\n\r\n"
-BLANKS = b" " * 40_000
-LINE = b"x" * 4_000
-ENDLESS_ANSWERS = {
-    "a head without a line": (b"", LINE),
-    "a head without a blank line": (OK, b"A: b\r\n" * 500),
-    "informational heads": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 100),
-    "a switch of protocols": (b"HTTP/1.1 101 Switching\r\n\r\n", LINE),
-    "blanks in a head": (OK + b"A:" + BLANKS + b"\0\r\n\r\n", LINE),
-    "blanks in a chunk's extension": (
-        CHUNKED + b"1;" + BLANKS + b"\n\r\n",
-        b"",
-    ),
-    "blanks in a trailer": (CHUNKED + b"0\r\nA:" + BLANKS + b"\0\r\n\r\n", b""),
-    "a body of a huge length": (
-        OK + b"Content-Length: 9999999999\r\n\r\n",
-        b"",
-    ),
-    "a body until the close": (OK + b"\r\n", LINE),
-    "chunks": (CHUNKED, b"fa0\r\n" + LINE + b"\r\n"),
-    "tiny chunks": (CHUNKED, b"1\r\nx\r\n" * 1000),
-    "an extension of a chunk": (CHUNKED + b"1;", LINE),
-    "trailers": (CHUNKED + b"0\r\n", b"A: b\r\n" * 500),
-    "an answer to another request": (FOREIGN, LINE),
-    "answers to other requests": (b"", FOREIGN.replace(b"99999999", b"0")),
-}
+BLANKS = endless.BLANKS
+LINE = endless.LINE
+ENDLESS_ANSWERS = endless.shapes()
 
 
 class Garbage:
