Give up the largest unfinished body when memory is short

Now the largest unfinished body is given up, unless all are small; complete answers that are being written never are. 300 stalled bodies stay within the limit, and 300 that grow together within a piece of it. A body that is given up never looks complete, also without a length (GivenUpTest).

--- a/oleanderhoist/http/exchanges.py
+++ b/oleanderhoist/http/exchanges.py
@@ -204,20 +204,23 @@
         Raises:
             ExchangeError: The bodies of all exchanges take too much memory.
         """
-        body = bytearray()
-        MEMORY.begin()
+        data = bytearray()
+        body = answermemory.Body(give_up=self.abort)
+        MEMORY.add(body)
         try:
             while (chunk := await self.read_bounded_chunk()) is not None:
-                body += chunk
-                MEMORY.grow(len(chunk))
-                if stream and len(body) > MAX_BUFFERED_BODY_BYTES:
-                    response.stream = self.stream_body(response, bytes(body))
+                data += chunk
+                if not MEMORY.grow(body, len(chunk)):
+                    break
+                if stream and len(data) > MAX_BUFFERED_BODY_BYTES:
+                    response.stream = self.stream_body(response, bytes(data))
                     return
-                if not MEMORY.may_grow(len(body)):
-                    raise self.failure("no memory for the rest of the body")
+            # A body without a length ends with its connection.
+            if body not in MEMORY.bodies:
+                raise self.failure("no memory for the rest of the body")
         finally:
-            MEMORY.end(len(body))
-        response.body = bytes(body)
+            MEMORY.remove(body)
+        response.body = bytes(data)
 
     def finish(self, response: messages.Response) -> None:
         """Returns the connection to the idle pool.
--- a/oleanderhoist/http/serverconnection.py
+++ b/oleanderhoist/http/serverconnection.py
@@ -20,6 +20,7 @@
 from oleanderhoist.http import exchanges
 from oleanderhoist.http import messages
 from oleanderhoist.http import streams
+from oleanderhoist.policy import answermemory
 
 READ_BYTES = 65_536
 WRITE_BYTES = 65_536
@@ -365,15 +366,15 @@
 
     async def write_long_body(self, body: bytes) -> None:
         """Writes a body in parts, so that there is no second copy of it."""
-        exchanges.MEMORY.begin()
-        exchanges.MEMORY.grow(len(body))
+        written = answermemory.Body(size_bytes=len(body))
+        exchanges.MEMORY.add(written)
         try:
             for start in range(0, len(body), WRITE_BYTES):
                 part = body[start : start + WRITE_BYTES]
                 self.writer.write(self.protocol.send(h11.Data(data=part)))
                 await self.drain()
         finally:
-            exchanges.MEMORY.end(len(body))
+            exchanges.MEMORY.remove(written)
 
     async def drain(self) -> None:
         """Waits, with a time limit, until the socket accepts more data.
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -94,6 +94,15 @@
     return script
 
 
+def write_and_stay(data: bytes) -> Script:
+    """Returns a script that writes bytes and leaves the connection open."""
+
+    async def script(peer: Peer, writer: asyncio.StreamWriter) -> None:
+        writer.write(data)
+
+    return script
+
+
 async def run_and_repeat_refusal(
     peer: Peer, writer: asyncio.StreamWriter
 ) -> None:
