Drop a killed router's slot requests once its successor asks

The requests of a killed process kept their places in the queue and the slots that they held until their deadline and half a second, so that others were refused or waited in vain.

A coordinator that hears another process at an address drops what the former asked for and holds. Servers that still work on such a request get one more than their slots meanwhile; most drop it with its connection.

Test, on the code before (no drop): test_what_an_ended_process_holds_and_waits_for_is_freed: AssertionError: {} != {('10.0.0.1:1', ...): Running(...)}

--- a/oleanderhoist/node/coordinator.py
+++ b/oleanderhoist/node/coordinator.py
@@ -9,6 +9,7 @@
 from oleanderhoist import clock
 from oleanderhoist import events
 from oleanderhoist import log
+from oleanderhoist import processids
 from oleanderhoist.node import state
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import serverslots
@@ -253,6 +254,20 @@
             hosted.replies.pop((requester, id), None)
             hosted.queue.cancel(requester, id)
 
+    def drop_process(self, requester: str, process: int) -> None:
+        """Drops the requests of a router's ended process; frees their slots."""
+
+        def has_ended(key: slotrequests.RequestKey) -> bool:
+            address, id = key
+            return address == requester and processids.process_of(id) == process
+
+        now = self.clock.monotonic()
+        for hosted in self.hosted.values():
+            for key in [key for key in hosted.replies if has_ended(key)]:
+                del hosted.replies[key]
+            hosted.queue.drop(has_ended)
+            self.advance(hosted, now)
+
     def advance(self, hosted: HostedQueue, now: float) -> None:
         """Grants free slots to waiting requests."""
         for verdict in hosted.queue.grant_waiting(now):
--- a/oleanderhoist/node/slotserver.py
+++ b/oleanderhoist/node/slotserver.py
@@ -3,6 +3,7 @@
 import math
 
 from oleanderhoist import clock
+from oleanderhoist import processids
 from oleanderhoist.node import coordinator
 from oleanderhoist.node import datagrams
 from oleanderhoist.node import wire
@@ -30,6 +31,7 @@
         self.datagrams = datagrams
         self.coordinator = coordinator
         self.clock = clock
+        self.processes: dict[str, int] = {}
         datagrams.handlers[wire.AcquireSlot] = self.on_acquire_slot
         datagrams.handlers[wire.ReleaseSlot] = self.on_release_slot
         datagrams.handlers[wire.CancelAcquire] = self.on_cancel_acquire
@@ -41,6 +43,7 @@
 
         A repeated one that still waits keeps its place in the queue.
         """
+        self.observe_process(peer, processids.process_of(message.id))
         if message.retransmitted:
             remaining = self.coordinator.remaining_wait(
                 message.queue, peer, message.id
@@ -68,6 +71,13 @@
         if wait:
             self.report_wait(peer, message.id, wait)
 
+    def observe_process(self, peer: str, process: int) -> None:
+        """Drops the requests of an earlier process at a router's address."""
+        known = self.processes.get(peer, process)
+        self.processes[peer] = process
+        if known != process:
+            self.coordinator.drop_process(peer, known)
+
     def report_wait(self, peer: str, id: int, wait: float) -> None:
         """Tells a requester that its request waits, and for how long."""
         milliseconds = round(min(wait, MAX_REPORTED_WAIT_SECONDS) * 1000)
--- a/oleanderhoist/policy/slotqueue.py
+++ b/oleanderhoist/policy/slotqueue.py
@@ -12,6 +12,7 @@
 """
 
 import collections
+from collections.abc import Callable
 
 from oleanderhoist.policy import demand
 from oleanderhoist.policy import serverchoice
@@ -318,6 +319,18 @@
                     queue.remove(request)
                     return
 
+    def drop(
+        self, is_dropped: Callable[[slotrequests.RequestKey], bool]
+    ) -> None:
+        """Removes all requests of some keys; frees the slots that they hold."""
+        for server in self.servers.values():
+            for key in [key for key in server.running if is_dropped(key)]:
+                del server.running[key]
+        for queue in [*self.queues.values(), self.overdue]:
+            kept = [one for one in queue if not is_dropped(one.key)]
+            queue.clear()
+            queue.extend(kept)
+
     def grant_waiting(self, now: float) -> list[slotrequests.Verdict]:
         """Grants free slots to waiting requests, the most urgent first."""
         verdicts: list[slotrequests.Verdict] = self.expire(now)
--- a/oleanderhoist/policy/slotrequests.py
+++ b/oleanderhoist/policy/slotrequests.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 
+# Address of the requester and id of the slot request.
+RequestKey = tuple[str, int]
+
 
 @dataclasses.dataclass(kw_only=True)
 class SlotRequest:
@@ -30,6 +33,11 @@
     excluded: frozenset[str] = frozenset()
     request_id: str = ""
 
+    @property
+    def key(self) -> RequestKey:
+        """Requester and id, unique among all slot requests."""
+        return self.requester, self.id
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Granted:
--- a/oleanderhoist/processids.py
+++ b/oleanderhoist/processids.py
@@ -29,4 +29,12 @@
 
     def owns(self, id: int) -> bool:
         """Returns whether an id belongs to this process."""
-        return id >> COUNT_BITS == self.process
+        return process_of(id) == self.process
+
+
+def process_of(id: int) -> int:
+    """Returns the number of the process that an id belongs to.
+
+    It is 0 for ids of earlier versions, which do not tell.
+    """
+    return id >> COUNT_BITS
--- a/tests/test_restarted_requester.py
+++ b/tests/test_restarted_requester.py
@@ -136,6 +136,28 @@
         queue = self.home.coordinator.get("pool/reports").queue
         self.assertEqual({}, queue.servers["s-reports"].running)
 
+    # Guards against places and slots that nobody uses until their deadline.
+    def test_what_an_ended_process_holds_and_waits_for_is_freed(self):
+        async def play() -> None:
+            first = Process(link=self.links[REQUESTER], loop=self.loop)
+            await self.acquire_all(first, "reports")
+            queue = self.home.coordinator.get("pool/reports").queue
+            self.assertEqual(1, len(queue.servers["s-reports"].running))
+            self.assertGreater(queue.queued_ahead(0), 0)
+            first.slot_client.datagrams = types.SimpleNamespace(
+                address=REQUESTER, send=lambda *args: None
+            )
+            second = Process(link=self.links[REQUESTER], loop=self.loop)
+            await second.acquire("orders", self.loop.now)
+            self.assertEqual({}, queue.servers["s-reports"].running)
+            self.assertEqual(0, queue.queued_ahead(0))
+            grant = await second.acquire("reports", self.loop.now)
+            self.assertEqual("s-reports", grant.server)
+            running = queue.servers["s-reports"].running
+            self.assertEqual([(REQUESTER, grant.id)], list(running))
+
+        virtual.run(play(), self.loop)
+
     def test_processes_of_one_address_share_no_id(self):
         ids = [processids.ProcessIds() for _ in range(3)]
         drawn = [one.next() for one in ids for _ in range(100)]
