--- a/oleanderhoist/entry/core.py
+++ b/oleanderhoist/entry/core.py
@@ -162,6 +162,10 @@
         }
         for address in set(self.transport.dealers) - addresses - known:
             self.transport.disconnect(address)
+        servers = self.snapshot_store.snapshot.servers.values()
+        listed = {(server.address, server.id) for server in servers}
+        self.forwarder.sender.clients.retain(listed)
+        self.renewer.clients.retain(listed)
 
     def send_status(self, sender: str, message: wire.Delegation) -> None:
         """Replies to a delegation with this entry's status."""
--- a/oleanderhoist/http/client.py
+++ b/oleanderhoist/http/client.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import AsyncIterator
+from collections.abc import Collection
 import dataclasses
 import time
 
@@ -57,6 +58,7 @@
         self.connect_seconds = connect_seconds
         self.idle: collections.deque[exchanges.Connection] = collections.deque()
         self.opened = 0
+        self.closed = False
 
     async def request(
         self,
@@ -150,6 +152,7 @@
         while self.idle:
             connection = self.idle.pop()
             connection.reader.on_data = None
+            connection.reader.on_disconnect = None
             if connection.reusable(now, idle_seconds):
                 return connection
             connection.writer.close()
@@ -230,9 +233,17 @@
         self.add_idle(connection)
 
     def add_idle(self, connection: exchanges.Connection) -> None:
-        """Adds a connection to the idle pool; it closes if bytes arrive."""
+        """Adds a connection to the idle pool.
+
+        It closes if bytes arrive or the peer closes, and at once if this client
+        is closed.
+        """
+        if self.closed:
+            connection.writer.close()
+            return
         connection.idle_since = time.monotonic()
         connection.reader.on_data = connection.writer.transport.abort
+        connection.reader.on_disconnect = connection.writer.transport.abort
         self.idle.append(connection)
 
     def drop_idle(self) -> None:
@@ -240,6 +251,11 @@
         while self.idle:
             self.idle.pop().writer.close()
 
+    def close(self) -> None:
+        """Closes all connections, those of running exchanges at their end."""
+        self.closed = True
+        self.drop_idle()
+
 
 class Clients:
     """One client for each peer, created on first use.
@@ -269,3 +285,12 @@
                 connect_seconds=self.connect_seconds,
             )
         return client
+
+    def retain(self, peers: Collection[tuple[str, str]]) -> None:
+        """Closes and forgets the clients of all peers but some.
+
+        Args:
+            peers: Address and id of each peer that is still in use.
+        """
+        for peer in [one for one in self.by_peer if one not in peers]:
+            self.by_peer.pop(peer).close()
--- a/oleanderhoist/node/forwarder.py
+++ b/oleanderhoist/node/forwarder.py
@@ -100,6 +100,12 @@
         self.slots_due = deadline.SharedDeadline()
         self.answers_due = deadline.SharedDeadline(catch_up=True)
         self.seen_keys: dict[str, list[int]] = {}
+        state.snapshot_listeners.append(self.close_unlisted)
+
+    def close_unlisted(self, snapshot: cluster.Snapshot) -> None:
+        """Closes the connections to servers that are no longer listed."""
+        listed = {(one.address, one.id) for one in snapshot.servers.values()}
+        self.clients.retain(listed)
 
     def stop(self, *, slots_due: float, answers_due: float) -> None:
         """Ends the waits of all requests before the router ends.
--- a/oleanderhoist/node/rebalancer.py
+++ b/oleanderhoist/node/rebalancer.py
@@ -96,6 +96,21 @@
             manager = self.lease_managers.get(id)
             if manager is not None and manager.server.address != server.address:
                 self.drop_lease_manager(id)
+        self.drop_unlisted()
+
+    def drop_unlisted(self) -> None:
+        """Forgets servers that are gone and own no keys any more."""
+        in_use = self.servers.keys() | self.recorded_owners()
+        for move in self.active_moves:
+            in_use |= {move.source, move.target}
+        for id in self.lease_managers.keys() - in_use:
+            self.drop_lease_manager(id)
+        for id in self.service_ms.keys() - in_use:
+            del self.service_ms[id]
+        now = self.clock.boottime()
+        for id in self.expiries.keys() - in_use:
+            if self.expiries[id].latest(keys.all_keys()) < now:
+                del self.expiries[id]
 
     def drop_lease_manager(self, id: str) -> None:
         """Closes and removes the lease manager of a server."""
--- a/oleanderhoist/platform/leasechannel.py
+++ b/oleanderhoist/platform/leasechannel.py
@@ -120,8 +120,8 @@
 
     def close(self) -> None:
         """Closes the connections."""
-        self.grant_client.drop_idle()
-        self.release_client.drop_idle()
+        self.grant_client.close()
+        self.release_client.close()
 
 
 def unexpected_status(
--- a/tests/test_endless_process.py
+++ b/tests/test_endless_process.py
@@ -20,7 +20,7 @@
 CPU_SHARE = 0.3
 CPU_PERIOD_SECONDS = 0.05
 PLAY_SECONDS = 8.0
-SWEEP_SECONDS = 0.1
+PAUSE_SECONDS = 0.1
 ROUTER = 2
 KEY_STEP = 40_503  # Spreads successive keys over all servers.
 CALLERS = 60
@@ -31,7 +31,7 @@
 WATCHED_INTERVAL_SECONDS = 0.1
 
 
-class Relay(platform_system.System):
+class RelayedSystem(platform_system.System):
     """A system whose store can be replaced by one that sends without end.
 
     Attributes:
@@ -157,7 +157,9 @@
     """Bytes without end take no memory and no other callers' answers."""
 
     async def asyncSetUp(self) -> None:
-        self.system = Relay(routers=(ROUTER,), limits={"memory_mb": MEMORY_MB})
+        self.system = RelayedSystem(
+            routers=(ROUTER,), limits={"memory_mb": MEMORY_MB}
+        )
         self.addAsyncCleanup(self.system.stop)
         self.addCleanup(self.system.replace_store, False)
         await self.system.start()
@@ -223,6 +225,18 @@
         for result in await asyncio.gather(*tasks, return_exceptions=True):
             self.assertIsInstance(result, asyncio.CancelledError)
 
+    async def play_orders(self) -> None:
+        """Lets many callers order where answers have no end; checks."""
+        await self.play(
+            self.call_on(self.others, "GET", "/look/1", PAUSE_SECONDS),
+            self.call_on(self.others, "GET", "/look/1", PAUSE_SECONDS),
+            *(
+                self.call_on(self.victims, "POST", "/order/1", 0.0)
+                for _ in range(CALLERS)
+            ),
+        )
+        self.check()
+
     def check(self) -> None:
         """Checks memory, the judged requests and the process."""
         self.assertIsNone(self.process.returncode)
@@ -240,42 +254,26 @@
     # Guards against a process that runs out of memory by a server's garbage.
     async def test_answers_without_end_at_work(self):
         await self.add_servers("d", "desk")
-        await self.play(
-            self.call_on(self.others, "GET", "/look/1", SWEEP_SECONDS),
-            self.call_on(self.others, "GET", "/look/1", SWEEP_SECONDS),
-            *(
-                self.call_on(self.victims, "POST", "/order/1", 0.0)
-                for _ in range(CALLERS)
-            ),
-        )
-        self.check()
+        await self.play_orders()
         self.assertIn(502, {one.status for one in self.victims})
 
     # Guards against many unfinished bodies that together fill the memory.
     async def test_bodies_that_stall_at_work(self):
-        await self.add_servers("d", "desk", *["--stalled"])
+        await self.add_servers("d", "desk", "--stalled")
         for number in range(FIRST_NUMBER + COPIES, FIRST_NUMBER + CALLERS // 2):
             id = f"d{number}"
             self.system.servers[id] = self.system.servers[f"d{FIRST_NUMBER}"]
             self.system.born[id] = number
             await self.system.register_server(id, "desk")
-        await self.play(
-            self.call_on(self.others, "GET", "/look/1", SWEEP_SECONDS),
-            self.call_on(self.others, "GET", "/look/1", SWEEP_SECONDS),
-            *(
-                self.call_on(self.victims, "POST", "/order/1", 0.0)
-                for _ in range(CALLERS)
-            ),
-        )
-        self.check()
+        await self.play_orders()
 
     async def test_answers_without_end_to_grants(self):
         await self.add_servers("t", "tables", "--grants")
         await self.play(
-            self.call_on(self.others, "POST", "/order/1", SWEEP_SECONDS),
-            self.call_on(self.others, "POST", "/order/1", SWEEP_SECONDS),
+            self.call_on(self.others, "POST", "/order/1", PAUSE_SECONDS),
+            self.call_on(self.others, "POST", "/order/1", PAUSE_SECONDS),
             *(
-                self.call_on(self.victims, "GET", "/look/1", SWEEP_SECONDS)
+                self.call_on(self.victims, "GET", "/look/1", PAUSE_SECONDS)
                 for _ in range(CALLERS // 10)
             ),
         )
@@ -285,8 +283,8 @@
         self.system.replace_store(True)
         try:
             await self.play(
-                self.call_on(self.others, "POST", "/order/1", SWEEP_SECONDS),
-                self.call_on(self.others, "POST", "/order/1", SWEEP_SECONDS),
+                self.call_on(self.others, "POST", "/order/1", PAUSE_SECONDS),
+                self.call_on(self.others, "POST", "/order/1", PAUSE_SECONDS),
             )
         finally:
             self.system.replace_store(False)
