Close a connection whose peer closed with its answer

Test, before the change: test_a_connection_that_ends_with_its_answer_is_closed fails (the deque of idle connections holds it).

--- a/oleanderhoist/http/client.py
+++ b/oleanderhoist/http/client.py
@@ -236,9 +236,9 @@
         """Adds a connection to the idle pool.
 
         It closes if bytes arrive or the peer closes, and at once if this client
-        is closed.
+        or the peer has closed.
         """
-        if self.closed:
+        if self.closed or connection.reader.disconnected:
             connection.writer.close()
             return
         connection.idle_since = time.monotonic()
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -5,6 +5,7 @@
 import unittest
 
 from oleanderhoist.http import client
+from oleanderhoist.http import exchanges
 from oleanderhoist.node import forwarder
 from oleanderhoist.node import state
 from oleanderhoist.platform import protocol
@@ -16,6 +17,7 @@
 TIMEOUT_SECONDS = 2.0
 NOTICE_SECONDS = 0.1
 ADDRESSES = 40
+CHUNKS = 4 * exchanges.EVENTS_PER_TURN  # The end arrives before the last one.
 START_SECONDS = 5.0
 MOVE_SECONDS = 12.0  # Until the leases of a lost server have expired.
 
@@ -25,6 +27,15 @@
     writer.write(scripted.answer())
 
 
+async def answer_with_the_end(
+    peer: scripted.Peer, writer: asyncio.StreamWriter
+) -> None:
+    """Answers in many chunks and closes the connection at once."""
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    writer.write(head + b"1\r\nx\r\n" * CHUNKS + b"0\r\n\r\n")
+    writer.close()
+
+
 async def answer_and_close(
     peer: scripted.Peer, writer: asyncio.StreamWriter
 ) -> None:
@@ -55,6 +66,10 @@
         await asyncio.sleep(NOTICE_SECONDS)
         self.assertIsNone(connection.writer.transport._sock)
 
+    async def test_a_connection_that_ends_with_its_answer_is_closed(self):
+        peer_client = await self.open_one(answer_with_the_end)
+        self.assertFalse(peer_client.idle)
+
     async def test_a_connection_of_a_forgotten_peer_is_closed(self):
         peer_client = await self.open_one(answer)
         (connection,) = peer_client.idle
