--- a/oleanderhoist/entry/sending.py
+++ b/oleanderhoist/entry/sending.py
@@ -13,6 +13,7 @@
 from oleanderhoist.entry import slotclient
 from oleanderhoist.http import client
 from oleanderhoist.http import exchanges
+from oleanderhoist.http import framing
 from oleanderhoist.http import messages
 from oleanderhoist.policy import retry
 from oleanderhoist.policy import topology
@@ -123,7 +124,7 @@
                 ),
                 stream=not call.needs_claim,
                 idle_seconds=(
-                    exchanges.IDLE_SECONDS
+                    framing.IDLE_SECONDS
                     if call.work.repeatable
                     else UNREPEATABLE_MAX_IDLE_SECONDS
                 ),
--- a/oleanderhoist/http/client.py
+++ b/oleanderhoist/http/client.py
@@ -11,6 +11,7 @@
 
 from oleanderhoist import deadline
 from oleanderhoist.http import exchanges
+from oleanderhoist.http import framing
 from oleanderhoist.http import messages
 from oleanderhoist.http import streams
 
@@ -69,7 +70,7 @@
         headers: messages.Headers | None = None,
         body: bytes | AsyncIterator[bytes] = b"",
         stream: bool = False,
-        idle_seconds: float = exchanges.IDLE_SECONDS,
+        idle_seconds: float = framing.IDLE_SECONDS,
         host: bytes | None = None,
         accept: exchanges.ResponseFilter | None = None,
         reuse_only: bool = False,
@@ -172,7 +173,7 @@
             ExchangeError: The peer cannot be reached, or there is no idle
                 connection and none may be opened.
         """
-        connection = self.take_idle(exchanges.IDLE_SECONDS)
+        connection = self.take_idle(framing.IDLE_SECONDS)
         if connection is None and reuse_only:
             raise exchanges.ExchangeError(
                 "the connection has closed", maybe_sent=False
--- a/oleanderhoist/http/exchanges.py
+++ b/oleanderhoist/http/exchanges.py
@@ -5,21 +5,16 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import dataclasses
-import re
 
 import h11
 
 from oleanderhoist import deadline
+from oleanderhoist.http import framing
 from oleanderhoist.http import messages
 from oleanderhoist.http import streams
 from oleanderhoist.policy import answermemory
 
 READ_BYTES = 65_536
-# h11 takes quadratic time over a run of blanks in a head or a chunk's header.
-FRAMING_READ_BYTES = 2048
-MAX_BLANKS_BYTES = 256
-IDLE_SECONDS = 4.0
-KEEP_ALIVE_FRACTION = 0.6
 MAX_BUFFERED_BODY_BYTES = 262_144  # Of an answer that may be a stream.
 # Of one exchange; a page of the platform's store is 1 MB before base64.
 MAX_BODY_BYTES = 4_194_304
@@ -35,8 +30,6 @@
 
 BODILESS_STATUSES = (204, 304)
 
-_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
-
 ResponseFilter = Callable[[messages.Headers], messages.Match]
 # Returns the largest body of a response with this head, in bytes; 0 if the body
 # is of no use and the connection is closed instead.
@@ -91,7 +84,7 @@
     writer: asyncio.StreamWriter
     protocol: h11.Connection
     idle_since: float = 0.0
-    keep_alive_seconds: float = IDLE_SECONDS
+    keep_alive_seconds: float = framing.IDLE_SECONDS
     reused: bool = False
 
     def reusable(self, now: float, idle_seconds: float) -> bool:
@@ -141,7 +134,7 @@
         self.foreign_responses = 0
         self.informational_responses = 0
         self.events = 0
-        self.read_bytes = FRAMING_READ_BYTES
+        self.read_bytes = framing.READ_BYTES
         self.body_bytes = 0
         self.body_chunks = 0
         self.maybe_sent = False
@@ -182,7 +175,7 @@
         response = messages.Response(
             status=head.status_code, headers=list(head.headers)
         )
-        check_framing(response)
+        framing.check_framing(response)
         self.max_body_bytes = self.body_limit(response)
         if not self.max_body_bytes:
             self.abort()
@@ -230,7 +223,7 @@
         if self.foreign_responses:
             self.abort()
             return
-        self.connection.keep_alive_seconds = keep_alive_seconds(
+        self.connection.keep_alive_seconds = framing.keep_alive_seconds(
             response.headers
         )
         self.release(self.connection)
@@ -363,7 +356,7 @@
             protocol = self.connection.protocol
             event = protocol.next_event()
             if event is h11.NEED_DATA:
-                check_blanks(protocol.trailing_data[0])
+                framing.check_blanks(protocol.trailing_data[0])
                 data = await self.connection.reader.read(self.read_bytes)
                 self.response_started = self.response_started or bool(data)
                 protocol.receive_data(data)
@@ -385,7 +378,7 @@
         if event is h11.PAUSED:
             raise h11.RemoteProtocolError("the protocol was switched")
         if isinstance(event, h11.Response | h11.InformationalResponse):
-            check_single_head(event)
+            framing.check_single_head(event)
         if isinstance(event, h11.InformationalResponse):
             self.informational_responses += 1
         if self.informational_responses > MAX_INFORMATIONAL_RESPONSES:
@@ -414,54 +407,3 @@
             self.abort()
             raise
         self.finish(response)
-
-
-def check_blanks(framing: bytes) -> None:
-    """Checks an incomplete head, chunk header or trailer.
-
-    Raises:
-        h11.RemoteProtocolError: It has a long run of blanks.
-    """
-    if b" " * MAX_BLANKS_BYTES in framing.replace(b"\t", b" "):
-        raise h11.RemoteProtocolError("too many blanks in a line")
-
-
-def check_single_head(head: h11.Response | h11.InformationalResponse) -> None:
-    """Checks that a head is not a truncated one that runs into the next.
-
-    Raises:
-        h11.RemoteProtocolError: It has a second status line.
-    """
-    texts = [head.reason, *(value for _, value in head.headers)]
-    if any(_STATUS_LINE.search(text) for text in texts):
-        raise h11.RemoteProtocolError("two heads in one")
-
-
-def check_framing(response: messages.Response) -> None:
-    """Checks that a response does not have both a length and chunks.
-
-    Its body has the size of the chunks, which may differ from the length.
-
-    Raises:
-        h11.RemoteProtocolError: It has both.
-    """
-    names = {name for name, _ in response.headers}
-    if {b"content-length", b"transfer-encoding"} <= names:
-        raise h11.RemoteProtocolError("an answer with a length and chunks")
-
-
-def keep_alive_seconds(headers: messages.Headers) -> float:
-    """Returns how long a connection may stay idle, by its Keep-Alive header.
-
-    Args:
-        headers: Headers of its latest response.
-
-    Returns:
-        Time in seconds, well below the timeout that the peer states.
-    """
-    header = messages.find(headers, b"keep-alive") or ""
-    for part in header.split(","):
-        name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
-            return int(value) * KEEP_ALIVE_FRACTION
-    return IDLE_SECONDS
--- a/oleanderhoist/http/serverconnection.py
+++ b/oleanderhoist/http/serverconnection.py
@@ -18,6 +18,7 @@
 from oleanderhoist import events
 from oleanderhoist import log
 from oleanderhoist.http import exchanges
+from oleanderhoist.http import framing
 from oleanderhoist.http import messages
 from oleanderhoist.http import streams
 from oleanderhoist.policy import answermemory
@@ -228,7 +229,7 @@
                 return None
             try:
                 head = bytes(received).partition(b"\r\n\r\n")[0]
-                exchanges.check_blanks(head)
+                framing.check_blanks(head)
                 event = self.protocol.next_event()
             except h11.RemoteProtocolError as error:
                 too_large = error.error_status_hint == 431
@@ -253,7 +254,7 @@
     async def receive(self, timeout: float, started: bool) -> bytes | None:
         """Reads bytes, or answers 408 when a started head stalls."""
         try:
-            return await self.read(timeout, exchanges.FRAMING_READ_BYTES)
+            return await self.read(timeout, framing.READ_BYTES)
         except TimeoutError:
             if started:
                 await self.send_error(codes.HEAD_TIMEOUT)
@@ -299,7 +300,7 @@
             try:
                 event = self.protocol.next_event()
                 if event is h11.NEED_DATA:
-                    exchanges.check_blanks(self.protocol.trailing_data[0])
+                    framing.check_blanks(self.protocol.trailing_data[0])
             except h11.RemoteProtocolError as error:
                 raise messages.BodyError(str(error)) from error
             if event is h11.NEED_DATA:
@@ -320,7 +321,7 @@
                 BODY_STALL_SECONDS,
                 min(
                     READ_BYTES,
-                    max(exchanges.FRAMING_READ_BYTES, self.body_left),
+                    max(framing.READ_BYTES, self.body_left),
                 ),
             )
         except TimeoutError as error:
--- a/oleanderhoist/node/slotclient.py
+++ b/oleanderhoist/node/slotclient.py
@@ -1,7 +1,6 @@
 """Acquires slots of servers from the coordinators of slot queues."""
 
 import asyncio
-import math
 
 import prometheus_client
 
@@ -442,24 +441,8 @@
             if message.queue:
                 self.cancel(peer, message.queue, message.id)
             return
-        silent_after = math.inf
-        if message.silent_ms:
-            silent_after = message.silent_ms / 1000
-        granted = slotrequests.Granted(
-            request=slotgrants.request_stub(message.id),
-            server=message.server,
-            service_seconds=message.service_ms / 1000,
-            silent_after=silent_after,
-        )
-        self.resolve(peer, granted)
+        self.resolve(peer, slotgrants.granted(message))
 
     def on_slot_refused(self, peer: str, message: wire.SlotRefused) -> None:
         """Handles the refusal of a slot request."""
-        self.resolve(
-            peer,
-            slotrequests.Refused(
-                request=slotgrants.request_stub(message.id),
-                retry_after=message.retry_ms / 1000,
-                expected_wait=message.wait_ms / 1000,
-            ),
-        )
+        self.resolve(peer, slotgrants.refused(message))
--- a/oleanderhoist/node/slotgrants.py
+++ b/oleanderhoist/node/slotgrants.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 
+from oleanderhoist.node import wire
 from oleanderhoist.policy import slotrequests
 
 
@@ -30,16 +31,16 @@
 
 
 def to_grant(
-    queue: str, coordinator_address: str, granted: slotrequests.Granted
+    queue: str, coordinator_address: str, verdict: slotrequests.Granted
 ) -> SlotGrant:
     """Returns the grant of a coordinator's verdict."""
     return SlotGrant(
-        id=granted.request.id,
+        id=verdict.request.id,
         queue=queue,
         coordinator=coordinator_address,
-        server=granted.server,
-        service_seconds=granted.service_seconds,
-        silent_after=granted.silent_after,
+        server=verdict.server,
+        service_seconds=verdict.service_seconds,
+        silent_after=verdict.silent_after,
     )
 
 
@@ -48,3 +49,25 @@
     return slotrequests.SlotRequest(
         id=id, requester="", rank=0, deadline=0.0, objective=0.0
     )
+
+
+def granted(message: wire.SlotGranted) -> slotrequests.Granted:
+    """Decodes a coordinator's grant."""
+    silent_after = math.inf
+    if message.silent_ms:
+        silent_after = message.silent_ms / 1000
+    return slotrequests.Granted(
+        request=request_stub(message.id),
+        server=message.server,
+        service_seconds=message.service_ms / 1000,
+        silent_after=silent_after,
+    )
+
+
+def refused(message: wire.SlotRefused) -> slotrequests.Refused:
+    """Decodes a coordinator's refusal."""
+    return slotrequests.Refused(
+        request=request_stub(message.id),
+        retry_after=message.retry_ms / 1000,
+        expected_wait=message.wait_ms / 1000,
+    )
