--- a/standins/instance.py
+++ b/standins/instance.py
@@ -6,11 +6,12 @@
 requests), ``unsigned`` (responses without a signature) and ``truncate``
 (executed requests whose connection is aborted before the response). ``PUT
 /limit`` sets the rate that it names in all answers to requests, or ends it;
-``GET /arrivals`` returns when requests arrived, and whether it named a rate. A
-request may say in its query how long it takes: ``?work_ms=1500``. ``PUT
-/capacity`` sets how many requests it runs and queues; it never responds to any
-that it cannot queue, nor to what follows on their connection. ``GET /dropped``
-returns how many these were.
+``GET /arrivals`` returns when requests arrived, and whether it named a rate.
+``PUT /headers`` sets the names and values of headers that are added to all
+answers to requests. A request may say in its query how long it takes:
+``?work_ms=1500``. ``PUT /capacity`` sets how many requests it runs and queues;
+it never responds to any that it cannot queue, nor to what follows on their
+connection. ``GET /dropped`` returns how many these were.
 
 With ``--journal`` it writes a JSON line for each executed request and for each
 lease change at the sampled keys, with times of the monotonic clock.
@@ -50,6 +51,7 @@
         self.ran: list[str] = []
         self.limit: float | None = None
         self.arrivals: list[tuple[float, bool]] = []
+        self.headers: messages.Headers = []
         self.slots = asyncio.Semaphore(MAX_CONCURRENT)
         self.max_accepted = MAX_CONCURRENT
         self.accepted = 0
@@ -73,6 +75,12 @@
         if request.path == "/limit":
             self.limit = json.loads(body) if body else None
             return messages.json_response(self.limit)
+        if request.path == "/headers":
+            self.headers = [
+                (name.encode(), value.encode())
+                for name, value in json.loads(body)
+            ]
+            return messages.json_response(len(self.headers))
         if request.path == "/capacity":
             capacity = json.loads(body)
             self.slots = asyncio.Semaphore(capacity["slots"])
@@ -90,6 +98,7 @@
         response = await self.queue(request, body)
         if self.limit is not None:
             response.headers.append((b"server-limit", b"%.2f" % self.limit))
+        response.headers += self.headers
         return response
 
     def write_journal(self, **fields: object) -> None:
