Stop using a server once it says in an answer that it leaves

Cause: no module read the header; only the directory took a server out of use, and its entry stays ready, written again by each heartbeat. Class: something that a peer says of itself is dropped at the border.

The header is decoded once beside Server-Limit; one odd header is logged (425) and doesn't hide the other. policy/departures.py holds which processes (id, start time) have said it.

The router tells the coordinator and the leader (datagram Leaving); the leader publishes the server as leaving, moves its keys by handover and passes it on; member reports name what a member knows, so a new leader, a restarted router and a lost datagram are covered.

Existing tests: test_an_odd_limit_stops_all_requests asked for no notice at all where the limit is odd, which would hide the other headers; it now asks for no limit and exactly that field as unreadable, and a new test that an odd limit doesn't end the one before. The report's literal in test_outer_names has the new trailing field; the earlier bytes are still read, and earlier builds read the new ones. test_platform searches for two more wire names.

--- a/oleanderhoist/events.py
+++ b/oleanderhoist/events.py
@@ -255,6 +255,13 @@
     "gets one request at a time until it answers.",
     "oleanderhoist.node.coordinator",
 )
+SERVER_LEAVING = define(
+    419,
+    "server.leaving",
+    "A server said in an answer that it leaves: start time of its process, and "
+    "`source`: an answer to this router, or the router that passed it on.",
+    "oleanderhoist.node.state",
+)
 STORE_LOST = define(
     420,
     "store.lost",
@@ -285,6 +292,13 @@
     "A server's row in the store is invalid and was skipped.",
     "oleanderhoist.node.directory",
 )
+NOTICE_UNREADABLE = define(
+    425,
+    "notice.unreadable",
+    "A server said something of itself in an answer that can't be read and is "
+    "ignored: the header and the begin of its value.",
+    "oleanderhoist.node.servernotices",
+)
 LEADERSHIP_TAKEN = define(
     430,
     "leadership.taken",
--- a/oleanderhoist/node/coordinator.py
+++ b/oleanderhoist/node/coordinator.py
@@ -70,8 +70,8 @@
         """Returns the usable servers of a slot queue."""
         snapshot = self.state.snapshot
         if name.startswith(KEYED_PREFIX):
-            server = snapshot.servers.get(name.removeprefix(KEYED_PREFIX))
-            return [server] if server and not server.leaving else []
+            server = snapshot.usable_server(name.removeprefix(KEYED_PREFIX))
+            return [server] if server else []
         return list(snapshot.usable.get(name.removeprefix(POOL_PREFIX), ()))
 
     def get(self, name: str) -> HostedQueue:
--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -10,6 +10,7 @@
 from oleanderhoist.node import contractwatch
 from oleanderhoist.node import coordinator
 from oleanderhoist.node import datagrams
+from oleanderhoist.node import departurenews
 from oleanderhoist.node import directory
 from oleanderhoist.node import election
 from oleanderhoist.node import forwarder
@@ -75,6 +76,9 @@
         self.contract_watch = contractwatch.ContractWatch(
             platform=platform, state=state, clock=clock
         )
+        self.departure_news = departurenews.DepartureNews(
+            datagrams=datagrams, state=state, clock=clock
+        )
         self.leader_address = ""
         self.epoch = 0
         self.freshness = freshness.Freshness(
@@ -265,6 +269,7 @@
             leader_lease=leader_lease,
             contract_watch=self.contract_watch,
             store_last_failure_at=self.store_reader.last_failure_at,
+            departure_news=self.departure_news,
         )
         reason = ""
         try:
@@ -329,6 +334,7 @@
             service_ms=self.coordinator.service_times_ms(),
             leaving=self.stopping,
             contracts_revision=self.state.contracts_revision,
+            departed=self.departure_news.named(),
         )
 
     async def send_member_reports(self) -> None:
--- a/oleanderhoist/node/forwarder.py
+++ b/oleanderhoist/node/forwarder.py
@@ -173,7 +173,7 @@
                 events.REQUEST_HEDGED, request=job.head.id, pool=job.pool
             )
             attempts.add(asyncio.create_task(self.attempt(job)))
-            return await first_answer(job, first, attempts)
+            return await results.first_answer(job, first, attempts)
         finally:
             job.hedge_timeout = None
             for task in attempts:
@@ -224,14 +224,9 @@
             return results.stopped_outcome(job)
         if not isinstance(grant, slotgrants.SlotGrant):
             return grant
-        server = self.state.snapshot.servers.get(grant.server)
-        if server is None or server.leaving:
-            self.slot_client.release(grant, seconds=None, failed=False)
-            return jobs.FailedAttempt(
-                failure=retry.Failure.NOT_SENT,
-                code=codes.NO_SERVER,
-                detail=f"server {grant.server} left after the slot grant",
-            )
+        server = self.state.snapshot.usable_server(grant.server)
+        if server is None:
+            return self.return_slot(job, grant)
         if not coordinator.is_in_queue(grant.queue, job.pool, server):
             self.slot_client.release(grant, seconds=None, failed=False)
             return jobs.FailedAttempt(
@@ -241,6 +236,21 @@
             )
         return await self.send(job, server, grant)
 
+    def return_slot(
+        self, job: jobs.Job, grant: slotgrants.SlotGrant
+    ) -> jobs.FailedAttempt:
+        """Gives back the slot of a server that leaves, or has left.
+
+        The coordinator may not know of it yet.
+        """
+        self.slot_client.release(grant, seconds=None, failed=False)
+        server = self.state.snapshot.servers.get(grant.server)
+        if server is not None and not server.leaving:
+            self.slot_client.notices.tell_departure(
+                grant.coordinator, server.incarnation
+            )
+        return results.departed_attempt(job, grant.server)
+
     async def acquire_slot(
         self, job: jobs.Job
     ) -> slotgrants.SlotGrant | outcomes.Outcome | jobs.FailedAttempt:
@@ -248,7 +258,7 @@
         target = await self.find_queue(job)
         if target is None:
             return results.no_server_outcome(job, self.clock.monotonic())
-        queue, _ = target
+        queue, owner = target
         request = slotrequests.SlotRequest(
             id=self.slot_client.ids.next(),
             requester=self.slot_client.datagrams.address,
@@ -257,11 +267,15 @@
             objective=self.answers_due.limit_time(job.objective),
             data_center=self.data_center,
             body_bytes=len(job.body),
-            excluded=frozenset(job.tried_servers),
+            excluded=self.state.snapshot.departed_from(job.pool).union(
+                job.tried_servers
+            ),
             request_id=job.head.id,
         )
         verdict = await self.slot_client.acquire(queue, request)
         if isinstance(verdict, slotrequests.Refused):
+            if owner and not self.state.snapshot.usable_server(owner.id):
+                return results.departed_attempt(job, owner.id)
             return results.refused_outcome(
                 job, queue, self.state.snapshot.coordinator(queue), verdict
             )
@@ -290,8 +304,8 @@
         self.seen_keys.setdefault(job.pool, []).append(key)
         wait_end = jobs.owner_wait_end(job)
         while True:
-            owner = self.state.snapshot.owner(job.pool, key)
-            if owner is not None and not owner.leaving:
+            owner = self.state.snapshot.usable_owner(job.pool, key)
+            if owner is not None:
                 return coordinator.queue_name(job.pool, owner), owner
             remaining = min(wait_end, job.deadline) - self.clock.monotonic()
             if remaining <= 0 or not await self.state.wait_for_snapshot(
@@ -403,27 +417,6 @@
             return results.classify_error(job, server, error)
         kind = self.platform.classify(response)
         notice = self.platform.server_notice(response)
-        if notice is not None and kind in SERVER_ANSWERS:
+        if kind in SERVER_ANSWERS:
             self.slot_client.notices.record(queue, server, notice, sent_at)
         return results.classify_response(job, server, response, kind)
-
-
-async def first_answer(
-    job: jobs.Job, first: asyncio.Task, attempts: set[asyncio.Task]
-) -> outcomes.Outcome | jobs.FailedAttempt:
-    """Returns the first response of a server, else what the attempts add up to.
-
-    Args:
-        job: The request.
-        first: The earlier attempt, whose failure may be retried.
-        attempts: Both attempts.
-    """
-    running = set(attempts)
-    while running:
-        done, running = await asyncio.wait(
-            running, return_when=asyncio.FIRST_COMPLETED
-        )
-        for task in done:
-            if results.is_own_answer(job, task.result()):
-                return task.result()
-    return results.revised_outcome(job, first.result())
--- a/oleanderhoist/node/jobs.py
+++ b/oleanderhoist/node/jobs.py
@@ -31,6 +31,8 @@
         objective: Latest time for a response of full value, on the same clock.
         sends: Number of times it was sent to a server.
         unsent_attempts: Attempts that ended before it was sent.
+        returned_slots: Ids of servers whose slot was given back, since they
+            leave.
         tried_servers: Ids of the servers that an exchange was started with.
         possible_runs: Number of exchanges, running or ended, in which a server
             may have run it.
@@ -51,6 +53,7 @@
     objective: float
     sends: int = 0
     unsent_attempts: int = 0
+    returned_slots: set[str] = dataclasses.field(default_factory=set)
     tried_servers: set[str] = dataclasses.field(default_factory=set)
     possible_runs: int = 0
     completed: outcomes.Complete | None = None
--- a/oleanderhoist/node/leader.py
+++ b/oleanderhoist/node/leader.py
@@ -14,6 +14,7 @@
 from oleanderhoist import program
 from oleanderhoist.node import contractwatch
 from oleanderhoist.node import datagrams
+from oleanderhoist.node import departurenews
 from oleanderhoist.node import directory
 from oleanderhoist.node import leaderstore
 from oleanderhoist.node import leasemanager
@@ -59,6 +60,7 @@
         contract_watch: Follows the contracts.
         store_last_failure_at: When a store call of this router last failed,
             as `StoreReader` recorded it, on the monotonic clock.
+        departure_news: Passes on which servers have said that they leave.
     """
 
     def __init__(
@@ -74,6 +76,7 @@
         leader_lease: leaderlease.LeaderLease,
         contract_watch: contractwatch.ContractWatch,
         store_last_failure_at: float,
+        departure_news: departurenews.DepartureNews,
     ):
         self.platform = platform
         self.datagrams = datagrams
@@ -83,6 +86,7 @@
         self.own_member = own_member
         self.leader_lease = leader_lease
         self.contract_watch = contract_watch
+        self.departure_news = departure_news
         self.fences = leasemanager.FencingTokens(epoch=leader_lease.epoch)
         self.leader_store = leaderstore.LeaderStore(
             platform=platform,
@@ -121,6 +125,7 @@
         Raises:
             ExceptionGroup: With the reason why the leadership ended.
         """
+        self.state.retain_departures()
         await self.read_first()
         LEADING.set(1)
         try:
@@ -133,6 +138,7 @@
                 self.state.contract_listeners.append(
                     self.publisher.send_contracts_to_all
                 )
+                self.state.departure_listeners.append(self.on_departures)
                 group.create_task(self.renew_record())
                 group.create_task(self.send_heartbeats())
                 group.create_task(self.wait_until_deposed())
@@ -146,6 +152,7 @@
             self.state.contract_listeners.remove(
                 self.publisher.send_contracts_to_all
             )
+            self.state.departure_listeners.remove(self.on_departures)
             for pool_rebalancer in self.rebalancers.values():
                 for manager in pool_rebalancer.lease_managers.values():
                     manager.close()
@@ -187,14 +194,24 @@
         pool_rebalancer.update(self.servers_of(pool))
         self.spawn(pool_rebalancer.run())
 
+    def servers(self) -> dict[str, cluster.Server]:
+        """Returns the listed servers; those that say so are leaving."""
+        return self.state.departures.mark(self.directory.servers)
+
     def servers_of(self, pool: str) -> dict[str, cluster.Server]:
         """Returns the servers of a pool."""
         return {
             id: server
-            for id, server in self.directory.servers.items()
+            for id, server in self.servers().items()
             if server.pool == pool
         }
 
+    def on_departures(self, incarnations: list[cluster.Incarnation]) -> None:
+        """Passes on which servers leave, and starts to move their keys."""
+        self.publisher.send_departures(incarnations)
+        self.snapshot_dirty.set()
+        self.update_servers()
+
     async def renew_record(self) -> None:
         """Renews the leadership record.
 
@@ -331,6 +348,10 @@
             for pool in contracts.pools.values():
                 if pool.keyed and pool.name not in self.rebalancers:
                     self.add_rebalancer(pool.name, None)
+        self.update_servers()
+
+    def update_servers(self) -> None:
+        """Updates the rebalancers with the current servers."""
         for pool, pool_rebalancer in self.rebalancers.items():
             pool_rebalancer.update(self.servers_of(pool))
 
@@ -346,7 +367,7 @@
                 version=self.version,
                 leader=self.datagrams.address,
                 members=dict(self.members),
-                servers=dict(self.directory.servers),
+                servers=self.servers(),
                 maps={
                     pool: pool_rebalancer.published_map()
                     for pool, pool_rebalancer in self.rebalancers.items()
@@ -382,6 +403,7 @@
             self.members_joined.set()
             log.write(events.MEMBER_JOINED, member=peer)
         self.record_load(message.keys, message.service_ms)
+        self.departure_news.compare(peer, message.departed)
         if self.missed_update(message):
             self.publisher.send_snapshot(peer)
         if message.contracts_revision < self.state.contracts_revision:
--- a/oleanderhoist/node/publisher.py
+++ b/oleanderhoist/node/publisher.py
@@ -1,7 +1,10 @@
 """Sends snapshots, deltas and contracts to the members."""
 
+from collections.abc import Iterable
+
 from oleanderhoist.node import contractcodec
 from oleanderhoist.node import datagrams
+from oleanderhoist.node import departurenews
 from oleanderhoist.node import snapshots
 from oleanderhoist.node import state
 from oleanderhoist.node import wire
@@ -63,6 +66,14 @@
         for fragment in self.snapshot_fragments:
             self.datagrams.send_raw(address, fragment)
 
+    def send_departures(
+        self, incarnations: Iterable[cluster.Incarnation]
+    ) -> None:
+        """Tells all members which servers have said that they leave."""
+        for incarnation in incarnations:
+            message = departurenews.to_message(incarnation)
+            self.send_all(wire.encode(message))
+
     def send_contracts_to_all(self) -> None:
         """Sends new contracts to all members.
 
--- a/oleanderhoist/node/results.py
+++ b/oleanderhoist/node/results.py
@@ -1,5 +1,7 @@
 """Outcomes of requests and of attempts."""
 
+import asyncio
+
 from oleanderhoist import codes
 from oleanderhoist import outcomes
 from oleanderhoist import ports
@@ -108,6 +110,25 @@
     )
 
 
+def departed_attempt(job: jobs.Job, server: str) -> jobs.FailedAttempt:
+    """Returns the attempt that ended as its server turned out to be leaving.
+
+    For each server one of them does not count among the unsent attempts.
+
+    Args:
+        job: The request.
+        server: Id of the server.
+    """
+    if server not in job.returned_slots:
+        job.returned_slots.add(server)
+        job.unsent_attempts -= 1
+    return jobs.FailedAttempt(
+        failure=retry.Failure.NOT_SENT,
+        code=codes.NO_SERVER,
+        detail=f"server {server} left after the slot was requested",
+    )
+
+
 def refused_outcome(
     job: jobs.Job, queue: str, coordinator: str, verdict: slotrequests.Refused
 ) -> outcomes.Outcome:
@@ -188,3 +209,24 @@
         code=codes.LOST,
         detail=detail,
     )
+
+
+async def first_answer(
+    job: jobs.Job, first: asyncio.Task, attempts: set[asyncio.Task]
+) -> outcomes.Outcome | jobs.FailedAttempt:
+    """Returns the first response of a server, else what the attempts add up to.
+
+    Args:
+        job: The request.
+        first: The earlier attempt, whose failure may be retried.
+        attempts: Both attempts.
+    """
+    running = set(attempts)
+    while running:
+        done, running = await asyncio.wait(
+            running, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            if is_own_answer(job, task.result()):
+                return task.result()
+    return revised_outcome(job, first.result())
--- a/oleanderhoist/node/servernotices.py
+++ b/oleanderhoist/node/servernotices.py
@@ -1,10 +1,13 @@
-"""What servers say of themselves in their answers, told to coordinators.
+"""What servers say of themselves in their answers, told to other routers.
 
 A limit that a server names holds for all routers together, so the coordinator
 of its slot queue paces the requests. It is told of every answer that names a
 limit, so a datagram may be lost and the coordinator may restart. Each router
 remembers the limits that it heard, for a new coordinator and for requests that
 do not reach one.
+
+A server that leaves gets no more requests from the router that it told. The
+coordinator and the leader are told at once, all others by the leader.
 """
 
 import dataclasses
@@ -17,11 +20,14 @@
 from oleanderhoist import ports
 from oleanderhoist.node import coordinator
 from oleanderhoist.node import datagrams
+from oleanderhoist.node import departurenews
 from oleanderhoist.node import state
 from oleanderhoist.node import wire
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import serverlimit
 
+ANSWER = "answer"  # Source of what a server said to this router itself.
+
 LIMITED = prometheus_client.Gauge(
     "oleander_limited_servers", "Servers that limit their rate, as heard here"
 )
@@ -47,7 +53,7 @@
 
 
 class ServerNotices:
-    """Records what servers say to this router, and tells coordinators.
+    """Records what servers say to this router, and tells other routers.
 
     Args:
         datagrams: Datagrams to the other routers.
@@ -89,25 +95,62 @@
             notice: What it said.
             sent_at: When the request was sent, in seconds.
         """
+        for text in notice.unreadable.values():
+            log.write_limited(
+                events.NOTICE_UNREADABLE, server=server.id, header=text
+            )
+        if notice.limit is not None:
+            self.record_limit(queue, server, notice.limit)
+        elif ports.NoticeField.LIMIT not in notice.unreadable:
+            self.end_limit(queue, server, sent_at)
+        if notice.leaving:
+            self.record_departure(queue, server)
+
+    def end_limit(
+        self, queue: str, server: cluster.Server, sent_at: float
+    ) -> None:
+        """Ends a limit that an answer doesn't name any more.
+
+        An answer to an earlier request may have been overtaken.
+        """
+        known = self.limits.get(server.id)
+        if known is not None and sent_at >= known.heard_at:
+            del self.limits[server.id]
+            self.log_limit(server, None)
+            self.send(queue, server, None)
+
+    def record_limit(
+        self, queue: str, server: cluster.Server, limit: float
+    ) -> None:
+        """Records a limit that an answer names."""
         known = self.limits.get(server.id)
-        if notice.limit is None:
-            # An answer to an earlier request may have been overtaken.
-            if known is not None and sent_at >= known.heard_at:
-                del self.limits[server.id]
-                self.log_limit(server, None)
-                self.send(queue, server, None)
-            return
         heard = HeardLimit(
             server=server,
             queue=queue,
-            limit=notice.limit,
+            limit=limit,
             heard_at=self.clock.monotonic(),
         )
         self.limits[server.id] = heard
-        if known is None or known.limit != notice.limit:
-            self.log_limit(server, notice.limit)
+        if known is None or known.limit != limit:
+            self.log_limit(server, limit)
         self.tell(heard)
 
+    def record_departure(self, queue: str, server: cluster.Server) -> None:
+        """Stops using a server that says that it leaves; tells others once."""
+        if server.incarnation not in self.state.departures.unlisted_since:
+            self.state.learn_departures([server.incarnation], ANSWER)
+            coordinator_address = self.state.snapshot.coordinator(queue)
+            self.tell_departure(coordinator_address, server.incarnation)
+
+    def tell_departure(
+        self, coordinator_address: str, incarnation: cluster.Incarnation
+    ) -> None:
+        """Tells a coordinator and the leader that a server leaves."""
+        addresses = {coordinator_address, self.state.snapshot.leader}
+        message = departurenews.to_message(incarnation)
+        for address in addresses - {self.datagrams.address, ""}:
+            self.datagrams.send(address, message)
+
     def log_limit(self, server: cluster.Server, limit: float | None) -> None:
         """Logs and counts limits after one has begun, changed or ended."""
         LIMITED.set(len(self.limits))
--- a/oleanderhoist/node/state.py
+++ b/oleanderhoist/node/state.py
@@ -1,6 +1,9 @@
 """The snapshot and the active contracts of a router."""
 
 import asyncio
+from collections.abc import Iterable
+
+import prometheus_client
 
 from oleanderhoist import deadline
 from oleanderhoist import events
@@ -9,6 +12,12 @@
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import confirmation
 from oleanderhoist.policy import contractset
+from oleanderhoist.policy import departures
+
+LEAVING = prometheus_client.Gauge(
+    "oleander_leaving_servers",
+    "Listed servers that said in an answer that they leave, as known here",
+)
 
 
 class State:
@@ -19,6 +28,7 @@
 
     Attributes:
         snapshot: Cluster state.
+        departures: Servers that have said in an answer that they leave.
         contracts: Active contracts; None before the first.
         contracts_revision: Revision of the newest contracts that were adopted.
         rejected_revision: Revision of the newest contracts that were rejected.
@@ -29,6 +39,7 @@
 
     def __init__(self):
         self.snapshot = cluster.Snapshot()
+        self.departures = departures.Departures()
         self.contracts: contractset.ContractSet | None = None
         self.contracts_revision = 0
         self.rejected_revision = 0
@@ -36,6 +47,7 @@
         self.snapshot_confirmation = confirmation.Confirmation()
         self.snapshot_listeners: list = []
         self.contract_listeners: list = []
+        self.departure_listeners: list = []
         self.snapshot_changed = asyncio.Event()
         self.contracts_changed = asyncio.Event()
 
@@ -49,10 +61,8 @@
         before = self.snapshot
         if snapshot.epoch < before.epoch:
             return
-        snapshot.reuse_coordinators(before)
-        self.snapshot = snapshot
-        self.snapshot_changed.set()
-        self.snapshot_changed = asyncio.Event()
+        self.snapshot = self.departures.overlay(snapshot)
+        self.snapshot.reuse_coordinators(before)
         log.write(
             events.PICTURE_ADOPTED,
             epoch=snapshot.epoch,
@@ -61,8 +71,55 @@
             members=len(snapshot.members),
             source=source,
         )
+        self.notify_snapshot_listeners()
+
+    def notify_snapshot_listeners(self) -> None:
+        """Notifies waiting tasks and listeners of a change of the snapshot."""
+        LEAVING.set(len(self.snapshot.departed))
+        self.snapshot_changed.set()
+        self.snapshot_changed = asyncio.Event()
         for listener in self.snapshot_listeners:
-            listener(snapshot)
+            listener(self.snapshot)
+
+    def learn_departures(
+        self, incarnations: Iterable[cluster.Incarnation], source: str
+    ) -> None:
+        """Stops using servers that have said that they leave.
+
+        Args:
+            incarnations: The processes of the servers.
+            source: From whom it was learned, for the log.
+        """
+        new = [one for one in incarnations if self.departures.add(one)]
+        if not new:
+            return
+        for incarnation in new:
+            log.write_limited(
+                events.SERVER_LEAVING,
+                server=incarnation.id,
+                started_ms=incarnation.started_ms,
+                source=source,
+            )
+        before = self.snapshot
+        self.snapshot = self.departures.overlay(before)
+        if self.snapshot is not before:
+            self.snapshot.reuse_coordinators(before)
+            self.notify_snapshot_listeners()
+        for listener in self.departure_listeners:
+            listener(new)
+
+    def retain_departures(self) -> None:
+        """Keeps in mind which servers the snapshot lists as leaving.
+
+        For a change to what the directory says: a server may say in its
+        answers that it leaves, and in the directory that it is ready.
+        """
+        leaving = [
+            server.incarnation
+            for server in self.snapshot.servers.values()
+            if server.leaving
+        ]
+        self.learn_departures(leaving, self.snapshot.leader)
 
     def adopt_contracts(
         self, versioned: ports.VersionedContracts, source: str
--- a/oleanderhoist/node/storereader.py
+++ b/oleanderhoist/node/storereader.py
@@ -114,7 +114,8 @@
         )
         record = leaderstore.leadership_of(rows)
         self.on_record(record)
-        if self.state.snapshot is not before or record.epoch < before.epoch:
+        current = self.state.snapshot
+        if current.name != before.name or record.epoch < before.epoch:
             return
         self.adopt(before, server_directory.servers, rows)
 
@@ -142,6 +143,7 @@
             maps=maps,
         )
         version = snapshots.content_version(snapshot)
+        self.state.retain_departures()
         self.state.adopt_snapshot(
             dataclasses.replace(snapshot, version=version), "store"
         )
--- a/oleanderhoist/node/updates.py
+++ b/oleanderhoist/node/updates.py
@@ -52,13 +52,13 @@
         """Applies a delta to the snapshot that it is based on."""
         current = self.state.snapshot
         base = (message.base_epoch, message.base_version)
-        if base == (current.epoch, current.version):
+        if base == current.name:
             self.state.adopt_snapshot(
                 snapshots.apply(current, message, leader=peer), peer
             )
             return
         newer = (message.epoch, message.version)
-        if newer > (current.epoch, current.version):
+        if newer > current.name:
             self.request_snapshot(peer)
 
     def request_snapshot(self, peer: str) -> None:
@@ -76,7 +76,7 @@
     ) -> None:
         """Handles a fragment; adopts the snapshot once it is complete."""
         version = (message.epoch, message.version)
-        current = (self.state.snapshot.epoch, self.state.snapshot.version)
+        current = self.state.snapshot.name
         if version <= current:
             return
         try:
--- a/oleanderhoist/node/wire.py
+++ b/oleanderhoist/node/wire.py
@@ -21,6 +21,8 @@
         service_ms: Measured service time by server, in milliseconds.
         leaving: Whether it is stopping.
         contracts_revision: Revision of its contracts.
+        departed: Ids and start times of the listed servers that have said that
+            they leave; None from earlier versions.
     """
 
     data_center: str
@@ -31,6 +33,7 @@
     service_ms: dict[str, float]
     leaving: bool = False
     contracts_revision: int = 0
+    departed: list[tuple[str, int]] | None = None
 
 
 class Heartbeat(Message, tag="Beat"):
@@ -220,6 +223,18 @@
     per_second: float | None
 
 
+class ServerLeaving(Message, tag="Leaving"):
+    """A router passes on that a server said in an answer that it leaves.
+
+    Attributes:
+        server: Id of the server.
+        started_ms: Start time of its process, in milliseconds since the epoch.
+    """
+
+    server: str
+    started_ms: int
+
+
 class ServerSilent(Message, tag="Silent"):
     """A router tells a coordinator that a server left a request unanswered.
 
@@ -245,6 +260,7 @@
     | ReleaseSlot
     | CancelAcquire
     | ServerLimit
+    | ServerLeaving
     | ServerSilent
 )
 
--- a/oleanderhoist/platform/adapter.py
+++ b/oleanderhoist/platform/adapter.py
@@ -107,10 +107,8 @@
         """Classifies a server's response."""
         return protocol.classify(response)
 
-    def server_notice(
-        self, response: messages.Response
-    ) -> ports.ServerNotice | None:
-        """Returns what a server says of itself; None if it can't be read."""
+    def server_notice(self, response: messages.Response) -> ports.ServerNotice:
+        """Returns what a server says of itself in a response."""
         return protocol.server_notice(response)
 
     def to_response(self, outcome: outcomes.Outcome) -> messages.Response:
--- a/oleanderhoist/platform/headers.py
+++ b/oleanderhoist/platform/headers.py
@@ -8,4 +8,5 @@
 EXPECTED_SERVER = b"expected-instance"
 HANDOVER_TOKEN = b"handover-token"
 SERVER_LIMIT = b"server-limit"  # Requests per second.
+SERVER_LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
--- a/oleanderhoist/platform/protocol.py
+++ b/oleanderhoist/platform/protocol.py
@@ -12,6 +12,8 @@
 MIN_REMAINING_SECONDS = 0.001
 MAX_DIGITS = 15  # Of a number in a header.
 DECIMAL = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
+LEAVING = "1"  # The only value that says that a server leaves.
+MAX_LOGGED_CHARACTERS = 40  # Of the value of a header.
 REPLACED_HEADERS = frozenset(
     [b"host", b"content-length", headers.REMAINING_MS, headers.EXPECTED_SERVER]
 )
@@ -85,14 +87,41 @@
     )
 
 
-def server_notice(response: messages.Response) -> ports.ServerNotice | None:
-    """Returns what a server says of itself; None if it can't be read."""
-    text = messages.find(response.headers, headers.SERVER_LIMIT)
-    if text is None:
-        return ports.ServerNotice()
-    if not DECIMAL.fullmatch(text):
-        return None
-    return ports.ServerNotice(limit=float(text))
+def server_notice(response: messages.Response) -> ports.ServerNotice:
+    """Returns what a server says of itself in a response.
+
+    A header that can't be read does not hide the others.
+    """
+    limit = single_value(response.headers, headers.SERVER_LIMIT)
+    leaving = single_value(response.headers, headers.SERVER_LEAVING)
+    unreadable = {}
+    if limit is not None and not DECIMAL.fullmatch(limit):
+        field = ports.NoticeField.LIMIT
+        unreadable[field] = describe(headers.SERVER_LIMIT, limit)
+        limit = None
+    if leaving not in (None, LEAVING):
+        field = ports.NoticeField.LEAVING
+        unreadable[field] = describe(headers.SERVER_LEAVING, leaving)
+    return ports.ServerNotice(
+        limit=None if limit is None else float(limit),
+        leaving=leaving == LEAVING,
+        unreadable=unreadable,
+    )
+
+
+def single_value(pairs: messages.Headers, name: bytes) -> str | None:
+    """Returns the value of a header; None without it.
+
+    Different values of a repeated header are joined, as HTTP has it, and so
+    are no single value any more.
+    """
+    values = dict.fromkeys(value for key, value in pairs if key == name)
+    return b", ".join(values).decode("latin-1") if values else None
+
+
+def describe(name: bytes, value: str) -> str:
+    """Returns a header with the begin of its value, for the log."""
+    return f"{name.decode()}: {value[:MAX_LOGGED_CHARACTERS]}"
 
 
 def to_response(outcome: outcomes.Outcome) -> messages.Response:
--- a/oleanderhoist/policy/cluster.py
+++ b/oleanderhoist/policy/cluster.py
@@ -9,6 +9,19 @@
 MISSING_GRACE_SECONDS = 2.4
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Incarnation:
+    """One process of a server, from its start to its end.
+
+    Attributes:
+        id: Name of the server.
+        started_ms: Start time of the process, in milliseconds since the epoch.
+    """
+
+    id: str
+    started_ms: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Server:
     """A backend server as the directory lists it.
@@ -31,6 +44,11 @@
     started_ms: int = 0
     leaving: bool = False
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """The process that is listed."""
+        return Incarnation(id=self.id, started_ms=self.started_ms)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Member:
@@ -60,6 +78,8 @@
         members: Members by address.
         servers: Servers by id.
         maps: Owners of keys by pool.
+        departed: Those of the servers that have said to a router that they
+            leave; not published, and no part of the content.
     """
 
     epoch: int = 0
@@ -68,13 +88,23 @@
     members: dict[str, Member] = dataclasses.field(default_factory=dict)
     servers: dict[str, Server] = dataclasses.field(default_factory=dict)
     maps: dict[str, keys.KeyMap] = dataclasses.field(default_factory=dict)
+    departed: frozenset[Incarnation] = frozenset()
+
+    @property
+    def name(self) -> tuple[int, int]:
+        """Epoch and version, which name the content."""
+        return self.epoch, self.version
+
+    def may_use(self, server: Server) -> bool:
+        """Returns whether a listed server may get new requests."""
+        return not server.leaving and server.incarnation not in self.departed
 
     @functools.cached_property
     def usable(self) -> dict[str, tuple[Server, ...]]:
         """Servers that may get new requests, by pool."""
         by_pool: dict[str, list[Server]] = {}
         for server in self.servers.values():
-            if not server.leaving:
+            if self.may_use(server):
                 by_pool.setdefault(server.pool, []).append(server)
         return {pool: tuple(servers) for pool, servers in by_pool.items()}
 
@@ -103,12 +133,25 @@
             )
         return self.coordinators[queue]
 
-    def owner(self, pool: str, key: int) -> Server | None:
-        """Returns the server that owns a key, or None."""
+    def usable_server(self, id: str) -> Server | None:
+        """Returns a server if it may get new requests, else None."""
+        server = self.servers.get(id)
+        return server if server and self.may_use(server) else None
+
+    def usable_owner(self, pool: str, key: int) -> Server | None:
+        """Returns the owner of a key if it may get requests, else None."""
         key_map = self.maps.get(pool)
         if key_map is None:
             return None
-        return self.servers.get(key_map.find(key).owner)
+        return self.usable_server(key_map.find(key).owner)
+
+    def departed_from(self, pool: str) -> frozenset[str]:
+        """Returns the ids of a pool's servers that have said they leave."""
+        return frozenset(
+            incarnation.id
+            for incarnation in self.departed
+            if self.servers[incarnation.id].pool == pool
+        )
 
 
 def merge_listing(
--- a/oleanderhoist/ports.py
+++ b/oleanderhoist/ports.py
@@ -137,6 +137,13 @@
     UNFOUNDED = "unfounded"  # A status for "not run" without its header.
 
 
+class NoticeField(enum.StrEnum):
+    """One of the things that a server says of itself in a response."""
+
+    LIMIT = "limit"
+    LEAVING = "leaving"
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ServerNotice:
     """What a server says of itself in a response.
@@ -144,9 +151,14 @@
     Attributes:
         limit: Requests per second that it takes from all routers together;
             None if it names no limit.
+        leaving: Whether it leaves and must get no new requests.
+        unreadable: What it says that can't be read, by field; nothing is
+            known of these fields.
     """
 
     limit: float | None = None
+    leaving: bool = False
+    unreadable: dict[NoticeField, str] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -301,8 +313,8 @@
     def classify(self, response: messages.Response) -> AnswerKind:
         """Classifies a server's response."""
 
-    def server_notice(self, response: messages.Response) -> ServerNotice | None:
-        """Returns what a server says of itself; None if it can't be read."""
+    def server_notice(self, response: messages.Response) -> ServerNotice:
+        """Returns what a server says of itself in a response."""
 
     def to_response(self, outcome: outcomes.Outcome) -> messages.Response:
         """Returns the response to the caller for an outcome."""
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -11,6 +11,7 @@
 
 from oleanderhoist import ports
 from oleanderhoist.node import contractcodec
+from oleanderhoist.node import datagrams as datagram_endpoint
 from oleanderhoist.node import fragments
 from oleanderhoist.node import leaderstore
 from oleanderhoist.node import wire as datagrams
@@ -28,6 +29,7 @@
         service_ms={"s": 1.5},
         leaving=True,
         contracts_revision=6,
+        departed=[("s", 7)],
     ),
     datagrams.Heartbeat(
         epoch=1,
@@ -81,11 +83,12 @@
     ),
     datagrams.CancelAcquire(queue="q", id=1),
     datagrams.ServerLimit(queue="q", server="s", started_ms=1, per_second=2.5),
+    datagrams.ServerLeaving(server="s", started_ms=1),
     datagrams.ServerSilent(queue="q", server="s"),
 ]
 DATAGRAM_BYTES = """
-99a548656c6c6fa161cb3fe0000000000000020381a17092040581a173cb3ff8000000000000c3
-06
+9aa548656c6c6fa161cb3fe0000000000000020381a17092040581a173cb3ff8000000000000c3
+069192a17307
 
 97a4426561740102030405c3
 
@@ -110,10 +113,26 @@
 
 95a54c696d6974a171a17301cb4004000000000000
 
+93a74c656176696e67a17301
+
 93a653696c656e74a171a173
 """
 # Of versions whose messages had fewer fields; these have their defaults.
 EARLIER_DATAGRAMS = [
+    (
+        datagrams.MemberReport(
+            data_center="a",
+            cores=0.5,
+            epoch=2,
+            version=3,
+            keys={"p": [4, 5]},
+            service_ms={"s": 1.5},
+            leaving=True,
+            contracts_revision=6,
+        ),
+        "99a548656c6c6fa161cb3fe0000000000000020381a17092040581a173cb3ff800000000"
+        "0000c306",
+    ),
     (datagrams.SlotGranted(id=1, server="s"), "93a4536c6f7401a173"),
     (
         datagrams.SlotGranted(id=1, server="s", service_ms=2, silent_ms=3),
@@ -308,6 +327,32 @@
         )
         self.assertEqual((1, "s"), (decoded.id, decoded.server))
 
+    def test_earlier_versions_ignore_which_servers_a_report_names(self):
+        fields = datagrams.MemberReport.__annotations__
+        earlier = msgspec.defstruct(
+            "MemberReport",
+            [item for item in fields.items() if item[0] != "departed"],
+            tag="Hello",
+            array_like=True,
+        )
+        decoded = msgspec.msgpack.decode(
+            datagrams.encode(DATAGRAMS[0]), type=earlier
+        )
+        self.assertEqual(
+            ("a", True, 6),
+            (decoded.data_center, decoded.leaving, decoded.contracts_revision),
+        )
+
+    def test_an_unknown_datagram_is_malformed_and_ends_nothing(self):
+        unknown = msgspec.defstruct(
+            "Later", [("server", str)], tag="Later", array_like=True
+        )
+        endpoint = datagram_endpoint.DatagramEndpoint(host="h", port=1)
+        data = msgspec.msgpack.encode(unknown(server="s"))
+        with self.assertRaises(datagrams.DecodeError):
+            datagrams.decode(data)
+        endpoint.datagram_received(data, ("10.0.0.1", 1))
+
     def test_messages_of_entries_and_placers_are_encoded_as_before(self):
         expected = unhex(MESSAGE_BYTES)
         for message, data in zip(MESSAGES, expected, strict=True):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -20,7 +20,7 @@
     r"traffic_split|[Ss]hard-[Kk]ey|rows-(tx|get|feed)|[Ii]nstance-[Ll]oad|"
     r"[Nn]ot-[Ee]xecuted|[Rr]esponse-[Ss]ignature|[Hh]andover-[Tt]oken|"
     r"[Ee]xpected-[Ii]nstance|[Dd]eadline-[Mm]s|expected_rev|route_type|"
-    r"target_latency_ms|max_attempts|internal_ports|cold_remaining_ms"
+    r"[Ss]erver-[Ll]eaving|[Ss]erver-[Ll]imit|target_latency_ms|max_attempts|internal_ports|cold_remaining_ms"
 )
 
 
--- a/tests/test_server_limit.py
+++ b/tests/test_server_limit.py
@@ -368,10 +368,27 @@
             self.assertEqual(limit, self.notice(value).limit, value)
         odd = (b"", b"-1", b"nan", b"inf", b"1e3", b"9" * 400, b"\xb2", b"1,5")
         for value in odd:
-            self.assertIsNone(self.notice(value), value)
-        self.assertIsNone(protocol.server_notice(messages.Response()).limit)
+            notice = self.notice(value)
+            self.assertIsNone(notice.limit, value)
+            self.assertEqual(
+                [ports.NoticeField.LIMIT], list(notice.unreadable), value
+            )
+        self.assertEqual(
+            ports.ServerNotice(), protocol.server_notice(messages.Response())
+        )
+
+    def test_an_odd_limit_ends_the_one_before(self):
+        fleet = Fleet()
+        router = fleet.routers[fleet.coordinator]
+        for value in (b"4", b"4 or so"):
+            fleet.loop.now += 1.0
+            router.client.notices.record(
+                QUEUE, SERVER, self.notice(value), fleet.loop.now
+            )
+            self.assertEqual(4.0, router.client.notices.limits["s"].limit)
+        fleet.loop.close()
 
-    def notice(self, value: bytes) -> ports.ServerNotice | None:
+    def notice(self, value: bytes) -> ports.ServerNotice:
         """Returns the notice of a response with a value of the header."""
         return protocol.server_notice(
             messages.Response(headers=[(b"server-limit", value)])
