Spend no retries on a request that no server can be sent

A repeatable request whose server failed it, and whose pool has no server left to use, was retried without being sent or waiting until the retry budget of the pool was empty: each attempt ended at once as one whose outcome is unknown, and the next was charged again. Callers of other requests then got no retries. It ends now with what its attempts add up to, as a request without a slot for a retry does; the answer is the same.

Found while reading what a server that leaves brings about.

--- a/oleanderhoist/node/results.py
+++ b/oleanderhoist/node/results.py
@@ -84,9 +84,7 @@
     )
 
 
-def no_server_outcome(
-    job: jobs.Job, now: float
-) -> outcomes.NotRun | jobs.FailedAttempt:
+def no_server_outcome(job: jobs.Job, now: float) -> outcomes.Outcome:
     """Returns the outcome when no server can be sent the request.
 
     Args:
@@ -94,9 +92,7 @@
         now: Current time, in seconds.
     """
     if job.maybe_run:
-        return jobs.FailedAttempt(
-            failure=retry.Failure.OUTCOME_UNKNOWN, code=codes.LOST
-        )
+        return uncertain_outcome(job, codes.LOST, "no server for a retry")
     # A key whose owner is lost has none until its lease has expired, half of
     # which is still to come on average.
     retry_after = min(
--- a/tests/test_leaving_notices.py
+++ b/tests/test_leaving_notices.py
@@ -161,6 +161,16 @@
         self.assertEqual(500, outcome.response.status)
         self.assertEqual(1, fleet.reached(forwarding_fleet.LEAVING))
 
+    def test_a_request_without_any_other_server_spends_the_budget(self):
+        fleet = forwarding_fleet.Fleet(servers="a")
+        fleet.answer = messages.Response(status=500)
+        fleet.leaving.add(forwarding_fleet.LEAVING)
+        budget = fleet.routers[0].forwarder.budget.get(forwarding_fleet.POOL)
+        budget.credit = 10.0
+        (outcome,) = self.run_calls(fleet, 1)
+        self.assertEqual(500, outcome.response.status)
+        self.assertGreater(budget.credit, 8.9)
+
     def test_a_request_that_waits_is_sent_to_it(self):
         fleet = forwarding_fleet.Fleet(routers=1, servers="a", slots=1)
         fleet.leaving.add(forwarding_fleet.LEAVING)
