Measure the time of an attempt on the router's own clock

The forwarder took the time of an attempt from time.monotonic, all else from its clock. For callers nothing changes: the clock is the same.

--- a/oleanderhoist/node/forwarder.py
+++ b/oleanderhoist/node/forwarder.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import time
 
 import prometheus_client
 
@@ -317,7 +316,7 @@
         self, job: jobs.Job, server: cluster.Server, grant: slotgrants.SlotGrant
     ) -> outcomes.Outcome | jobs.FailedAttempt:
         """Sends a request to a server and releases its slot."""
-        started_at = time.monotonic()
+        started_at = self.clock.monotonic()
         result: outcomes.Outcome | jobs.FailedAttempt | None = None
         watch = silencewatch.SilenceWatch(
             job=job,
@@ -329,7 +328,7 @@
             result = await self.exchange(job, server, grant.queue)
             return result
         finally:
-            elapsed = time.monotonic() - started_at
+            elapsed = self.clock.monotonic() - started_at
             answered = isinstance(result, outcomes.Complete)
             failed = isinstance(result, jobs.FailedAttempt) or (
                 result is None and self.is_overdue(job)
