Leave a server alone for as long as its refusal says

The notice has a third field, read from answers with 503 only: seconds, with fractions; negative, endless, unreadable and differing values and dates are ignored with log line 425. It binds the router that was told, so it is kept in State (policy/pauses.py) and nobody else is told. The forwarder takes such servers out of what a request may be sent to (node/candidates.py, split off find_queue): they are excluded from slot requests, a slot that was granted meanwhile goes back, and where no other server can run the request it waits if the pause ends in the first half of the time to its objective, else it is refused at once with the rest of the pause as Retry-After. A later, longer pause extends it, another process of the server starts without. Lease calls go on (docs/design/platform.md says why).

Evidence: test_paused_server (two router processes; requests through one of them, 40 a second; one refusal that names 2 s): between 0.5 s after it and its end 55 requests reached the server without keys and 29 the owner on; now the test asks for two at most and passes, and the server gets requests after it. test_pauses replays five routers and one alone.

--- a/oleanderhoist/events.py
+++ b/oleanderhoist/events.py
@@ -299,6 +299,13 @@
     "ignored: the header and the begin of its value.",
     "oleanderhoist.node.servernotices",
 )
+SERVER_PAUSED = define(
+    426,
+    "server.paused",
+    "A server turned a request away and named for how long it wants none from "
+    "this router: `seconds`.",
+    "oleanderhoist.node.servernotices",
+)
 LEADERSHIP_TAKEN = define(
     430,
     "leadership.taken",
--- a/oleanderhoist/node/forwarder.py
+++ b/oleanderhoist/node/forwarder.py
@@ -16,6 +16,7 @@
 from oleanderhoist.http import exchanges
 from oleanderhoist.http import messages
 from oleanderhoist.node import budgets
+from oleanderhoist.node import candidates
 from oleanderhoist.node import coordinator
 from oleanderhoist.node import jobs
 from oleanderhoist.node import results
@@ -24,7 +25,6 @@
 from oleanderhoist.node import slotgrants
 from oleanderhoist.node import state
 from oleanderhoist.policy import cluster
-from oleanderhoist.policy import keys
 from oleanderhoist.policy import retry
 from oleanderhoist.policy import slotrequests
 
@@ -138,7 +138,9 @@
             if not isinstance(result, jobs.FailedAttempt):
                 return result
             if not self.should_retry(job, result):
-                return results.final_outcome(job, result)
+                return results.final_outcome(
+                    job, result, pause=self.remaining_pause(job)
+                )
             if result.await_snapshot:
                 await self.state.wait_for_snapshot(SNAPSHOT_WAIT_SECONDS)
             log.write_limited(
@@ -224,7 +226,9 @@
         if not isinstance(grant, slotgrants.SlotGrant):
             return grant
         server = self.state.snapshot.usable_server(grant.server)
-        if server is None:
+        if server is None or self.state.pauses.remaining(
+            server, self.clock.monotonic()
+        ):
             return self.return_slot(job, grant)
         if not coordinator.is_in_queue(grant.queue, job.pool, server):
             self.slot_client.release(grant, seconds=None, failed=False)
@@ -238,17 +242,17 @@
     def return_slot(
         self, job: jobs.Job, grant: slotgrants.SlotGrant
     ) -> jobs.FailedAttempt:
-        """Gives back the slot of a server that leaves, or has left.
+        """Gives back the slot of a server that must not get the request.
 
-        The coordinator may not know of it yet.
+        The coordinator may not know yet that the server leaves.
         """
         self.slot_client.release(grant, seconds=None, failed=False)
         server = self.state.snapshot.servers.get(grant.server)
-        if server is not None and not server.leaving:
+        if server is not None and self.state.snapshot.has_departed(server):
             self.slot_client.notices.tell_departure(
                 grant.coordinator, server.incarnation
             )
-        return results.departed_attempt(job, grant.server)
+        return results.returned_slot(job, grant.server)
 
     async def acquire_slot(
         self, job: jobs.Job
@@ -256,7 +260,7 @@
         """Acquires a slot, or returns the outcome without one."""
         target = await self.find_queue(job)
         if target is None:
-            return results.no_server_outcome(job, self.clock.monotonic())
+            return self.no_server_outcome(job)
         queue, owner = target
         request = slotrequests.SlotRequest(
             id=self.slot_client.ids.next(),
@@ -266,51 +270,54 @@
             objective=self.answers_due.limit_time(job.objective),
             data_center=self.data_center,
             body_bytes=len(job.body),
-            excluded=self.state.snapshot.departed_from(job.pool).union(
-                job.tried_servers
+            excluded=candidates.excluded(
+                self.state, job, self.clock.monotonic()
             ),
             request_id=job.head.id,
         )
         verdict = await self.slot_client.acquire(queue, request)
         if isinstance(verdict, slotrequests.Refused):
             if owner and not self.state.snapshot.usable_server(owner.id):
-                return results.departed_attempt(job, owner.id)
+                return results.returned_slot(job, owner.id)
             return results.refused_outcome(
                 job, queue, self.state.snapshot.coordinator(queue), verdict
             )
         return verdict
 
+    def no_server_outcome(self, job: jobs.Job) -> outcomes.Outcome:
+        """Returns the outcome of a request that no server may get now."""
+        pause = self.remaining_pause(job)
+        if pause:
+            return results.paused_outcome(job, pause)
+        return results.no_server_outcome(job, self.clock.monotonic())
+
+    def remaining_pause(self, job: jobs.Job) -> float:
+        """Returns how long no server wants a request, in seconds."""
+        found = candidates.find(self.state, job)
+        return self.state.pauses.least_remaining(found, self.clock.monotonic())
+
     async def find_queue(
         self, job: jobs.Job
     ) -> tuple[str, cluster.Server | None] | None:
         """Returns the slot queue and, for a keyed pool, the key's owner.
 
-        None if no server can be sent the request. A request without a valid
-        key may run on any server, so its id determines the key.
+        None if no server can be sent the request, also after a short wait for
+        the key's next owner, or for the end of the servers' pauses.
         """
-        pool = (
-            self.state.contracts.pools.get(job.pool)
-            if self.state.contracts
-            else None
-        )
-        if pool is None or not pool.keyed:
-            if not self.state.snapshot.usable.get(job.pool):
-                return None
-            return coordinator.queue_name(job.pool, None), None
-        key = job.head.key
-        if key is None or not 0 <= key < keys.KEY_COUNT:
-            key = hash(job.head.id) % keys.KEY_COUNT
-        self.seen_keys.setdefault(job.pool, []).append(key)
-        wait_end = jobs.owner_wait_end(job)
+        is_keyed = candidates.is_keyed(self.state, job)
+        if is_keyed:
+            key = candidates.key_of(job)
+            self.seen_keys.setdefault(job.pool, []).append(key)
         while True:
-            owner = self.state.snapshot.usable_owner(job.pool, key)
-            if owner is not None:
+            found = candidates.find(self.state, job)
+            now = self.clock.monotonic()
+            if found and not self.state.pauses.least_remaining(found, now):
+                owner = found[0] if is_keyed else None
                 return coordinator.queue_name(job.pool, owner), owner
-            remaining = min(wait_end, job.deadline) - self.clock.monotonic()
-            if remaining <= 0 or not await self.state.wait_for_snapshot(
-                remaining
-            ):
+            wait = candidates.wait_end(self.state, job, now) - now
+            if wait <= 0:
                 return None
+            await self.state.wait_for_snapshot(wait)
 
     async def send(
         self, job: jobs.Job, server: cluster.Server, grant: slotgrants.SlotGrant
--- a/oleanderhoist/node/jobs.py
+++ b/oleanderhoist/node/jobs.py
@@ -32,7 +32,7 @@
         sends: Number of times it was sent to a server.
         unsent_attempts: Attempts that ended before it was sent.
         returned_slots: Ids of servers whose slot was given back, since they
-            leave.
+            leave or want no requests for a while.
         tried_servers: Ids of the servers that an exchange was started with.
         possible_runs: Number of exchanges, running or ended, in which a server
             may have run it.
--- a/oleanderhoist/node/results.py
+++ b/oleanderhoist/node/results.py
@@ -16,15 +16,21 @@
 
 
 def final_outcome(
-    job: jobs.Job, result: jobs.FailedAttempt
+    job: jobs.Job, result: jobs.FailedAttempt, *, pause: float = 0.0
 ) -> outcomes.Outcome:
-    """Returns the outcome after the last attempt has failed."""
+    """Returns the outcome after the last attempt has failed.
+
+    Args:
+        job: The request.
+        result: The last attempt.
+        pause: For how long no server wants the request, in seconds.
+    """
     if job.maybe_run:
         return uncertain_outcome(job, result.code, result.detail)
     return outcomes.NotRun(
         code=result.code,
         detail=result.detail,
-        retry_after=slotqueue.MIN_RETRY_SECONDS,
+        retry_after=max(slotqueue.MIN_RETRY_SECONDS, pause),
     )
 
 
@@ -106,8 +112,25 @@
     )
 
 
-def departed_attempt(job: jobs.Job, server: str) -> jobs.FailedAttempt:
-    """Returns the attempt that ended as its server turned out to be leaving.
+def paused_outcome(job: jobs.Job, pause: float) -> outcomes.Outcome:
+    """Returns the outcome while all servers want no requests for a while.
+
+    Args:
+        job: The request.
+        pause: Until the first of them takes requests, in seconds.
+    """
+    detail = f"pool {job.pool}: no requests for {pause * 1000:.0f} ms"
+    if job.maybe_run:
+        return uncertain_outcome(job, codes.LOST, detail)
+    return outcomes.NotRun(
+        code=codes.SERVER_REFUSED,
+        detail=detail,
+        retry_after=max(slotqueue.MIN_RETRY_SECONDS, pause),
+    )
+
+
+def returned_slot(job: jobs.Job, server: str) -> jobs.FailedAttempt:
+    """Returns the attempt whose server must not get the request any more.
 
     For each server one of them does not count among the unsent attempts.
 
@@ -121,7 +144,7 @@
     return jobs.FailedAttempt(
         failure=retry.Failure.NOT_SENT,
         code=codes.NO_SERVER,
-        detail=f"server {server} left after the slot was requested",
+        detail=f"server {server} must not get it any more",
     )
 
 
--- a/oleanderhoist/node/servernotices.py
+++ b/oleanderhoist/node/servernotices.py
@@ -7,7 +7,8 @@
 do not reach one.
 
 A server that leaves gets no more requests from the router that it told. The
-coordinator and the leader are told at once, all others by the leader.
+coordinator and the leader are told at once, all others by the leader. A pause
+that a server asks for binds the router that it told, and no other is told.
 """
 
 import dataclasses
@@ -32,6 +33,11 @@
     "oleander_limited_servers", "Servers that limit their rate, as heard here"
 )
 
+PAUSES = prometheus_client.Counter(
+    "oleander_server_pauses",
+    "Answers in which a server asked this router for no requests for a while",
+)
+
 
 @dataclasses.dataclass(kw_only=True)
 class HeardLimit:
@@ -105,6 +111,8 @@
             self.end_limit(queue, server, sent_at)
         if notice.leaving:
             self.record_departure(queue, server)
+        if notice.pause:
+            self.record_pause(server, notice.pause)
 
     def end_limit(
         self, queue: str, server: cluster.Server, sent_at: float
@@ -135,6 +143,15 @@
             self.log_limit(server, limit)
         self.tell(heard)
 
+    def record_pause(self, server: cluster.Server, seconds: float) -> None:
+        """Stops using a server for the time that it names."""
+        now = self.clock.monotonic()
+        self.state.pauses.add(server.incarnation, seconds, now)
+        PAUSES.inc()
+        log.write_limited(
+            events.SERVER_PAUSED, server=server.id, seconds=seconds
+        )
+
     def record_departure(self, queue: str, server: cluster.Server) -> None:
         """Stops using a server that says that it leaves; tells others once."""
         if server.incarnation not in self.state.departures.unlisted_since:
--- a/oleanderhoist/node/state.py
+++ b/oleanderhoist/node/state.py
@@ -13,6 +13,7 @@
 from oleanderhoist.policy import confirmation
 from oleanderhoist.policy import contractset
 from oleanderhoist.policy import departures
+from oleanderhoist.policy import pauses
 
 LEAVING = prometheus_client.Gauge(
     "oleander_leaving_servers",
@@ -29,6 +30,7 @@
     Attributes:
         snapshot: Cluster state.
         departures: Servers that have said in an answer that they leave.
+        pauses: Servers that want no requests from this router for a while.
         contracts: Active contracts; None before the first.
         contracts_revision: Revision of the newest contracts that were adopted.
         rejected_revision: Revision of the newest contracts that were rejected.
@@ -40,6 +42,7 @@
     def __init__(self):
         self.snapshot = cluster.Snapshot()
         self.departures = departures.Departures()
+        self.pauses = pauses.Pauses()
         self.contracts: contractset.ContractSet | None = None
         self.contracts_revision = 0
         self.rejected_revision = 0
--- a/oleanderhoist/platform/protocol.py
+++ b/oleanderhoist/platform/protocol.py
@@ -1,6 +1,8 @@
 """Translates HTTP requests and responses of callers and servers."""
 
+from collections.abc import Callable
 import re
+import typing
 
 from oleanderhoist import codes
 from oleanderhoist import outcomes
@@ -12,6 +14,7 @@
 MIN_REMAINING_SECONDS = 0.001
 MAX_DIGITS = 15  # Of a number in a header.
 DECIMAL = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
+PAUSE_STATUS = 503  # With which a server may name a pause.
 LEAVING = "1"  # The only value that says that a server leaves.
 MAX_LOGGED_CHARACTERS = 40  # Of the value of a header.
 REPLACED_HEADERS = frozenset(
@@ -22,6 +25,7 @@
     codes.OVER_LIMIT: 429,
     codes.OUTSIDE_CONTRACT: 404,
 }
+Value = typing.TypeVar("Value")
 # To callers, these statuses promise that the request never runs.
 NOT_RUN_STATUSES = (408, 429, 503)
 
@@ -92,23 +96,65 @@
 
     A header that can't be read does not hide the others.
     """
-    limit = single_value(response.headers, headers.SERVER_LIMIT)
-    leaving = single_value(response.headers, headers.SERVER_LEAVING)
-    unreadable = {}
-    if limit is not None and not DECIMAL.fullmatch(limit):
-        field = ports.NoticeField.LIMIT
-        unreadable[field] = describe(headers.SERVER_LIMIT, limit)
-        limit = None
-    if leaving not in (None, LEAVING):
-        field = ports.NoticeField.LEAVING
-        unreadable[field] = describe(headers.SERVER_LEAVING, leaving)
+    reader = NoticeReader(pairs=response.headers)
     return ports.ServerNotice(
-        limit=None if limit is None else float(limit),
-        leaving=leaving == LEAVING,
-        unreadable=unreadable,
+        limit=reader.read(
+            ports.NoticeField.LIMIT, headers.SERVER_LIMIT, parse_decimal
+        ),
+        leaving=reader.read(
+            ports.NoticeField.LEAVING, headers.SERVER_LEAVING, parse_leaving
+        )
+        or False,
+        pause=reader.read(
+            ports.NoticeField.PAUSE, headers.RETRY_AFTER, parse_decimal
+        )
+        if response.status == PAUSE_STATUS
+        else None,
+        unreadable=reader.unreadable,
     )
 
 
+class NoticeReader:
+    """Reads the headers in which a server speaks of itself.
+
+    Args:
+        pairs: Headers of the response.
+
+    Attributes:
+        unreadable: Headers that could not be read, for the log, by field.
+    """
+
+    def __init__(self, *, pairs: messages.Headers):
+        self.pairs = pairs
+        self.unreadable: dict[ports.NoticeField, str] = {}
+
+    def read(
+        self,
+        field: ports.NoticeField,
+        name: bytes,
+        parse: Callable[[str], Value | None],
+    ) -> Value | None:
+        """Returns the value of a header; None if there is none to use."""
+        text = single_value(self.pairs, name)
+        if text is None:
+            return None
+        value = parse(text)
+        if value is None:
+            shown = text[:MAX_LOGGED_CHARACTERS]
+            self.unreadable[field] = f"{name.decode()}: {shown}"
+        return value
+
+
+def parse_decimal(text: str) -> float | None:
+    """Returns a number that is not negative, or None if it is none."""
+    return float(text) if DECIMAL.fullmatch(text) else None
+
+
+def parse_leaving(text: str) -> bool | None:
+    """Returns whether a server leaves, or None if that can't be read."""
+    return True if text == LEAVING else None
+
+
 def single_value(pairs: messages.Headers, name: bytes) -> str | None:
     """Returns the value of a header; None without it.
 
@@ -119,11 +165,6 @@
     return b", ".join(values).decode("latin-1") if values else None
 
 
-def describe(name: bytes, value: str) -> str:
-    """Returns a header with the begin of its value, for the log."""
-    return f"{name.decode()}: {value[:MAX_LOGGED_CHARACTERS]}"
-
-
 def to_response(outcome: outcomes.Outcome) -> messages.Response:
     """Returns the response to a caller."""
     if isinstance(outcome, outcomes.Complete):
--- a/oleanderhoist/policy/cluster.py
+++ b/oleanderhoist/policy/cluster.py
@@ -97,7 +97,11 @@
 
     def may_use(self, server: Server) -> bool:
         """Returns whether a listed server may get new requests."""
-        return not server.leaving and server.incarnation not in self.departed
+        return not server.leaving and not self.has_departed(server)
+
+    def has_departed(self, server: Server) -> bool:
+        """Returns whether a listed server has said that it leaves."""
+        return server.incarnation in self.departed
 
     @functools.cached_property
     def usable(self) -> dict[str, tuple[Server, ...]]:
--- a/oleanderhoist/ports.py
+++ b/oleanderhoist/ports.py
@@ -142,6 +142,7 @@
 
     LIMIT = "limit"
     LEAVING = "leaving"
+    PAUSE = "pause"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -152,12 +153,15 @@
         limit: Requests per second that it takes from all routers together;
             None if it names no limit.
         leaving: Whether it leaves and must get no new requests.
+        pause: How long it wants no requests from this router, in seconds; None
+            if it names no time.
         unreadable: What it says that can't be read, by field; nothing is
             known of these fields.
     """
 
     limit: float | None = None
     leaving: bool = False
+    pause: float | None = None
     unreadable: dict[NoticeField, str] = dataclasses.field(default_factory=dict)
 
 
--- a/tests/forwarding_fleet.py
+++ b/tests/forwarding_fleet.py
@@ -33,6 +33,7 @@
 OFFERED_PER_SECOND = 40.0
 OWN = (b"response-signature", b"x")
 NOTICE = (b"server-leaving", b"1")
+NOT_EXECUTED = (b"not-executed", b"1")
 
 
 class Server:
@@ -49,6 +50,8 @@
         """Runs a request; its answer may say that the server leaves."""
         fleet = self.fleet
         fleet.arrivals.append((self.router, self.id, fleet.loop.now))
+        if fleet.refusals.get(self.id):
+            return fleet.refuse(self.router, self.id)
         await asyncio.sleep(SERVICE_SECONDS)
         response = dataclasses.replace(
             fleet.answer, headers=list(fleet.answer.headers)
@@ -113,11 +116,15 @@
     """Routers and servers of one pool in virtual time.
 
     Attributes:
+        attempts: Servers to which a request may be sent.
         callers: Routers that requests are sent through.
         leaving: Ids of servers that say that they leave.
         answer: What servers answer besides.
         lost: Type of the datagrams that get lost; None for none.
         arrivals: Router, server and time of each request at a server.
+        refusals: Pauses that servers name as they turn away their next
+            requests, in seconds, by id.
+        paused: Router, server, begin and end of each pause that was named.
         heard: When a router first got an answer that says that its server
             leaves, by router and server.
     """
@@ -134,6 +141,8 @@
         self.clock = virtual.Clock(loop=self.loop)
         self.links: dict[str, test_permits.Link] = {}
         self.leaving: set[str] = set()
+        self.refusals: dict[str, list[float]] = {}
+        self.paused: list[tuple[str, str, float, float]] = []
         self.answer = messages.Response(headers=[OWN])
         self.lost: type | None = None
         self.arrivals: list[tuple[str, str, float]] = []
@@ -168,6 +177,7 @@
         for router in self.routers:
             router.state.contracts = contracts(keyed=keyed)
         self.callers = self.routers
+        self.attempts = 2
 
     def all_but_the_coordinator(self) -> list[Router]:
         """Returns the routers that don't coordinate the pool's queue."""
@@ -198,6 +208,7 @@
         job = test_forwarder.job(
             arrived=self.loop.now, objective=OBJECTIVE_SECONDS
         )
+        job.work = dataclasses.replace(job.work, attempts=self.attempts)
         outcome = await router.forwarder.serve(job)
         self.outcomes.append(outcome)
         return outcome
@@ -223,6 +234,24 @@
         """Returns how many requests reached a server."""
         return sum(id == server for _, id, _ in self.arrivals)
 
+    def refuse(self, router: str, id: str) -> messages.Response:
+        """Returns a refusal that names the server's next pause."""
+        seconds = self.refusals[id].pop(0)
+        self.paused.append((router, id, self.loop.now, self.loop.now + seconds))
+        return messages.Response(
+            status=503,
+            headers=[NOT_EXECUTED, (b"retry-after", b"%.3f" % seconds)],
+        )
+
+    def unwanted(self) -> list[tuple[str, str, float]]:
+        """Returns the requests that came in a pause named to their router."""
+        return [
+            (router, id, at)
+            for router, id, at in self.arrivals
+            for told, server, begin, end in self.paused
+            if (told, server) == (router, id) and begin < at < end
+        ]
+
     def late(self) -> list[tuple[str, str, float]]:
         """Returns the requests that a router sent after it had heard."""
         return [
--- a/tests/test_leaving_notices.py
+++ b/tests/test_leaving_notices.py
@@ -16,7 +16,6 @@
 
 LEAVES_AT = 2.0
 PLAY_SECONDS = 6.0
-NOT_EXECUTED = (b"not-executed", b"1")
 
 
 class NoticeTest(unittest.TestCase):
@@ -114,7 +113,9 @@
             messages.Response(headers=[forwarding_fleet.OWN]),
             messages.Response(status=404, headers=[forwarding_fleet.OWN]),
             messages.Response(status=500),
-            messages.Response(status=503, headers=[NOT_EXECUTED]),
+            messages.Response(
+                status=503, headers=[forwarding_fleet.NOT_EXECUTED]
+            ),
         ]
         for answer in own:
             fleet = forwarding_fleet.Fleet(routers=1, servers="a")
@@ -125,7 +126,9 @@
 
     def test_an_answer_that_may_be_of_another_server_is_heeded(self):
         foreign = [
-            messages.Response(status=421, headers=[NOT_EXECUTED]),
+            messages.Response(
+                status=421, headers=[forwarding_fleet.NOT_EXECUTED]
+            ),
             messages.Response(status=503),
             messages.Response(status=200),
         ]
