Show requests to servers that say in their answers that they leave or want none

Cause: no code reads Server-Leaving, and our stand-ins sent only what the code reads, so that neither tests nor the soak could tell.

Callers send uploads of 100 to 500 kB, and a success must have the whole body. The last lines of ended servers' journals are read before a play is judged.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,6 +10,8 @@
 from oleanderhoist.http import exchanges
 from oleanderhoist.http import messages
 from soak import invariants
+from soak import records
+from standins import bodies
 from standins import platform_system
 
 TIMEOUT_SLACK_SECONDS = 0.5
@@ -20,6 +22,10 @@
 KEY_COUNT = 65_536
 MIN_LONG_WORK_SECONDS = 0.2
 MAX_LONG_WORK_SECONDS = 4.0
+ORDER_BYTES = 20
+UPLOAD_SHARE = 0.1  # Of what is not repeatable.
+UPLOAD_BYTES = (100_000, 500_000)
+SIGNATURE = b"response-signature"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -96,7 +102,8 @@
         """Sends one request and records its answer."""
         id = f"{self.name}-{next(self.counter)}"
         repeatable = self.rng.random() > UNREPEATABLE_SHARE
-        path, probe_version = ("/look/" if repeatable else "/order/"), 0
+        path, body_bytes = self.draw_target(repeatable)
+        probe_version = 0
         if (
             repeatable
             and self.checker.contract_changes
@@ -111,21 +118,27 @@
             )
         sent_at = time.monotonic()
         opened_before = self.client.opened
-        status, body, error_text, reached_router = 0, b"", "", True
+        router = f"r{self.router}"
+        self.checker.requests[id] = records.Request(
+            router=router, sent_at=sent_at
+        )
+        status, body, signature = 0, b"", ""
+        error_text, reached_router = "", True
         try:
-            response = await self.exchange(id, repeatable, path, work_seconds)
+            response = await self.exchange(id, path, body_bytes, work_seconds)
             status, body = response.status, response.body
+            signature = messages.find(response.headers, SIGNATURE) or ""
         except exchanges.ExchangeError as error:
             error_text = str(error)
             reached_router = error.maybe_sent
         self.checker.record_answer(
-            invariants.Answer(
+            records.Answer(
                 id=id,
                 sent_at=sent_at,
                 ended_at=time.monotonic(),
-                router=f"r{self.router}",
+                router=router,
                 status=status,
-                body_matches=body.startswith(f"done {id} ".encode()),
+                body_matches=body == bodies.answer(id),
                 repeatable=repeatable,
                 probe_version=probe_version,
                 reused=opened_before == self.client.opened,
@@ -133,11 +146,21 @@
                 reached_router=reached_router,
                 deadline=sent_at + self.load.deadline_seconds,
                 work_seconds=work_seconds,
+                signature=signature,
             )
         )
 
+    def draw_target(self, repeatable: bool) -> tuple[str, int]:
+        """Draws the path of a request and the size of its body."""
+        if repeatable:
+            return "/look/", 0
+        if self.rng.random() < UPLOAD_SHARE:
+            size_bytes = self.rng.randint(*UPLOAD_BYTES)
+            return platform_system.UPLOAD_PREFIX, size_bytes
+        return "/order/", ORDER_BYTES
+
     async def exchange(
-        self, id: str, repeatable: bool, path: str, work_seconds: float
+        self, id: str, path: str, body_bytes: int, work_seconds: float
     ) -> messages.Response:
         """Performs one exchange.
 
@@ -152,11 +175,11 @@
             (b"shard-key", b"%d" % key),
         ]
         return await self.client.request(
-            "GET" if repeatable else "POST",
+            "POST" if body_bytes else "GET",
             f"{path}{key}{query}",
             timeout=self.load.deadline_seconds + TIMEOUT_SLACK_SECONDS,
             headers=headers,
-            body=b"" if repeatable else b"order",
+            body=bodies.request(id, body_bytes),
             idle_seconds=IDLE_SECONDS,
             host=b"a.example",
         )
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -9,6 +9,7 @@
 
 from soak import callers
 from soak import faults
+from soak import injector
 from soak import invariants
 from standins import platform_system
 
@@ -87,15 +88,11 @@
         servers=servers,
         proxied=True,
         journal=checker.read_journal,
-        config=platform_system.config_with_timeout(
-            round(load.deadline_seconds * 1000)
-        )
-        if load.long_share
-        else platform_system.CONFIG,
+        config=make_config(load),
         slots=load.slots,
         folder=folder,
     )
-    injector = faults.Injector(
+    injection = injector.Injector(
         system=system,
         checker=checker,
         seed=seed,
@@ -112,7 +109,8 @@
             for caller in make_callers(system, checker, seed, load)
         ]
         await asyncio.sleep(FAULT_FREE_SECONDS)
-        await injector.run(seconds, mean_interval_seconds, fault_names)
+        drawn = [faults.FAULTS.get(name) for name in fault_names]
+        await injection.run(seconds, mean_interval_seconds, drawn)
         recovery_seconds = await wait_for_recovery(checker)
         for task in caller_tasks:
             task.cancel()
@@ -123,13 +121,22 @@
     return Result(
         seed=seed,
         violations=checker.finish(),
-        log=injector.log,
+        log=injection.log,
         requests=len(checker.answers),
         served_share=checker.served_share(0.0),
         recovery_seconds=recovery_seconds,
     )
 
 
+def make_config(load: callers.Load) -> dict:
+    """Returns the first configuration."""
+    config = platform_system.CONFIG
+    if load.long_share:
+        timeout_ms = round(load.deadline_seconds * 1000)
+        config = platform_system.config_with_timeout(timeout_ms)
+    return platform_system.config_with_uploads(config)
+
+
 def make_callers(
     system: platform_system.System,
     checker: invariants.Checker,
--- a/standins/base.py
+++ b/standins/base.py
@@ -12,16 +12,24 @@
 
 
 async def serve(
-    handlers: list[serverconnection.Handler], listen: list[str]
+    handlers: list[serverconnection.Handler],
+    listen: list[str],
+    *,
+    server_type: type[server.Server] = server.Server,
 ) -> None:
     """Serves one handler on each address until SIGTERM or SIGINT.
 
     Prints the bound addresses as one line of JSON once all servers listen.
+
+    Args:
+        handlers: The handlers.
+        listen: An address of each handler.
+        server_type: Class of the HTTP servers.
     """
     servers = []
     for handler, address in zip(handlers, listen, strict=True):
         host, _, port = address.rpartition(":")
-        http_server = server.Server(handler=handler, host=host, port=int(port))
+        http_server = server_type(handler=handler, host=host, port=int(port))
         await http_server.start()
         servers.append(http_server)
     print(json.dumps([f"{s.host}:{s.port}" for s in servers]), flush=True)
--- a/standins/platform_system.py
+++ b/standins/platform_system.py
@@ -1,6 +1,7 @@
 """Test system of routers and stand-ins for the users' platform on loopback."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 import json
 import os
@@ -20,6 +21,8 @@
 REQUEST_DEADLINE_MS = 2000
 SERVER_SLOTS = 3
 FRONT_PORT = 18641
+UPLOAD_PREFIX = "/upload/"
+MAX_JOURNAL_SECONDS = 5.0  # To read the last lines of an ended server.
 FIRST_SUBNET_OCTET = 210  # Those below are the soak test's.
 SUBNET_OCTET_COUNT = 40
 THIRD_OCTET_COUNT = 250
@@ -108,6 +111,15 @@
     return config
 
 
+def config_with_uploads(base: dict) -> dict:
+    """Returns a configuration with one more route, for large bodies."""
+    config = json.loads(json.dumps(base))
+    rules = config["listeners"][0]["rules"]
+    kind = {"name": "uploads", "route_type": "upload"}
+    rules.append({**rules[1], **kind, "match": {"prefix": UPLOAD_PREFIX}})
+    return config
+
+
 class System:
     """Routers and stand-ins as separate processes on loopback.
 
@@ -131,6 +143,7 @@
         servers: Addresses by server id at which routers reach them.
         real: Listening addresses by server id, behind any proxies.
         born: Start times by server id, in milliseconds since the epoch.
+        sequences: Number of writes of each server's row in its life.
     """
 
     def __init__(
@@ -166,6 +179,7 @@
         self.servers: dict[str, str] = {}
         self.real: dict[str, str] = {}
         self.born: dict[str, int] = {}
+        self.sequences: collections.Counter = collections.Counter()
         self.clients = client.Clients()
 
     async def spawn(self, name: str, *command: str, **env: str) -> str:
@@ -200,13 +214,16 @@
         self, id: str, pool: str, keyed: bool, *, address: str = "127.0.0.1:0"
     ) -> None:
         """Starts a server and registers it in the store."""
+        born = time.time_ns() // 1_000_000
         command = ["standins.instance", "--listen", address, "--id", id]
+        command += ["--born", str(born)]
         command += ["--keyed"] if keyed else []
         command += ["--journal"] if self.journal else []
         line = await self.spawn(id, *command)
         self.real[id] = json.loads(line)[0]
         self.servers[id] = await self.reachable_address(id, self.real[id])
-        self.born[id] = time.time_ns() // 1_000_000
+        self.born[id] = born
+        self.sequences[id] = 0
         if self.journal:
             reader = asyncio.create_task(self.read_journal(id))
             self.journal_readers.add(reader)
@@ -228,13 +245,14 @@
         self, id: str, pool: str, state: str = "ready"
     ) -> None:
         """Writes the row of a server to the store."""
+        self.sequences[id] += 1
         entry = {
             "service": pool,
             "address": self.servers[id],
             "zone": "z",
             "slots": self.slots,
             "state": state,
-            "sequence": 1,
+            "sequence": self.sequences[id],
             "born": self.born[id],
         }
         await self.write_row("servers", id, entry)
@@ -363,6 +381,10 @@
             if process.returncode is None:
                 process.kill()
                 await process.wait()
+        if self.journal_readers:
+            await asyncio.wait(
+                self.journal_readers, timeout=MAX_JOURNAL_SECONDS
+            )
         for reader in self.journal_readers:
             reader.cancel()
         await self.proxies.stop()
