--- a/oleanderhoist/node/results.py
+++ b/oleanderhoist/node/results.py
@@ -1,5 +1,7 @@
 """Outcomes of requests and of attempts."""
 
+import asyncio
+
 from oleanderhoist import codes
 from oleanderhoist import outcomes
 from oleanderhoist import ports
@@ -14,15 +16,21 @@
 
 
 def final_outcome(
-    job: jobs.Job, result: jobs.FailedAttempt
+    job: jobs.Job, result: jobs.FailedAttempt, *, pause: float = 0.0
 ) -> outcomes.Outcome:
-    """Returns the outcome after the last attempt has failed."""
+    """Returns the outcome after the last attempt has failed.
+
+    Args:
+        job: The request.
+        result: The last attempt.
+        pause: For how long no server wants the request, in seconds.
+    """
     if job.maybe_run:
         return uncertain_outcome(job, result.code, result.detail)
     return outcomes.NotRun(
         code=result.code,
         detail=result.detail,
-        retry_after=slotqueue.MIN_RETRY_SECONDS,
+        retry_after=max(slotqueue.MIN_RETRY_SECONDS, pause),
     )
 
 
@@ -82,9 +90,7 @@
     )
 
 
-def no_server_outcome(
-    job: jobs.Job, now: float
-) -> outcomes.NotRun | jobs.FailedAttempt:
+def no_server_outcome(job: jobs.Job, now: float) -> outcomes.Outcome:
     """Returns the outcome when no server can be sent the request.
 
     Args:
@@ -92,9 +98,7 @@
         now: Current time, in seconds.
     """
     if job.maybe_run:
-        return jobs.FailedAttempt(
-            failure=retry.Failure.OUTCOME_UNKNOWN, code=codes.LOST
-        )
+        return uncertain_outcome(job, codes.LOST, "no server for a retry")
     # A key whose owner is lost has none until its lease has expired, half of
     # which is still to come on average.
     retry_after = min(
@@ -108,6 +112,42 @@
     )
 
 
+def paused_outcome(job: jobs.Job, pause: float) -> outcomes.Outcome:
+    """Returns the outcome while all servers want no requests for a while.
+
+    Args:
+        job: The request.
+        pause: Until the first of them takes requests, in seconds.
+    """
+    detail = f"pool {job.pool}: no requests for {pause * 1000:.0f} ms"
+    if job.maybe_run:
+        return uncertain_outcome(job, codes.LOST, detail)
+    return outcomes.NotRun(
+        code=codes.SERVER_REFUSED,
+        detail=detail,
+        retry_after=max(slotqueue.MIN_RETRY_SECONDS, pause),
+    )
+
+
+def returned_slot(job: jobs.Job, server: str) -> jobs.FailedAttempt:
+    """Returns the attempt whose server must not get the request any more.
+
+    For each server one of them does not count among the unsent attempts.
+
+    Args:
+        job: The request.
+        server: Id of the server.
+    """
+    if server not in job.returned_slots:
+        job.returned_slots.add(server)
+        job.unsent_attempts -= 1
+    return jobs.FailedAttempt(
+        failure=retry.Failure.NOT_SENT,
+        code=codes.NO_SERVER,
+        detail=f"server {server} must not get it any more",
+    )
+
+
 def refused_outcome(
     job: jobs.Job, queue: str, coordinator: str, verdict: slotrequests.Refused
 ) -> outcomes.Outcome:
@@ -188,3 +228,24 @@
         code=codes.LOST,
         detail=detail,
     )
+
+
+async def first_answer(
+    job: jobs.Job, first: asyncio.Task, attempts: set[asyncio.Task]
+) -> outcomes.Outcome | jobs.FailedAttempt:
+    """Returns the first response of a server, else what the attempts add up to.
+
+    Args:
+        job: The request.
+        first: The earlier attempt, whose failure may be retried.
+        attempts: Both attempts.
+    """
+    running = set(attempts)
+    while running:
+        done, running = await asyncio.wait(
+            running, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            if is_own_answer(job, task.result()):
+                return task.result()
+    return revised_outcome(job, first.result())
