--- a/standins/unruly.py
+++ b/standins/unruly.py
@@ -90,7 +90,7 @@
         self.connections.add(connection)
         try:
             await connection.serve()
-        except (TimeoutError, OSError):
+        except (TimeoutError, OSError, asyncio.CancelledError):
             serverconnection.reset(writer)
         finally:
             await connection.close()
