Check who signed a success, that requests were asked for, and late executions

Callers answer their last request before a play ends, and executions are read for 2 s more, so that an order that runs after its refusal is seen in the last seconds too. A success must be signed by the life of the server that executed the request; an execution of an id that no caller sent is a violation. Existing tests: answers of the checks' tests name their signer, since a success without one is a violation now.

Evidence: each check has a test that is seen and one that is allowed.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -85,6 +85,7 @@
         self.checker = checker
         self.rng = random.Random(f"{seed}-{name}")
         self.counter = itertools.count(1)
+        self.finishing = False
         self.client = client.Client(
             address=client.Address(
                 host=f"{system.subnet}.{router}",
@@ -93,8 +94,8 @@
         )
 
     async def run(self) -> None:
-        """Sends requests until cancelled."""
-        while True:
+        """Sends requests until it is told to finish."""
+        while not self.finishing:
             await self.send()
             await asyncio.sleep(self.rng.expovariate(1 / MEAN_PAUSE_SECONDS))
 
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -6,6 +6,7 @@
 from oleanderhoist.policy import registry
 from soak import notices
 from soak import records
+from standins import platform_system
 
 MAX_ANSWER_SECONDS = 5.0  # From an execution to its caller's answer.
 STOP_EFFECT_SECONDS = 7.0  # Of a graceful stop: its longest time and 1 s more.
@@ -130,13 +131,31 @@
                 self.violations.append(
                     f"not run: {answer.id} got {answer.status}, {executed}"
                 )
+            self.check_signer(answer)
             self.check_lost(answer)
+        self.check_asked()
         for limit in self.limits:
             self.check_limit(limit)
         self.violations += notices.check_leaving(self)
         self.violations += notices.check_retry_after(self)
         return self.violations
 
+    def check_signer(self, answer: records.Answer) -> None:
+        """Checks that the server that signed a success executed the request."""
+        executions = self.executions.get(answer.id, [])
+        signers = {str(execution.server) for execution in executions}
+        if answer.status == 200 and answer.signature not in signers:
+            self.violations.append(
+                f"mixed: {answer.id} got a success signed "
+                f"{answer.signature!r}, {executions}"
+            )
+
+    def check_asked(self) -> None:
+        """Checks that callers had sent all requests that were executed."""
+        for id, executions in self.executions.items():
+            if id not in self.requests and id != platform_system.READINESS_ID:
+                self.violations.append(f"unasked: {id!r}, {executions}")
+
     def check_limit(self, limit: records.Limit) -> None:
         """Checks that a server got no more than it takes, once it said so."""
         begin = limit.begin + LIMIT_NOTICE_SECONDS
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -15,6 +15,7 @@
 
 CALLERS_PER_ROUTER = 4
 FAULT_FREE_SECONDS = 2.0
+LATE_EXECUTION_SECONDS = 2.0  # After the last answer.
 MAX_RECOVERY_SECONDS = 15.0  # From the last fault to full service.
 SERVED_WINDOW_SECONDS = 3.0
 POLL_SECONDS = 0.5
@@ -104,18 +105,16 @@
     )
     try:
         await system.start()
-        caller_tasks = [
-            asyncio.create_task(caller.run())
-            for caller in make_callers(system, checker, seed, load)
-        ]
+        senders = make_callers(system, checker, seed, load)
+        caller_tasks = [asyncio.create_task(caller.run()) for caller in senders]
         await asyncio.sleep(FAULT_FREE_SECONDS)
         drawn = [faults.FAULTS.get(name) for name in fault_names]
         await injection.run(seconds, mean_interval_seconds, drawn)
         recovery_seconds = await wait_for_recovery(checker)
-        for task in caller_tasks:
-            task.cancel()
-        await asyncio.gather(*caller_tasks, return_exceptions=True)
-        await asyncio.sleep(FAULT_FREE_SECONDS)
+        for caller in senders:
+            caller.finishing = True
+        await asyncio.gather(*caller_tasks)
+        await asyncio.sleep(LATE_EXECUTION_SECONDS)
     finally:
         await system.stop()
     return Result(
--- a/standins/platform_system.py
+++ b/standins/platform_system.py
@@ -21,6 +21,7 @@
 REQUEST_DEADLINE_MS = 2000
 SERVER_SLOTS = 3
 FRONT_PORT = 18641
+READINESS_ID = "up"  # Of the requests that wait for the start.
 UPLOAD_PREFIX = "/upload/"
 MAX_JOURNAL_SECONDS = 5.0  # To read the last lines of an ended server.
 FIRST_SUBNET_OCTET = 210  # Those below are the soak test's.
@@ -362,7 +363,9 @@
     async def is_served(self, router: int, path: str) -> bool:
         """Returns whether a router serves requests at a path."""
         try:
-            return await self.send("up", router=router, path=path) == 200
+            return (
+                await self.send(READINESS_ID, router=router, path=path) == 200
+            )
         except exchanges.ExchangeError:
             return False
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Short soak tests of the real programs with fixed seeds, and their checks."""
 
 import asyncio
+import json
 import os
 import pathlib
 import sys
@@ -229,6 +230,7 @@
             "status": 200,
             "body_matches": True,
             "repeatable": False,
+            "signature": "a.0",
         }
         self.checker.record_answer(records.Answer(**{**defaults, **changes}))
 
@@ -254,6 +256,41 @@
         self.record_answer(status=503)
         self.assertEqual(1, len(self.checker.finish()))
 
+    def test_an_untrue_not_run_is_seen_in_uploads_and_after_the_answer(self):
+        for status in (408, 421, 429, 503):
+            self.checker = invariants.Checker()
+            self.record_answer(id="upload", status=status, ended_at=1.1)
+            self.checker.record_execution("a", {"id": "upload", "at": 3.0})
+            self.assertEqual(1, len(self.checker.finish()), status)
+
+    def test_a_failure_that_promises_nothing_may_have_run(self):
+        for status in (0, 502, 504):
+            self.checker = invariants.Checker()
+            self.checker.record_execution("a", {"id": "a", "at": 1.0})
+            self.record_answer(status=status, signature="")
+            self.assertEqual([], self.checker.finish(), status)
+
+    def test_a_success_of_another_server_or_none_is_seen(self):
+        for signature, count in (("a.0", 0), ("b.0", 1), ("a.1", 1), ("", 1)):
+            self.checker = invariants.Checker()
+            self.checker.record_execution("a", {"id": "a", "at": 1.0})
+            self.record_answer(signature=signature)
+            self.assertEqual(count, len(self.checker.finish()), signature)
+
+    def test_a_request_that_nobody_sent_is_seen(self):
+        self.checker.record_execution("a", {"id": "b", "at": 1.0})
+        self.assertEqual(1, len(self.checker.finish()))
+
+    def test_a_request_whose_answer_is_due_was_sent(self):
+        self.checker.record_execution("a", {"id": "b", "at": 1.0})
+        self.checker.requests["b"] = records.Request(router="r2", sent_at=0.9)
+        self.assertEqual([], self.checker.finish())
+
+    def test_another_body_than_was_sent_is_seen(self):
+        line = {"kind": "foreign body", "id": "a", "at": 1.0, "bytes": 9}
+        self.checker.read_journal("a", json.dumps(line))
+        self.assertEqual(1, len(self.checker.violations))
+
     def test_a_foreign_body_is_seen(self):
         self.record_answer(body_matches=False)
         self.assertEqual(1, len(self.checker.violations))
