--- a/standins/instance.py
+++ b/standins/instance.py
@@ -6,12 +6,13 @@
 requests), ``unsigned`` (responses without a signature) and ``truncate``
 (executed requests whose connection is aborted before the response). ``PUT
 /limit`` sets the rate that it names in all answers to requests, or ends it;
-``GET /arrivals`` returns when requests arrived, and whether it named a rate. A
-request may say in its query how long it takes: ``?work_ms=1500``. ``PUT
-/capacity`` sets how many requests it runs and queues; it never responds to any
-that it cannot queue, nor to what follows on their connection. ``GET /dropped``
-returns how many these were. ``PUT /conduct`` sets a `conduct.Conduct`, ``PUT
-/headers`` the names and values of headers that are added to all answers.
+``GET /arrivals`` returns when requests arrived, and whether it named a rate.
+``PUT /headers`` sets the names and values of headers that are added to all
+answers to requests. A request may say in its query how long it takes:
+``?work_ms=1500``. ``PUT /capacity`` sets how many requests it runs and queues;
+it never responds to any that it cannot queue, nor to what follows on their
+connection. ``GET /dropped`` returns how many these were. ``PUT /conduct`` sets
+a `conduct.Conduct`.
 
 With ``--journal`` it writes JSON lines, with times of the monotonic clock: for
 each arrival (once it has told its callers to wait) and execution of a request,
@@ -73,8 +74,8 @@
         self.freezes = leases.FreezeDetector()
         self.ran: list[str] = []
         self.limit: float | None = None
-        self.headers: messages.Headers = []
         self.arrivals: list[tuple[float, bool]] = []
+        self.headers: messages.Headers = []
         self.slots = asyncio.Semaphore(MAX_CONCURRENT)
         self.max_accepted = MAX_CONCURRENT
         self.accepted = 0
@@ -93,7 +94,6 @@
         if self.conduct.leaving:
             response.headers.append((b"server-leaving", b"1"))
         self.write_notices(request, response)
-        response.headers += self.headers
         return response
 
     async def answer(self, request: messages.Request) -> messages.Response:
@@ -115,6 +115,7 @@
         response = await treat(self, request)
         if self.limit is not None:
             response.headers.append((b"server-limit", b"%.2f" % self.limit))
+        response.headers += self.headers
         if self.conduct.copied_share > self.rng.random():
             response.repeated = response.stream is None
         return response
@@ -274,15 +275,6 @@
     return messages.json_response(instance.limit)
 
 
-@CONTROLS.register("/headers")
-def set_headers(instance: Instance, body: bytes) -> messages.Response:
-    """Sets the headers that are added to all other answers."""
-    instance.headers = [
-        (name.encode(), value.encode()) for name, value in json.loads(body)
-    ]
-    return messages.json_response(len(instance.headers))
-
-
 @CONTROLS.register("/capacity")
 def set_capacity(instance: Instance, body: bytes) -> messages.Response:
     """Sets how many requests run and wait."""
@@ -292,6 +284,15 @@
     return messages.json_response(capacity)
 
 
+@CONTROLS.register("/headers")
+def set_headers(instance: Instance, body: bytes) -> messages.Response:
+    """Sets headers that are added to all answers to requests."""
+    instance.headers = [
+        (name.encode(), value.encode()) for name, value in json.loads(body)
+    ]
+    return messages.json_response(len(instance.headers))
+
+
 @CONTROLS.register("/conduct")
 def set_conduct(instance: Instance, body: bytes) -> messages.Response:
     """Sets how the server behaves."""
