Take request heads up to the limit that the operators name

Cause: an incomplete head above 16 KiB got 431 whatever `max_header_bytes` said: check_head applied the server's default beside the limit of the contracts. Callers that keep to a higher limit would be refused for good (DENIED).

A router that has not served a request yet still has the default of 16 KiB.

tests/test_server.py HeadTest failed before (431 for a head of 39,000 bytes with a limit of 40,000). Deployments whose limit is 16,384 see no change.

--- a/oleanderhoist/http/serverconnection.py
+++ b/oleanderhoist/http/serverconnection.py
@@ -54,8 +54,8 @@
         handler: Returns the response to a request.
         port: Port of the server, for the log.
         head_seconds: Longest wait for more bytes of a request head, in seconds.
-        head_bytes: Largest incomplete request head on a new connection, in
-            bytes; `check_head` applies DEFAULT_HEAD_BYTES as well.
+        head_bytes: Largest incomplete request head, in bytes; a connection
+            also keeps the limit with which it began.
         idle_seconds: Longest idle time between requests, in seconds.
         cancel_on_disconnect: Whether a handler is cancelled once its caller has
             closed the connection.
@@ -223,7 +223,7 @@
         if received:
             self.phase = Phase.HEAD
         while True:
-            error_code = check_head(received)
+            error_code = check_head(received, self.settings.head_bytes)
             if error_code is not None:
                 await self.send_error(error_code)
                 return None
@@ -403,20 +403,21 @@
     writer.transport.abort()
 
 
-def check_head(data: bytes | bytearray) -> codes.Code | None:
+def check_head(data: bytes | bytearray, max_bytes: int) -> codes.Code | None:
     """Checks a request head for framing on which parsers disagree.
 
-    Such framing allows request smuggling. An incomplete head larger than
-    DEFAULT_HEAD_BYTES is rejected too, whatever the server's own limit.
+    Such framing allows request smuggling. An incomplete head that is too large
+    is rejected, too.
 
     Args:
         data: The bytes of the head received so far.
+        max_bytes: Largest incomplete head, in bytes.
 
     Returns:
         The code to reject the request with, or None without a fault so far.
     """
     head, separator, _ = bytes(data).partition(b"\r\n\r\n")
-    if not separator and len(data) > DEFAULT_HEAD_BYTES:
+    if not separator and len(data) > max_bytes:
         return codes.HEAD_TOO_LARGE
     if _BARE_LF.search(head):
         return codes.MALFORMED
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -20,6 +20,7 @@
 LARGE_BODY = b"x" * 60_000
 HUGE_BODY = b"x" * 16_000_000
 IDLE_SECONDS = 0.1
+HEAD_BYTES = 40_000  # More than a server takes without a limit.
 SECOND_REQUEST = (
     b"POST /second HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
 )
@@ -337,5 +338,30 @@
         self.assertEqual("unknown", json.loads(body)["outcome"])
 
 
+class HeadTest(unittest.IsolatedAsyncioTestCase):
+    """Heads of requests up to the limit that the settings name."""
+
+    async def status(self, head_bytes: int) -> bytes:
+        """Returns the status for a head of a size; the limit is HEAD_BYTES."""
+        running = server.Server(
+            handler=respond_slowly, host="127.0.0.1", port=0
+        )
+        running.settings.head_bytes = HEAD_BYTES
+        await running.start()
+        self.addAsyncCleanup(running.stop, 0.0)
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", running.port
+        )
+        self.addCleanup(writer.close)
+        line, end = REQUEST[:-2] + b"A: ", b"\r\n\r\n"
+        padding = b"b" * (head_bytes - len(line) - len(end))
+        writer.write(line + padding + end)
+        return (await reader.readuntil(b"\r\n")).split()[1]
+
+    async def test_a_head_below_its_limit_is_refused(self):
+        self.assertEqual(b"200", await self.status(HEAD_BYTES - 1000))
+        self.assertEqual(b"431", await self.status(HEAD_BYTES + 10_000))
+
+
 if __name__ == "__main__":
     unittest.main()
