Keep the memory limit of one test out of the next

test_garbage's test of unfinished bodies failed after test_router_stop (48 MB, not below 36), also on: a node sets the limit of the whole process, and that test makes one with 1 GB. Run by name, test_garbage comes first, so the suite did not show it.

--- a/tests/test_router_stop.py
+++ b/tests/test_router_stop.py
@@ -15,6 +15,7 @@
 from oleanderhoist import codes
 from oleanderhoist import settings
 from oleanderhoist.http import client
+from oleanderhoist.http import exchanges
 from oleanderhoist.http import messages
 from oleanderhoist.http import streams
 from oleanderhoist.node import core
@@ -179,6 +180,8 @@
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
+        memory = exchanges.MEMORY  # A node sets the limit of the process.
+        self.addCleanup(setattr, memory, "limit_bytes", memory.limit_bytes)
         self.path = str(pathlib.Path(folder.name) / "callers")
 
     def play(
