Grant no lease that is longer than servers accept

Cause: `hold_max_ms` bounded leases only while the store was away; with the store, leases had 2.5 s whatever the settings said. With a shorter bound each grant would be turned away with 400, which counts as another server at the address: no key of any pool would have an owner.

The usual lease is bounded, too. What is recorded of expiries follows the lease that was sent, so it needs no change.

tests/test_node.py failed before (2.5 s with a bound of 1.5).

--- a/oleanderhoist/policy/leaderlease.py
+++ b/oleanderhoist/policy/leaderlease.py
@@ -80,7 +80,9 @@
         store_available = (
             now - self.confirmed_at < MAX_CONFIRMATION_AGE_TO_MOVE_SECONDS
         )
-        return LEASE_SECONDS if store_available else self.outage_lease_seconds()
+        if not store_available:
+            return self.outage_lease_seconds()
+        return min(LEASE_SECONDS, self.max_lease_seconds)
 
     def outage_lease_seconds(self) -> float:
         """Returns the lease length during a store outage, in seconds."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -230,6 +230,19 @@
             manager.leases_expire_at(), start + leaderlease.OUTAGE_LEASE_SECONDS
         )
 
+    def test_no_lease_is_longer_than_servers_accept(self):
+        for max_lease_seconds in (1.5, 4.0, 10.0):
+            leader_lease = leaderlease.LeaderLease(
+                epoch=1,
+                confirmed_at=100.0,
+                began_at=0.0,
+                max_lease_seconds=max_lease_seconds,
+            )
+            for now in (100.0, 103.0):  # With the store, and without.
+                seconds = leader_lease.lease_seconds(now)
+                self.assertLessEqual(seconds, max_lease_seconds)
+                self.assertGreater(seconds, leaderlease.RENEW_SECONDS)
+
 
 def join(sent: list, payload_id: tuple[int, ...]) -> bytes:
     """Joins fragments that arrive in random order, some of them twice."""
