Test that no entry says not run of a call that may have run

Read: entry/ forwarder, sending, claims and frontend; no path was found wrong, nothing is mended. entry_tries has three sequences with ready outcomes; the new test plays all pairs of eight ends of an exchange, each with every way in which a wait for a slot ends (one that a stop ends, too), for calls that may and may not be repeated, with and without an Idempotency-Key and its claim.

It passes on this code.

Not changed: 3010 has the status 503 and the outcome unknown. It says of this call that it has not run, and of an earlier one under its key nothing; callers of entries are told by Oleander-Outcome (docs/API.md). The test lists it, so that no other code of this kind is added unseen.

--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -11,6 +11,9 @@
     def test_tries_are_told_truthfully(self):
         self.run_module("tests.entry_tries", 5)
 
+    def test_no_promise_follows_a_try_that_may_have_run(self):
+        self.run_module("tests.entry_promises", 2)
+
     def test_an_earlier_refusal_is_not_taken_for_a_later_one(self):
         self.run_module("tests.entry_answers", 5)
 
