Refuse a request whose deadline passes before its server's pause ends

Callers with little time left were kept until the pause ended, past their deadline, and then told 504: candidates.wait_end weighed the pause by half of the time to the objective only, and an objective may lie after the deadline (the tracker takes the first caller of a kind as one with full time; a contract's timeout may be shorter than its target). Now the earlier of both counts, so the request is refused at once with the rest of the pause.

The test failed before, python -m unittest tests.test_pauses: test_a_request_waits_for_a_pause_past_its_deadline: AssertionError: 1.0 not less than 0.01 (a deadline after 0.5 s, a pause of 1 s).

--- a/oleanderhoist/node/candidates.py
+++ b/oleanderhoist/node/candidates.py
@@ -52,7 +52,8 @@
             min(jobs.owner_wait_end(job), job.deadline) if is_planned else now
         )
     end = now + router_state.pauses.least_remaining(found, now)
-    gains = pauses.may_wait(end, arrived=job.arrived, objective=job.objective)
+    due = min(job.objective, job.deadline)
+    gains = pauses.may_wait(end, arrived=job.arrived, objective=due)
     return end if gains else now
 
 
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -12,6 +12,7 @@
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import pauses
 from tests import forwarding_fleet
+from tests import test_forwarder
 from tests import virtual
 
 PAUSED = "a"  # Also the owner of all keys.
@@ -196,6 +197,24 @@
         fleet.attempts = 1
         self.check_refused(fleet)
 
+    def test_a_request_waits_for_a_pause_past_its_deadline(self):
+        fleet = forwarding_fleet.Fleet(routers=1, servers="a")
+        fleet.refusals[PAUSED] = [PAUSE_SECONDS]
+
+        async def scenario() -> tuple[float, outcomes.Outcome]:
+            await fleet.call(fleet.routers[0])
+            job = test_forwarder.job(
+                arrived=fleet.loop.now, objective=4 * PAUSE_SECONDS
+            )
+            job.deadline = job.arrived + PAUSE_SECONDS / 2
+            outcome = await fleet.routers[0].forwarder.serve(job)
+            return fleet.loop.now - job.arrived, outcome
+
+        took, outcome = virtual.run(scenario(), fleet.loop)
+        self.assertLess(took, 0.01)
+        self.assertIs(codes.SERVER_REFUSED, outcome.code)
+        self.assertAlmostEqual(PAUSE_SECONDS, outcome.retry_after, places=2)
+
     def test_a_request_is_refused_though_the_pause_ends_soon(self):
         for keyed in (False, True):
             self.check_waits(
