Take an entry without a start time for the process that was known

An entry of a server that leaves, once written without its start (born, as another writer may), named another process: id and 0. So the departure and the pause of the server ended, all routers sent to it again, and its slots and limit began anew; with the next whole entry once more. Only the directory's reader can tell: it now keeps the start time that it knew of that id. A server that never names its start is handled as before.

The test failed before, python -m unittest tests.test_departures.RoutersTest.test_an_entry_without_a_start_time_is_used: AssertionError: Lists differ: [] != ['10.0.0.0:1', '10.0.0.1:1', '10.0.0.2:1', '10.0.0.3:1'] (routers that use the server).

--- a/oleanderhoist/platform/directory.py
+++ b/oleanderhoist/platform/directory.py
@@ -29,7 +29,9 @@
     # Counts the writes of one incarnation; it has no other meaning.
     sequence: int
     # Start of the process, in Unix milliseconds.
-    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_BORN_MS)] = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_BORN_MS)] = (
+        cluster.UNKNOWN_START_MS
+    )
 
     def __post_init__(self):
         """Checks that the address is an IP address with a port above 0.
--- a/oleanderhoist/policy/cluster.py
+++ b/oleanderhoist/policy/cluster.py
@@ -7,6 +7,7 @@
 from oleanderhoist.policy import keys
 
 MISSING_GRACE_SECONDS = 2.4
+UNKNOWN_START_MS = 0  # Of a server whose entry does not name its start.
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -41,7 +42,7 @@
     address: str
     data_center: str
     slots: int
-    started_ms: int = 0
+    started_ms: int = UNKNOWN_START_MS
     leaving: bool = False
 
     @property
@@ -168,7 +169,8 @@
     """Returns the known servers after a read of the directory.
 
     The directory may lose rows during an outage; they reappear soon after
-    it recovers. Until then a server that is not listed is kept.
+    it recovers. Until then a server that is not listed is kept. An entry
+    that does not name its start is that of the process that was known.
 
     Args:
         before: Servers known before, by id.
@@ -176,6 +178,17 @@
         last_failure_at: When a call to the store last failed, as recorded.
         now: Current time, in seconds.
     """
+    started = {
+        id: with_known_start(server, before.get(id))
+        for id, server in listed.items()
+    }
     if now - last_failure_at < MISSING_GRACE_SECONDS:
-        return {**before, **listed}
-    return listed
+        return {**before, **started}
+    return started
+
+
+def with_known_start(server: Server, before: Server | None) -> Server:
+    """Returns a listed server with the start time that was known, if any."""
+    if before is None or server.started_ms != UNKNOWN_START_MS:
+        return server
+    return dataclasses.replace(server, started_ms=before.started_ms)
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -373,6 +373,20 @@
 
         self.play(scenario)
 
+    def test_an_entry_without_a_start_time_is_used(self):
+        async def scenario() -> None:
+            self.hear(self.follower())
+            await asyncio.sleep(TOLD_SECONDS)
+            entry = self.world.listed_servers[LEAVING]
+            self.world.listed_servers[LEAVING] = dataclasses.replace(
+                entry, started_ms=cluster.UNKNOWN_START_MS
+            )
+            await self.watch(MOVED_SECONDS)
+            self.world.listed_servers[LEAVING] = entry
+            await self.watch(MOVED_SECONDS)
+
+        self.play(scenario)
+
     def test_a_member_of_an_earlier_build_is_told_without_end(self):
         async def scenario() -> None:
             earlier = self.follower()
