Send a request to a tried server rather than to none

A retry asked its coordinator for a slot of no server: those that it had tried and those that pause or leave were excluded, and in a pool of several servers that is a wait in the slot queue until the deadline, though a server was free. With pauses two servers are enough: one pauses, the other turns the request away without a pause (or fails it). The caller got 503 4.0 s later, at its deadline, or the server's own failure as late. The only server of a queue was sent such a retry before, too; now the tried ones are, if all others pause or leave. Retries and hedges are bounded by attempts and budget as before; a hedge may reach the same server, as in a pool of one.

--- a/oleanderhoist/node/candidates.py
+++ b/oleanderhoist/node/candidates.py
@@ -60,13 +60,17 @@
 def excluded(
     router_state: state.State, job: jobs.Job, now: float
 ) -> frozenset[str]:
-    """Returns the ids of servers that the request must not be sent to.
+    """Returns the ids of servers that the request should not be sent to.
 
     Its coordinator may not know that some of them leave, and doesn't know
-    which of them want no requests from this router.
+    which of them want no requests from this router. A server that it was
+    sent to before gets it again if there is no other.
     """
     usable = router_state.snapshot.usable.get(job.pool, ())
-    return frozenset(job.tried_servers).union(
-        router_state.snapshot.departed_from(job.pool),
-        router_state.pauses.paused(usable, now),
+    unwanted = router_state.snapshot.departed_from(job.pool).union(
+        router_state.pauses.paused(usable, now)
     )
+    with_tried = unwanted.union(job.tried_servers)
+    if all(server.id in with_tried for server in usable):
+        return unwanted
+    return with_tried
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -245,6 +245,27 @@
         self.assertEqual([], fleet.unwanted())
         self.assertEqual(2, fleet.reached(PAUSED))
 
+    def test_a_request_waits_for_a_slot_of_no_server(self):
+        fleet = forwarding_fleet.Fleet(routers=1, servers="ab")
+        router = fleet.routers[0]
+
+        async def scenario() -> float:
+            tick = asyncio.create_task(router.coordinator.run())
+            fleet.refusals[PAUSED] = [PLAY_SECONDS]
+            for _ in range(3):  # Until they have earned another retry.
+                await fleet.call(router)
+            fleet.refusals[forwarding_fleet.OTHER] = [0.0]  # No pause.
+            began = fleet.loop.now
+            await fleet.call(router)
+            tick.cancel()
+            return fleet.loop.now - began
+
+        took = virtual.run(scenario(), fleet.loop)
+        self.assertAlmostEqual(forwarding_fleet.SERVICE_SECONDS, took, places=2)
+        self.assertEqual([], fleet.unwanted())
+        for outcome in fleet.outcomes:
+            self.assertEqual(forwarding_fleet.OTHER, outcome.server)
+
     def test_another_process_of_the_server_stays_unused(self):
         fleet = forwarding_fleet.Fleet(routers=1, servers="a")
         fleet.refusals[PAUSED] = [PAUSE_SECONDS]
