Test what servers receive of requests, and callers of answers

The table of docs/PROOFS.md found that no test would tell if a router named no server in its requests, told servers a fixed time, passed unsigned answers on, dropped bodies, queries or signatures, went on for callers that have left, or ignored the route's timeout, the limits or Keep-Alive: the stand-ins answer the same.

tests/test_forwarded.py has the real frontend and forwarder on real sockets, with a server that records what it receives. Whether a refused attempt is charged, and headers of grants, are not in it.

--- /dev/null
+++ b/tests/test_forwarded.py
@@ -0,0 +1,404 @@
+"""What servers receive of requests, and callers of answers, on real sockets."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import time
+import unittest
+
+from oleanderhoist import clock
+from oleanderhoist.http import client
+from oleanderhoist.http import messages
+from oleanderhoist.node import budgets
+from oleanderhoist.node import forwarder
+from oleanderhoist.node import frontend
+from oleanderhoist.node import state
+from oleanderhoist.platform import headers
+from oleanderhoist.platform import protocol
+from oleanderhoist.policy import cluster
+from oleanderhoist.policy import contractset
+from tests import test_answers
+from tests import test_forwarder
+
+HOST = "a.example"
+SERVER = "s"
+SLACK_SECONDS = 0.5  # What a server may be told beyond what is left.
+ROUTE_SECONDS = 1.0
+CALLER_MS = 800  # Less than the route's timeout.
+PATIENT_MS = 9000  # More than the route's timeout.
+PAUSE_SECONDS = 0.3
+LIMITS = contractset.MessageLimits(
+    head_bytes=12_345, body_bytes=1000, head_seconds=3.5, idle_seconds=6.5
+)
+WORK = contractset.Work(
+    name="orders",
+    host=HOST,
+    prefix="/order/",
+    rank=0,
+    repeatable=False,
+    objective=0.5,
+    timeout=ROUTE_SECONDS,
+    attempts=2,
+    shares=(contractset.Share(pool="pool", weight=1.0),),
+)
+LOOKUPS = dataclasses.replace(
+    WORK, name="lookups", prefix="/look/", repeatable=True
+)
+CONTRACTS = contractset.build(
+    version=1,
+    works=[WORK, LOOKUPS],
+    pools=[contractset.Pool(name="pool", keyed=False, connections=9)],
+    limits=LIMITS,
+)
+
+
+@dataclasses.dataclass(kw_only=True)
+class Received:
+    """A request as a server got it.
+
+    Attributes:
+        at: When its head arrived, in monotonic seconds.
+        line: Method and target.
+        headers: Its headers.
+        body: Its body.
+        closed: Set once its connection is closed.
+    """
+
+    at: float
+    line: bytes
+    headers: messages.Headers
+    body: bytes
+    closed: asyncio.Event
+
+    def header(self, name: bytes) -> str | None:
+        """Returns the value of a header."""
+        return messages.find(self.headers, name)
+
+    @property
+    def seconds(self) -> float:
+        """The time that the server is told it has."""
+        return int(self.header(headers.REMAINING_MS)) / 1000
+
+
+Respond = Callable[[Received], Awaitable[bytes]]
+
+
+def answer(request: Received, status: str = "200 OK", **more: str) -> bytes:
+    """Returns an answer that names its request."""
+    lines = [f"HTTP/1.1 {status}", "Content-Length: 4"]
+    lines.append(f"Request-Id: {request.header(headers.REQUEST_ID)}")
+    lines += [
+        f"{name.replace('_', '-')}: {text}" for name, text in more.items()
+    ]
+    return "\r\n".join([*lines, "", "done"]).encode()
+
+
+async def sign(request: Received) -> bytes:
+    """Answers with a signed success."""
+    return answer(request, response_signature="sig")
+
+
+async def stay_silent(request: Received) -> bytes:
+    """Never answers."""
+    await request.closed.wait()
+    return b""
+
+
+class Connection(asyncio.Protocol):
+    """A connection of a server that answers one request after the other."""
+
+    def __init__(self, *, backend: "Backend"):
+        self.backend = backend
+        self.data = b""
+        self.closed = asyncio.Event()
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Counts the connection."""
+        self.transport = transport
+        self.backend.connections += 1
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Records the end."""
+        self.closed.set()
+
+    def data_received(self, data: bytes) -> None:
+        """Answers once a request is complete."""
+        self.data += data
+        head, separator, body = self.data.partition(b"\r\n\r\n")
+        line, *fields = head.split(b"\r\n")
+        pairs = [field.lower().split(b": ", 1) for field in fields]
+        length = int(messages.find(pairs, b"content-length") or 0)
+        if not separator or len(body) < length:
+            return
+        self.data = b""
+        request = Received(
+            at=time.monotonic(),
+            line=line,
+            headers=[tuple(field.split(b": ", 1)) for field in fields],
+            body=body,
+            closed=self.closed,
+        )
+        self.backend.received.append(request)
+        self.task = asyncio.create_task(self.answer(request))
+
+    async def answer(self, request: Received) -> None:
+        """Answers one request."""
+        self.transport.write(await self.backend.respond(request))
+
+
+class Backend:
+    """A server that records what it receives.
+
+    Attributes:
+        respond: Returns the answer to a request.
+        received: The requests, in order.
+        connections: Number of connections.
+    """
+
+    def __init__(self):
+        self.respond: Respond = sign
+        self.received: list[Received] = []
+        self.connections = 0
+
+
+class ForwardingTest(unittest.IsolatedAsyncioTestCase):
+    """A router's frontend and forwarder, with one server."""
+
+    async def asyncSetUp(self) -> None:
+        self.backend = Backend()
+        listener = await asyncio.get_running_loop().create_server(
+            lambda: Connection(backend=self.backend), "127.0.0.1", 0
+        )
+        self.addCleanup(listener.close)
+        port = listener.sockets[0].getsockname()[1]
+        self.state = state.State()
+        self.state.contracts = CONTRACTS
+        member = test_forwarder.MEMBER
+        self.state.snapshot = cluster.Snapshot(
+            servers={
+                SERVER: cluster.Server(
+                    id=SERVER,
+                    pool="pool",
+                    address=f"127.0.0.1:{port}",
+                    data_center="a",
+                    slots=9,
+                )
+            },
+            members={member.address: member},
+        )
+        self.forwarder = forwarder.Forwarder(
+            platform=protocol,
+            slot_client=test_answers.RouterSlots(),
+            state=self.state,
+            clock=clock.Clock(),
+            budget=budgets.Budgets(ratio=1.0, extra=100, state=self.state),
+            data_center="a",
+        )
+        self.addCleanup(self.forwarder.clients.retain, ())
+        self.frontend = frontend.Frontend(
+            address=client.Address(host="127.0.0.1", port=0),
+            platform=protocol,
+            forwarder=self.forwarder,
+            state=self.state,
+            clock=clock.Clock(),
+            memory_bytes=100_000_000,
+        )
+        await self.frontend.server.start()
+        self.addAsyncCleanup(self.frontend.server.stop, 0.0)
+
+    async def send(
+        self,
+        target: str = "/order/1",
+        *,
+        method: str = "POST",
+        body: bytes = b"order",
+        deadline_ms: int = CALLER_MS,
+        timeout: float = 5.0,
+        **more: str,
+    ) -> messages.Response:
+        """Sends a request as a caller; returns the answer."""
+        fields = {"Request-Id": "r", "Deadline-Ms": str(deadline_ms)}
+        fields |= {name.replace("_", "-"): text for name, text in more.items()}
+        caller = client.Client(
+            address=client.Address(
+                host="127.0.0.1", port=self.frontend.server.port
+            )
+        )
+        self.addCleanup(caller.close)
+        return await caller.request(
+            method,
+            target,
+            timeout=timeout,
+            headers=[(n.encode(), t.encode()) for n, t in fields.items()],
+            body=body,
+            host=HOST.encode(),
+        )
+
+
+class RequestTest(ForwardingTest):
+    """What a server receives."""
+
+    async def test_a_request_arrives_changed(self):
+        await self.send("/order/a%20b?c=1&d", body=b"x" * 900)
+        await self.send("/look/1?e", method="GET", body=b"")
+        order, lookup = self.backend.received
+        self.assertEqual(b"POST /order/a%20b?c=1&d HTTP/1.1", order.line)
+        self.assertEqual(b"x" * 900, order.body)
+        self.assertEqual("r", order.header(headers.REQUEST_ID))
+        self.assertEqual(HOST, order.header(b"host"))
+        self.assertEqual(b"GET /look/1?e HTTP/1.1", lookup.line)
+
+    async def test_a_header_is_lost_or_one_of_the_connection_is_passed_on(self):
+        await self.send(
+            color="red", shard_key="7", connection="x-hop", x_hop="1", te="a"
+        )
+        (request,) = self.backend.received
+        self.assertEqual("red", request.header(b"color"))
+        self.assertEqual("7", request.header(headers.KEY))
+        for name in (b"connection", b"x-hop", b"te"):
+            self.assertIsNone(request.header(name))
+
+    async def test_a_request_does_not_name_its_server(self):
+        await self.send(expected_instance="another")
+        (request,) = self.backend.received
+        named = [
+            value
+            for name, value in request.headers
+            if name == headers.EXPECTED_SERVER
+        ]
+        self.assertEqual([SERVER.encode()], named)
+
+    async def test_a_server_is_told_more_time_than_is_left(self):
+        for deadline_ms, seconds in (
+            (CALLER_MS, CALLER_MS / 1000),
+            (PATIENT_MS, ROUTE_SECONDS),
+        ):
+            await self.send(deadline_ms=deadline_ms)
+            told = self.backend.received[-1].seconds
+            self.assertLessEqual(told, seconds)
+            self.assertGreater(told, seconds - SLACK_SECONDS)
+
+    async def test_a_repeat_is_told_the_time_of_the_first_attempt(self):
+        async def refuse_late(request: Received) -> bytes:
+            if len(self.backend.received) > 1:
+                return await sign(request)
+            await asyncio.sleep(PAUSE_SECONDS)
+            return answer(request, "503 Full", not_executed="1")
+
+        self.backend.respond = refuse_late
+        response = await self.send()
+        self.assertEqual(200, response.status)
+        first, second = self.backend.received
+        self.assertLessEqual(second.seconds, first.seconds - PAUSE_SECONDS)
+
+    async def test_hedges_exceed_the_attempts_of_the_route(self):
+        self.backend.respond = stay_silent
+        for attempts in (1, 2):
+            work = dataclasses.replace(LOOKUPS, attempts=attempts)
+            self.state.contracts = dataclasses.replace(
+                CONTRACTS, works={HOST: (work,)}
+            )
+            self.backend.received.clear()
+            await self.send("/look/1", method="GET", body=b"")
+            self.assertEqual(attempts, len(self.backend.received))
+
+
+class AnswerTest(ForwardingTest):
+    """What a caller receives."""
+
+    async def test_an_answer_is_passed_on_changed(self):
+        for status in ("200 OK", "201 Made", "404 None", "500 Broken"):
+
+            async def respond(request: Received, status: str = status) -> bytes:
+                return answer(request, status, response_signature="sig")
+
+            self.backend.respond = respond
+            response = await self.send()
+            self.assertEqual(int(status[:3]), response.status)
+            self.assertEqual(b"done", response.body)
+            signature = messages.find(response.headers, headers.SIGNATURE)
+            self.assertEqual("sig", signature)
+
+    async def test_an_unsigned_success_is_passed_on(self):
+        async def respond(request: Received) -> bytes:
+            return answer(request)
+
+        self.backend.respond = respond
+        response = await self.send()
+        self.assertEqual(502, response.status)
+        self.assertNotIn(b"done", response.body)
+        self.assertIsNone(messages.find(response.headers, headers.SIGNATURE))
+
+    async def test_a_silent_server_holds_a_request_beyond_its_route(self):
+        self.backend.respond = stay_silent
+        sent_at = time.monotonic()
+        response = await self.send(deadline_ms=PATIENT_MS)
+        waited = time.monotonic() - sent_at
+        self.assertEqual(504, response.status)
+        self.assertGreaterEqual(waited, ROUTE_SECONDS)
+        self.assertLess(waited, ROUTE_SECONDS + SLACK_SECONDS)
+
+    async def test_a_router_without_contracts_denies_a_request(self):
+        self.state.contracts = None
+        response = await self.send()
+        self.assertEqual(503, response.status)
+        self.assertTrue(messages.find(response.headers, headers.RETRY_AFTER))
+        self.assertEqual([], self.backend.received)
+
+    async def test_the_limits_of_the_contracts_are_not_applied(self):
+        self.assertEqual(413, (await self.send(body=b"x" * 1001)).status)
+        self.assertEqual(200, (await self.send(body=b"x" * 1000)).status)
+        applied = self.frontend.server.settings
+        self.assertEqual(LIMITS.head_bytes, applied.head_bytes)
+        self.assertEqual(LIMITS.head_seconds, applied.head_seconds)
+        self.assertEqual(LIMITS.idle_seconds, applied.idle_seconds)
+
+
+class ConnectionTest(ForwardingTest):
+    """How connections to servers and callers end."""
+
+    async def test_work_outlives_its_caller(self):
+        self.backend.respond = stay_silent
+        for target in ("/order/1", "/look/1"):
+            sending = asyncio.create_task(
+                self.send(target, deadline_ms=PATIENT_MS)
+            )
+            await asyncio.sleep(PAUSE_SECONDS)
+            sending.cancel()
+            request = self.backend.received[-1]
+            async with asyncio.timeout(SLACK_SECONDS):
+                await request.closed.wait()
+        await asyncio.sleep(SLACK_SECONDS)
+        self.assertEqual(2, len(self.backend.received))
+
+    async def connections_after(self, pause: float = 0.0, **more: str) -> int:
+        """Returns the connections that two lookups use.
+
+        Args:
+            pause: Time between the two, in seconds.
+            **more: Headers of the answers.
+        """
+
+        async def respond(request: Received) -> bytes:
+            return answer(request, response_signature="sig", **more)
+
+        self.backend.respond = respond
+        for seconds in (pause, 0.0):
+            await self.send("/look/1", method="GET", body=b"")
+            await asyncio.sleep(seconds)
+        return self.backend.connections
+
+    async def test_requests_open_connections_that_they_do_not_need(self):
+        self.assertEqual(1, await self.connections_after())
+
+    async def test_a_connection_is_used_after_its_idle_timeout(self):
+        more = {"keep_alive": "timeout=1"}
+        self.assertEqual(2, await self.connections_after(1.0, **more))
+
+    async def test_a_connection_is_used_after_its_last_answer(self):
+        self.assertEqual(2, await self.connections_after(connection="close"))
+
+
+if __name__ == "__main__":
+    unittest.main()
