--- a/tests/test_contract_age.py
+++ b/tests/test_contract_age.py
@@ -211,5 +211,21 @@
         self.assertEqual(1, announced.revision)
 
 
+class OlderContractsTest(unittest.TestCase):
+    """A router does not go back to an older version."""
+
+    def test_an_older_version_replaces_a_newer_one(self):
+        router_state = state.State()
+        for version, revision in ((4, 8), (3, 9), (4, 10)):
+            contracts = dataclasses.replace(
+                ownership_world.CONTRACTS, version=version
+            )
+            document = ports.VersionedContracts(
+                contracts=contracts, revision=revision
+            )
+            router_state.adopt_contracts(document, "store")
+            self.assertEqual(4, router_state.contracts.version)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_forwarded.py
+++ b/tests/test_forwarded.py
@@ -1,13 +1,14 @@
 """What servers receive of requests, and callers of answers, on real sockets."""
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
+from collections.abc import AsyncIterator
 import dataclasses
 import time
 import unittest
 
 from oleanderhoist import clock
+from oleanderhoist import codes
+from oleanderhoist import outcomes
 from oleanderhoist.http import client
 from oleanderhoist.http import messages
 from oleanderhoist.node import budgets
@@ -18,6 +19,7 @@
 from oleanderhoist.platform import protocol
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import contractset
+from tests import recording
 from tests import test_answers
 from tests import test_forwarder
 
@@ -53,125 +55,12 @@
 )
 
 
-@dataclasses.dataclass(kw_only=True)
-class Received:
-    """A request as a server got it.
-
-    Attributes:
-        at: When its head arrived, in monotonic seconds.
-        line: Method and target.
-        headers: Its headers.
-        body: Its body.
-        closed: Set once its connection is closed.
-    """
-
-    at: float
-    line: bytes
-    headers: messages.Headers
-    body: bytes
-    closed: asyncio.Event
-
-    def header(self, name: bytes) -> str | None:
-        """Returns the value of a header."""
-        return messages.find(self.headers, name)
-
-    @property
-    def seconds(self) -> float:
-        """The time that the server is told it has."""
-        return int(self.header(headers.REMAINING_MS)) / 1000
-
-
-Respond = Callable[[Received], Awaitable[bytes]]
-
-
-def answer(request: Received, status: str = "200 OK", **more: str) -> bytes:
-    """Returns an answer that names its request."""
-    lines = [f"HTTP/1.1 {status}", "Content-Length: 4"]
-    lines.append(f"Request-Id: {request.header(headers.REQUEST_ID)}")
-    lines += [
-        f"{name.replace('_', '-')}: {text}" for name, text in more.items()
-    ]
-    return "\r\n".join([*lines, "", "done"]).encode()
-
-
-async def sign(request: Received) -> bytes:
-    """Answers with a signed success."""
-    return answer(request, response_signature="sig")
-
-
-async def stay_silent(request: Received) -> bytes:
-    """Never answers."""
-    await request.closed.wait()
-    return b""
-
-
-class Connection(asyncio.Protocol):
-    """A connection of a server that answers one request after the other."""
-
-    def __init__(self, *, backend: "Backend"):
-        self.backend = backend
-        self.data = b""
-        self.closed = asyncio.Event()
-
-    def connection_made(self, transport: asyncio.Transport) -> None:
-        """Counts the connection."""
-        self.transport = transport
-        self.backend.connections += 1
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Records the end."""
-        self.closed.set()
-
-    def data_received(self, data: bytes) -> None:
-        """Answers once a request is complete."""
-        self.data += data
-        head, separator, body = self.data.partition(b"\r\n\r\n")
-        line, *fields = head.split(b"\r\n")
-        pairs = [field.lower().split(b": ", 1) for field in fields]
-        length = int(messages.find(pairs, b"content-length") or 0)
-        if not separator or len(body) < length:
-            return
-        self.data = b""
-        request = Received(
-            at=time.monotonic(),
-            line=line,
-            headers=[tuple(field.split(b": ", 1)) for field in fields],
-            body=body,
-            closed=self.closed,
-        )
-        self.backend.received.append(request)
-        self.task = asyncio.create_task(self.answer(request))
-
-    async def answer(self, request: Received) -> None:
-        """Answers one request."""
-        self.transport.write(await self.backend.respond(request))
-
-
-class Backend:
-    """A server that records what it receives.
-
-    Attributes:
-        respond: Returns the answer to a request.
-        received: The requests, in order.
-        connections: Number of connections.
-    """
-
-    def __init__(self):
-        self.respond: Respond = sign
-        self.received: list[Received] = []
-        self.connections = 0
-
-
 class ForwardingTest(unittest.IsolatedAsyncioTestCase):
     """A router's frontend and forwarder, with one server."""
 
     async def asyncSetUp(self) -> None:
-        self.backend = Backend()
-        listener = await asyncio.get_running_loop().create_server(
-            lambda: Connection(backend=self.backend), "127.0.0.1", 0
-        )
-        self.addCleanup(listener.close)
-        port = listener.sockets[0].getsockname()[1]
+        self.backend = recording.Backend()
+        port = await self.backend.start(self)
         self.state = state.State()
         self.state.contracts = CONTRACTS
         member = test_forwarder.MEMBER
@@ -212,7 +101,7 @@
         target: str = "/order/1",
         *,
         method: str = "POST",
-        body: bytes = b"order",
+        body: bytes | AsyncIterator[bytes] = b"order",
         deadline_ms: int = CALLER_MS,
         timeout: float = 5.0,
         **more: str,
@@ -249,6 +138,41 @@
         self.assertEqual(HOST, order.header(b"host"))
         self.assertEqual(b"GET /look/1?e HTTP/1.1", lookup.line)
 
+    async def test_a_body_in_chunks_arrives_changed(self):
+        async def chunks():
+            yield b"or"
+            yield b"der"
+
+        await self.send(body=chunks(), transfer_encoding="chunked")
+        (request,) = self.backend.received
+        self.assertEqual(b"order", request.body)
+        self.assertEqual("5", request.header(b"content-length"))
+
+    async def test_a_dropped_route_is_run(self):
+        self.state.contracts = dataclasses.replace(
+            CONTRACTS, works={HOST: (LOOKUPS,)}
+        )
+        self.assertEqual(404, (await self.send()).status)
+        self.assertEqual([], self.backend.received)
+
+    async def test_refused_attempts_are_not_charged(self):
+        async def refuse(request: recording.Received) -> bytes:
+            return recording.answer(request, "503 Full", not_executed="1")
+
+        self.backend.respond = refuse
+        for sends in (2, 3):  # The budget allows one retry.
+            self.assertEqual(503, (await self.send()).status)
+            self.assertEqual(sends, len(self.backend.received))
+
+    async def test_a_request_at_a_server_without_its_key_is_given_up(self):
+        async def lack_key(request: recording.Received) -> bytes:
+            if len(self.backend.received) > 1:
+                return await recording.sign(request)
+            return recording.answer(request, "421 Not Mine", not_executed="1")
+
+        self.backend.respond = lack_key
+        self.assertEqual(200, (await self.send()).status)
+
     async def test_a_header_is_lost_or_one_of_the_connection_is_passed_on(self):
         await self.send(
             color="red", shard_key="7", connection="x-hop", x_hop="1", te="a"
@@ -280,11 +204,11 @@
             self.assertGreater(told, seconds - SLACK_SECONDS)
 
     async def test_a_repeat_is_told_the_time_of_the_first_attempt(self):
-        async def refuse_late(request: Received) -> bytes:
+        async def refuse_late(request: recording.Received) -> bytes:
             if len(self.backend.received) > 1:
-                return await sign(request)
+                return await recording.sign(request)
             await asyncio.sleep(PAUSE_SECONDS)
-            return answer(request, "503 Full", not_executed="1")
+            return recording.answer(request, "503 Full", not_executed="1")
 
         self.backend.respond = refuse_late
         response = await self.send()
@@ -293,7 +217,7 @@
         self.assertLessEqual(second.seconds, first.seconds - PAUSE_SECONDS)
 
     async def test_hedges_exceed_the_attempts_of_the_route(self):
-        self.backend.respond = stay_silent
+        self.backend.respond = recording.stay_silent
         for attempts in (1, 2):
             work = dataclasses.replace(LOOKUPS, attempts=attempts)
             self.state.contracts = dataclasses.replace(
@@ -310,8 +234,12 @@
     async def test_an_answer_is_passed_on_changed(self):
         for status in ("200 OK", "201 Made", "404 None", "500 Broken"):
 
-            async def respond(request: Received, status: str = status) -> bytes:
-                return answer(request, status, response_signature="sig")
+            async def respond(
+                request: recording.Received, status: str = status
+            ) -> bytes:
+                return recording.answer(
+                    request, status, response_signature="sig"
+                )
 
             self.backend.respond = respond
             response = await self.send()
@@ -321,8 +249,8 @@
             self.assertEqual("sig", signature)
 
     async def test_an_unsigned_success_is_passed_on(self):
-        async def respond(request: Received) -> bytes:
-            return answer(request)
+        async def respond(request: recording.Received) -> bytes:
+            return recording.answer(request)
 
         self.backend.respond = respond
         response = await self.send()
@@ -331,7 +259,7 @@
         self.assertIsNone(messages.find(response.headers, headers.SIGNATURE))
 
     async def test_a_silent_server_holds_a_request_beyond_its_route(self):
-        self.backend.respond = stay_silent
+        self.backend.respond = recording.stay_silent
         sent_at = time.monotonic()
         response = await self.send(deadline_ms=PATIENT_MS)
         waited = time.monotonic() - sent_at
@@ -339,6 +267,14 @@
         self.assertGreaterEqual(waited, ROUTE_SECONDS)
         self.assertLess(waited, ROUTE_SECONDS + SLACK_SECONDS)
 
+    async def test_a_request_that_was_too_late_to_send_gets_no_promise(self):
+        response = protocol.to_response(
+            outcomes.NotRun(code=codes.TOO_LATE, retry_after=0.25)
+        )
+        self.assertEqual(503, response.status)
+        retry_after = messages.find(response.headers, headers.RETRY_AFTER)
+        self.assertEqual(0.25, float(retry_after))
+
     async def test_a_router_without_contracts_denies_a_request(self):
         self.state.contracts = None
         response = await self.send()
@@ -359,7 +295,7 @@
     """How connections to servers and callers end."""
 
     async def test_work_outlives_its_caller(self):
-        self.backend.respond = stay_silent
+        self.backend.respond = recording.stay_silent
         for target in ("/order/1", "/look/1"):
             sending = asyncio.create_task(
                 self.send(target, deadline_ms=PATIENT_MS)
@@ -380,8 +316,8 @@
             **more: Headers of the answers.
         """
 
-        async def respond(request: Received) -> bytes:
-            return answer(request, response_signature="sig", **more)
+        async def respond(request: recording.Received) -> bytes:
+            return recording.answer(request, response_signature="sig", **more)
 
         self.backend.respond = respond
         for seconds in (pause, 0.0):
--- a/tests/test_lanes.py
+++ b/tests/test_lanes.py
@@ -123,6 +123,18 @@
         late = slot_request(2, deadline=10.15, objective=10.12)
         self.assertIsInstance(queue.submit(late, 10.0), slotrequests.Refused)
 
+    def test_a_refused_caller_is_told_to_wait_too_long(self):
+        for waiting in (8, 40):  # The latter is a burst.
+            queue = slot_queue(server("s"))
+            patient = slot_request(0, deadline=99.0, objective=99.0)
+            for id in range(waiting):
+                queue.submit(dataclasses.replace(patient, id=id), 10.0)
+            late = slot_request(waiting, deadline=10.6, objective=10.2)
+            refused = queue.submit(late, 10.0)
+            self.assertIsInstance(refused, slotrequests.Refused)
+            self.assertGreater(refused.expected_wait, 0.6)
+            self.assertLessEqual(refused.retry_after, 0.6 / 3 + 1e-6)
+
     def test_urgent_work_goes_first(self):
         queue = slot_queue(server("s"))
         queue.submit(slot_request(1), 10.0)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -53,6 +53,28 @@
         self.assertEqual({"desk"}, {orders.pick(n / 10) for n in range(10)})
         self.assertIsNone(contract_set.find("a.example", "/else/"))
 
+    def test_only_safe_routes_may_be_repeated(self):
+        for route_type in ("safe", "unsafe", "upload"):
+            config = config_with()
+            rule = config["listeners"][0]["rules"][0]
+            rule.update(route_type=route_type, priority=3)
+            contract_set = contracts.decode(row(config)).contracts
+            work = contract_set.find("a.example", "/look/")
+            self.assertEqual(route_type == "safe", work.repeatable)
+            self.assertEqual((3, 2), (work.rank, work.attempts))
+
+    def test_a_split_follows_its_weights(self):
+        split = [
+            {"service": "desk", "weight": 3},
+            {"service": "spare", "weight": 1},
+        ]
+        config = config_with(service=None, traffic_split=split)
+        contract_set = contracts.decode(row(config)).contracts
+        work = contract_set.find("a.example", "/look/")
+        picked = [work.pick(n / 100) for n in range(100)]
+        self.assertEqual(75, picked.count("desk"))
+        self.assertEqual(25, picked.count("spare"))
+
     def test_the_longest_prefix_counts(self):
         config = config_with()
         rules = config["listeners"][0]["rules"]
@@ -114,6 +136,35 @@
                 platform_settings.read(file.name)
         self.assertIn("listen", str(caught.exception))
 
+    def test_bounds_are_read_and_unknown_fields_ignored(self):
+        document = {
+            "node": "n",
+            "ip": "127.0.0.1",
+            "zone": "z",
+            "listen": {"front": "127.0.0.1:1", "ready": "127.0.0.1:2"},
+            "internal_ports": [3, 9],
+            "provider": {"address": "127.0.0.1:4", "unknown": 1},
+            "unknown": [],
+            "bounds": [
+                "drain_ms=1500",
+                "config_apply_ms=2500",
+                "grace_s=7",
+                "hold_max_ms=9000",
+                "retry_budget_ratio=0.3",
+                "budget_extra_retries=55",
+                "unknown=true",
+            ],
+        }
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            json.dump(document, file)
+            file.flush()
+            checked = platform_settings.read(file.name)
+        self.assertEqual(1.5, checked.propagation_seconds)
+        self.assertEqual(7, checked.stop_seconds)
+        self.assertEqual(9, checked.max_lease_seconds)
+        self.assertEqual((0.3, 55), (checked.retry_ratio, checked.retry_extra))
+        self.assertEqual(3, checked.peer_port)
+
 
 class NamesTest(unittest.TestCase):
     """The platform's wire names stay within the adapter."""
--- a/tests/test_router_stop.py
+++ b/tests/test_router_stop.py
@@ -19,12 +19,14 @@
 from oleanderhoist.http import messages
 from oleanderhoist.http import streams
 from oleanderhoist.node import core
+from oleanderhoist.platform import adapter
 from oleanderhoist.platform import protocol
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import contractset
 from tests import test_forwarder
 from tests import virtual
 
+PROBE_PATH = adapter.READY_PATH
 SIGNAL_TIME = 1001.0  # A second after the start of virtual time.
 STOP_SECONDS = 6.0
 SLOTS_DUE_SECONDS = core.SLOT_FRACTION * STOP_SECONDS
@@ -165,7 +167,7 @@
     node = core.Node(
         settings=make_settings(stop_seconds),
         source=None,
-        platform=types.SimpleNamespace(ready_path="/", **vars(protocol)),
+        platform=types.SimpleNamespace(ready_path=PROBE_PATH, **vars(protocol)),
         clock=virtual.Clock(loop=loop),
     )
     node.state.contracts = CONTRACTS
@@ -254,6 +256,27 @@
         now = asyncio.get_running_loop().time()
         return Answer(at=now - SIGNAL_TIME, data=bytes(received))
 
+    async def probe(self, at: float) -> int:
+        """Returns the status of the readiness probe at a time."""
+        await until(at)
+        request = messages.Request(
+            method="GET", target=PROBE_PATH, headers=[], body=None
+        )
+        return (await self.node.health.handle(request)).status
+
+    def test_a_router_that_stops_or_knows_nothing_counts_as_ready(self):
+        async def forget_contracts() -> int:
+            await until(-0.5)
+            self.node.state.contracts = None
+            status = await self.probe(-0.5)
+            self.node.state.contracts = CONTRACTS
+            return status
+
+        statuses = self.play(
+            self.probe(-0.9), forget_contracts(), self.probe(TURN_SECONDS)
+        )
+        self.assertEqual([200, 503, 503], statuses)
+
     def test_a_caller_that_still_sends_its_body_is_not_closed_unanswered(self):
         head = HEAD + b"Content-Length: 100\r\n\r\n"
         answers = self.play(
