Expect a wait only from servers that a request may be sent to

A slot queue estimated the wait of a request by all its servers, also by those that the request excludes. While only retries exclude servers that is seldom wrong; a server that names a pause is excluded by all requests of the router that it told. So a router's requests queued for capacity that they could not use, were answered late, and were refused at their deadline.

The only server of a queue is granted to all requests, as before, so keyed queues count it. The estimate is cautious where requests ahead may take the servers that this one excludes.

--- a/oleanderhoist/node/coordinator.py
+++ b/oleanderhoist/node/coordinator.py
@@ -133,7 +133,7 @@
             self.deliver(hosted, verdict)
             return 0.0
         self.wake.set()
-        return hosted.queue.expected_wait(request.rank, now)
+        return hosted.queue.expected_wait(request, now)
 
     def deliver(
         self, hosted: HostedQueue, verdict: slotrequests.Verdict
--- a/oleanderhoist/policy/slotqueue.py
+++ b/oleanderhoist/policy/slotqueue.py
@@ -72,32 +72,54 @@
                 server = before
             self.servers[server.id] = server
 
-    def service_rate(self, now: float) -> float:
-        """Returns the requests per second that the servers can complete."""
+    def service_rate(
+        self, now: float, excluded: frozenset[str] = frozenset()
+    ) -> float:
+        """Returns the requests per second that the servers can complete.
+
+        Args:
+            now: Current time, in seconds.
+            excluded: Ids of servers that are left out.
+        """
         return sum(
             s.service_rate()
             for s in self.servers.values()
-            if now >= s.blocked_until
+            if now >= s.blocked_until and s.id not in excluded
         )
 
+    def excluded_from(
+        self, request: slotrequests.SlotRequest
+    ) -> frozenset[str]:
+        """Returns the servers that a request is not granted a slot of.
+
+        A queue's only server is granted to all requests.
+        """
+        return request.excluded if len(self.servers) > 1 else frozenset()
+
     def queued_ahead(self, rank: int) -> int:
         """Returns how many waiting requests precede a new one of a rank."""
         return sum(len(q) for r, q in self.queues.items() if r <= rank)
 
-    def expected_wait(self, rank: int, now: float) -> float:
+    def expected_wait(
+        self, request: slotrequests.SlotRequest, now: float
+    ) -> float:
         """Returns the expected wait of a new request for a slot, in seconds.
 
         Future arrivals of more urgent ranks also go first, so a rank is
         served at the rate that those leave. Without this, a flood of the
         least urgent work would be queued although it cannot be served in time.
         """
-        if self.service_rate(now) <= 0:
+        excluded = self.excluded_from(request)
+        if self.service_rate(now, excluded) <= 0:
             return float("inf")
-        return (self.queued_ahead(rank) + 1) / self.rate_for(rank, now)
+        rate = self.rate_for(request.rank, now, excluded)
+        return (self.queued_ahead(request.rank) + 1) / rate
 
-    def rate_for(self, rank: int, now: float) -> float:
+    def rate_for(
+        self, rank: int, now: float, excluded: frozenset[str] = frozenset()
+    ) -> float:
         """Returns the requests per second that more urgent ranks leave."""
-        rate = self.service_rate(now)
+        rate = self.service_rate(now, excluded)
         left = rate - self.demand.rate(now, below=rank)
         return max(self.minimum_rate(now), left)
 
@@ -141,7 +163,7 @@
         server = self.choose(request, now)
         if server is not None:
             return self.grant(request, server, now)
-        wait = self.expected_wait(request.rank, now)
+        wait = self.expected_wait(request, now)
         end = now + wait + self.service_seconds
         if (
             now + wait + OBJECTIVE_MARGIN * self.service_seconds
@@ -150,8 +172,9 @@
             queue = self.queues.setdefault(request.rank, collections.deque())
             queue.append(request)
             return None
-        if self.spare_rate(now) and end <= request.deadline:
-            return self.submit_overdue(request, now)
+        spare_rate = self.spare_rate(now, self.excluded_from(request))
+        if spare_rate and end <= request.deadline:
+            return self.submit_overdue(request, spare_rate, now)
         return self.refuse(request, wait, now)
 
     def assume_service(
@@ -176,19 +199,19 @@
             if not server.answers:
                 server.service_seconds = self.service_seconds
 
-    def spare_rate(self, now: float) -> float:
+    def spare_rate(
+        self, now: float, excluded: frozenset[str] = frozenset()
+    ) -> float:
         """Returns the service rate that requests on time leave unused."""
-        return max(
-            0.0,
-            MAX_UTILISATION * self.service_rate(now) - self.demand.rate(now),
-        )
+        rate = self.service_rate(now, excluded)
+        return max(0.0, MAX_UTILISATION * rate - self.demand.rate(now))
 
     def submit_overdue(
-        self, request: slotrequests.SlotRequest, now: float
+        self, request: slotrequests.SlotRequest, spare_rate: float, now: float
     ) -> slotrequests.Verdict | None:
         """Queues or refuses a request that cannot meet its objective."""
-        rate = self.spare_rate(now)
-        wait = (len(self.overdue) + self.queued_ahead(request.rank) + 1) / rate
+        ahead = len(self.overdue) + self.queued_ahead(request.rank)
+        wait = (ahead + 1) / spare_rate
         if now + wait + self.service_seconds > request.deadline:
             return self.refuse(request, wait, now)
         self.overdue.append(request)
--- a/tests/forwarding_fleet.py
+++ b/tests/forwarding_fleet.py
@@ -127,6 +127,8 @@
         paused: Router, server, begin and end of each pause that was named.
         heard: When a router first got an answer that says that its server
             leaves, by router and server.
+        outcomes: How the requests ended.
+        took: How long each of them took, in seconds.
     """
 
     def __init__(
@@ -148,6 +150,7 @@
         self.arrivals: list[tuple[str, str, float]] = []
         self.heard: dict[tuple[str, str], float] = {}
         self.outcomes: list[outcomes.Outcome] = []
+        self.took: list[float] = []
         self.routers = [
             Router(fleet=self, address=f"10.0.0.{n}:1") for n in range(routers)
         ]
@@ -211,9 +214,12 @@
         job.work = dataclasses.replace(job.work, attempts=self.attempts)
         outcome = await router.forwarder.serve(job)
         self.outcomes.append(outcome)
+        self.took.append(self.loop.now - job.arrived)
         return outcome
 
-    async def offer(self, seconds: float) -> None:
+    async def offer(
+        self, seconds: float, per_second: float = OFFERED_PER_SECOND
+    ) -> None:
         """Sends requests through all routers for a while."""
         rng = random.Random(2)
         ticks = [
@@ -223,7 +229,7 @@
         calls = []
         end = self.loop.now + seconds
         while self.loop.now < end:
-            await asyncio.sleep(rng.expovariate(OFFERED_PER_SECOND))
+            await asyncio.sleep(rng.expovariate(per_second))
             call = self.call(rng.choice(self.callers))
             calls.append(asyncio.create_task(call))
         await asyncio.gather(*calls)
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -136,6 +136,20 @@
         self.assertNotIn(told, senders)
         self.assertEqual(len(fleet.routers) - 1, len(senders))
 
+    def test_requests_queue_for_slots_of_a_server_that_pauses(self):
+        for per_second in (60.0, 75.0):  # The other server completes 40.
+            fleet = forwarding_fleet.Fleet(routers=2, servers="ab")
+            router = fleet.routers[0]
+            incarnation = fleet.snapshot.servers[PAUSED].incarnation
+            router.state.pauses.add(incarnation, 60.0, fleet.loop.now)
+            fleet.callers = [router]
+            virtual.run(fleet.offer(PLAY_SECONDS, per_second), fleet.loop)
+            self.assertEqual(0, fleet.reached(PAUSED))
+            for outcome, took in zip(fleet.outcomes, fleet.took, strict=True):
+                served = isinstance(outcome, outcomes.Complete)
+                limit = forwarding_fleet.OBJECTIVE_SECONDS if served else 0.01
+                self.assertLess(took, limit, outcome)
+
     def test_all_servers_name_pauses_and_are_asked_again(self):
         fleet = forwarding_fleet.Fleet()
         for id in "abc":
