Move the leader's members into a module of their own

What it knows of the members by their reports is node/membership.py now; removing a silent member and one that leaves is one function, which stood twice. No behaviour is changed but the order of two log lines; the tests of leaders, members and store calls pass unchanged. 433 and 434 name the new module as their source.

--- a/oleanderhoist/events.py
+++ b/oleanderhoist/events.py
@@ -328,13 +328,13 @@
     433,
     "member.joined",
     "The leader counts a router as live.",
-    "oleanderhoist.node.leader",
+    "oleanderhoist.node.membership",
 )
 MEMBER_LOST = define(
     434,
     "member.lost",
     "The leader counts a router as lost.",
-    "oleanderhoist.node.leader",
+    "oleanderhoist.node.membership",
 )
 KEYS_MOVING = define(
     440,
--- a/oleanderhoist/node/leader.py
+++ b/oleanderhoist/node/leader.py
@@ -18,6 +18,7 @@
 from oleanderhoist.node import directory
 from oleanderhoist.node import leaderstore
 from oleanderhoist.node import leasemanager
+from oleanderhoist.node import membership
 from oleanderhoist.node import publisher
 from oleanderhoist.node import rebalancer
 from oleanderhoist.node import state
@@ -30,7 +31,6 @@
 ROSTER_WRITE_INTERVAL_SECONDS = 3.0
 HEARTBEAT_INTERVAL_SECONDS = 0.25
 DIRECTORY_READ_INTERVAL_SECONDS = 0.4
-MEMBER_TIMEOUT_SECONDS = 1.6
 PUBLISH_DELAY_SECONDS = 0.03
 JOIN_DELAY_SECONDS = 0.1
 MAX_REPORTED_AGE_SECONDS = 60.0
@@ -82,7 +82,6 @@
         self.datagrams = datagrams
         self.state = state
         self.clock = clock
-        self.lag = lag
         self.own_member = own_member
         self.leader_lease = leader_lease
         self.contract_watch = contract_watch
@@ -95,15 +94,16 @@
             leader_lease=leader_lease,
             address=datagrams.address,
         )
-        self.members = dict(
-            state.snapshot.members or leaderstore.roster_of(rows)
+        self.membership = membership.Membership(
+            members=state.snapshot.members or leaderstore.roster_of(rows),
+            own_member=own_member,
+            clock=clock,
+            lag=lag,
         )
-        self.members[own_member.address] = own_member
+        self.members = self.membership.members
         self.publisher = publisher.Publisher(
             datagrams=datagrams, state=state, members=self.members
         )
-        now = clock.monotonic()
-        self.last_report_at = {address: now for address in self.members}
         self.directory = directory.Directory(
             platform=platform,
             clock=clock,
@@ -250,8 +250,8 @@
     async def send_heartbeats(self) -> None:
         """Sends heartbeats to all members at regular intervals."""
         while True:
-            now = self.clock.monotonic()
-            self.remove_lost_members(now)
+            if self.membership.remove_lost(self.clock.monotonic()):
+                self.snapshot_dirty.set()
             self.check_reachability()
             self.check_tokens()
             message = wire.encode(self.make_heartbeat())
@@ -280,24 +280,6 @@
             resigned=self.leader_lease.resigned,
         )
 
-    def remove_lost_members(self, now: float) -> None:
-        """Removes members whose reports have timed out."""
-        timeout = MEMBER_TIMEOUT_SECONDS + self.lag.recent_max()
-        for address, reported_at in list(self.last_report_at.items()):
-            if (
-                address == self.own_member.address
-                or now - reported_at < timeout
-            ):
-                continue
-            del self.last_report_at[address]
-            del self.members[address]
-            self.snapshot_dirty.set()
-            log.write(
-                events.MEMBER_LOST,
-                member=address,
-                silent_s=round(now - reported_at, 2),
-            )
-
     def check_reachability(self) -> None:
         """Resigns if most servers are unreachable from this router.
 
@@ -391,17 +373,16 @@
     def on_member_report(self, peer: str, message: wire.MemberReport) -> None:
         """Handles a member report."""
         if message.leaving:
-            self.remove_member(peer)
+            if self.membership.remove(peer):
+                self.snapshot_dirty.set()
             return
-        self.last_report_at[peer] = self.clock.monotonic()
-        if peer not in self.members:
-            self.members[peer] = cluster.Member(
-                address=peer,
-                data_center=message.data_center,
-                cores=message.cores,
-            )
+        member = cluster.Member(
+            address=peer,
+            data_center=message.data_center,
+            cores=message.cores,
+        )
+        if self.membership.record_report(member):
             self.members_joined.set()
-            log.write(events.MEMBER_JOINED, member=peer)
         self.record_load(message.keys, message.service_ms)
         self.departure_news.compare(peer, message.departed)
         if self.missed_update(message):
@@ -419,13 +400,6 @@
             return True
         return message.version < self.previous_announced_version
 
-    def remove_member(self, peer: str) -> None:
-        """Removes a member that leaves."""
-        if self.members.pop(peer, None) is not None:
-            self.last_report_at.pop(peer, None)
-            self.snapshot_dirty.set()
-            log.write(events.MEMBER_LOST, member=peer, silent_s=0.0)
-
     def record_load(
         self, requested: dict[str, list[int]], service_ms: dict[str, float]
     ) -> None:
