--- a/oleanderhoist/node/candidates.py
+++ b/oleanderhoist/node/candidates.py
@@ -70,6 +70,8 @@
     unwanted = router_state.snapshot.departed_from(job.pool).union(
         router_state.pauses.paused(usable, now)
     )
+    if not job.tried_servers:
+        return unwanted
     with_tried = unwanted.union(job.tried_servers)
     if all(server.id in with_tried for server in usable):
         return unwanted
