Draw addresses that are used again, leaving with odd answers, and check routes

A server that says that it leaves may answer oddly as well. An execution at a server of another pool is a violation of ROUTE; its test has two paths that are allowed and one that isn't.

--- a/soak/answerfaults.py
+++ b/soak/answerfaults.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import signal
 import time
@@ -32,6 +33,7 @@
     "store-freezes",
 )
 MAX_COMPANIONS = 2
+ODD_LEAVING_SHARE = 0.3
 
 
 async def set_conduct(
@@ -65,6 +67,15 @@
     return injection.rng.choice([*WHOLE_RETRY_AFTER, f"{seconds:.3f}"])
 
 
+def draw_oddities(injection: injector.Injector) -> dict[str, object]:
+    """Draws doses of all treatments."""
+    return {
+        "retry_after": draw_retry_after(injection),
+        "copied_share": injection.rng.uniform(MIN_SHARE, MAX_SHARE),
+        "shares": draw_shares(injection, *conduct.TREATMENTS.names()),
+    }
+
+
 async def misbehave(
     injection: injector.Injector, kind: str, **fields: object
 ) -> None:
@@ -84,13 +95,18 @@
     """Lets a server say that it leaves, and starts it again under its id.
 
     Its entry is rewritten as ready and may follow later. Other faults may come
-    meanwhile. Planned maintenance.
+    meanwhile. Planned maintenance, unless it answers oddly as well.
     """
     name = injection.pick_process("td")
     if name is None:
         return
-    with injection.reserved(name):
-        await set_conduct(injection, name, leaving=True)
+    async with contextlib.AsyncExitStack() as stack:
+        stack.enter_context(injection.reserved(name))
+        oddities = {}
+        if injection.rng.random() < ODD_LEAVING_SHARE:
+            oddities = draw_oddities(injection)
+            await stack.enter_async_context(injection.span("oddly", name))
+        await set_conduct(injection, name, leaving=True, **oddities)
         injection.log.append(f"{time.monotonic():.2f} {name} says it leaves")
         companions = start_companions(injection)
         await keep_ready(injection, name)
@@ -193,9 +209,35 @@
 @injector.FAULTS.register("odd-answers")
 async def answer_oddly(injection: injector.Injector) -> None:
     """Mixes all of these."""
-    await misbehave(
-        injection,
-        "odd-answers",
-        copied_share=injection.rng.uniform(MIN_SHARE, MAX_SHARE),
-        shares=draw_shares(injection, *conduct.TREATMENTS.names()),
-    )
+    await misbehave(injection, "odd-answers", **draw_oddities(injection))
+
+
+@injector.FAULTS.register("address-used-again")
+async def use_addresses_again(injection: injector.Injector) -> None:
+    """Kills two servers and starts each at the address of the other.
+
+    Until the second one has started, the entries of both name one address.
+    """
+    async with contextlib.AsyncExitStack() as stack:
+        names = []
+        for _ in range(2):
+            name = injection.pick_process("td")
+            if name is None:
+                return
+            stack.enter_context(injection.reserved(name))
+            names.append(name)
+        for name in names:
+            await stack.enter_async_context(injection.span("kill", name))
+            await injection.end_process(name, signal.SIGKILL)
+        injection.system.swap_links(*names)
+        await asyncio.gather(*(restart_oddly(injection, n) for n in names))
+        await asyncio.sleep(injection.duration())
+        for name in names:
+            await set_conduct(injection, name)
+
+
+async def restart_oddly(injection: injector.Injector, name: str) -> None:
+    """Restarts a server that sends late copies of its answers."""
+    copied_share = injection.rng.uniform(MIN_SHARE, 1.0)
+    await injection.restart_server(name)
+    await set_conduct(injection, name, copied_share=copied_share)
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -108,7 +108,7 @@
             name for name in links if name.startswith("store-") == bool(prefix)
         ]
         name = self.rng.choice(sorted(names))
-        return name, links[name]
+        return self.system.server_behind(name), links[name]
 
     async def restart_router(self, name: str) -> None:
         """Restarts a router and waits until it handles reload signals."""
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -287,8 +287,14 @@
 
 @READERS.register("run")
 def read_execution(checker: Checker, server: str, item: dict) -> None:
-    """Reads the execution of a request."""
+    """Reads the execution of a request; checks that its route allows it."""
     checker.record_execution(server, item)
+    if platform_system.pool_for(item["path"]) != platform_system.pool_of(
+        server
+    ):
+        checker.violations.append(
+            f"route: {item['id']} to {item['path']} was executed on {server}"
+        )
 
 
 @READERS.register("hold")
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -91,19 +91,23 @@
             control = CONTROLS.get(request.path)
             return control(self, await request.read())
         response = await self.answer(request)
+        if self.conduct.copied_share > self.rng.random():
+            names_request = messages.find(response.headers, b"request-id")
+            response.repeated = bool(names_request and not response.stream)
         if self.conduct.leaving:
             response.headers.append((b"server-leaving", b"1"))
         self.write_notices(request, response)
         return response
 
-    async def answer(self, request: messages.Request) -> messages.Response:
+    async def answer(self, request: messages.Request) -> unruly.Answer:
         """Returns the response to a request, lease grant or lease release."""
         expected = request.header(b"expected-instance")
         if expected not in (None, self.id):
             await request.read()
-            response = base.text_response(421, "another server")
-            response.headers.append((b"request-id", request_id(request)))
-            return response
+            headers = [(b"request-id", request_id(request))]
+            return unruly.Answer(
+                status=421, headers=headers, body=b"another server"
+            )
         if request.path == "/grant":
             return self.grant(json.loads(await request.read()))
         if request.path == "/release":
@@ -116,8 +120,6 @@
         if self.limit is not None:
             response.headers.append((b"server-limit", b"%.2f" % self.limit))
         response.headers += self.headers
-        if self.conduct.copied_share > self.rng.random():
-            response.repeated = response.stream is None
         return response
 
     def write_journal(self, **fields: object) -> None:
@@ -165,19 +167,19 @@
                 fence=message["fence"],
             )
 
-    def grant(self, message: dict) -> messages.Response:
+    def grant(self, message: dict) -> unruly.Answer:
         """Accepts a lease unless an overlapping one has a higher fence."""
         expires_at = self.leases.grant(message, self.freezes.earliest_arrival())
         if expires_at is None:
-            return base.text_response(409, "higher fence")
+            return unruly.Answer(status=409, body=b"higher fence")
         self.write_lease(message, expires_at)
-        return base.text_response(200, "")
+        return unruly.Answer()
 
-    def release(self, message: dict) -> messages.Response:
+    def release(self, message: dict) -> unruly.Answer:
         """Releases a range of keys."""
         self.leases.release(message)
         self.write_lease(message, time.monotonic())
-        return messages.Response(headers=[(b"handover-token", b"abc")])
+        return unruly.Answer(headers=[(b"handover-token", b"abc")])
 
     def inject(self, fault: str) -> bool:
         """Returns whether to inject a fault now, and counts it."""
--- a/standins/platform_system.py
+++ b/standins/platform_system.py
@@ -22,6 +22,7 @@
 SERVER_SLOTS = 3
 FRONT_PORT = 18641
 READINESS_ID = "up"  # Of the requests that wait for the start.
+ORDER_PREFIX = "/order/"
 UPLOAD_PREFIX = "/upload/"
 MAX_JOURNAL_SECONDS = 5.0  # To read the last lines of an ended server.
 FIRST_SUBNET_OCTET = 210  # Those below are the soak test's.
@@ -56,7 +57,7 @@
                     "route_type": "unsafe",
                     "target_latency_ms": 300,
                     "priority": 1,
-                    "match": {"prefix": "/order/"},
+                    "match": {"prefix": ORDER_PREFIX},
                     "action": {
                         "traffic_split": [
                             {"service": "desk", "weight": 1},
@@ -88,6 +89,12 @@
     return {"t": "tables", "d": "desk"}[id[0]]
 
 
+def pool_for(path: str) -> str:
+    """Returns the pool that executes requests at a path."""
+    is_order = path.startswith((ORDER_PREFIX, UPLOAD_PREFIX))
+    return "desk" if is_order else "tables"
+
+
 def probe_prefix(version: int) -> str:
     """Returns the path prefix of the route that a version adds."""
     return f"/probe/{version}/"
@@ -145,6 +152,7 @@
         real: Listening addresses by server id, behind any proxies.
         born: Start times by server id, in milliseconds since the epoch.
         sequences: Number of writes of each server's row in its life.
+        links: Names of servers' proxies where they aren't their own ids.
     """
 
     def __init__(
@@ -181,6 +189,7 @@
         self.real: dict[str, str] = {}
         self.born: dict[str, int] = {}
         self.sequences: collections.Counter = collections.Counter()
+        self.links: dict[str, str] = {}
         self.clients = client.Clients()
 
     async def spawn(self, name: str, *command: str, **env: str) -> str:
@@ -222,7 +231,8 @@
         command += ["--journal"] if self.journal else []
         line = await self.spawn(id, *command)
         self.real[id] = json.loads(line)[0]
-        self.servers[id] = await self.reachable_address(id, self.real[id])
+        link = self.links.get(id, id)
+        self.servers[id] = await self.reachable_address(link, self.real[id])
         self.born[id] = born
         self.sequences[id] = 0
         if self.journal:
@@ -242,6 +252,16 @@
             return address
         return await self.proxies.route(name, address)
 
+    def swap_links(self, one: str, other: str) -> None:
+        """Makes two servers start at the address of the other."""
+        swapped = self.links.get(other, other), self.links.get(one, one)
+        self.links[one], self.links[other] = swapped
+
+    def server_behind(self, link: str) -> str:
+        """Returns the id of the server that a proxy belongs to."""
+        ids = {name: id for id, name in self.links.items()}
+        return ids.get(link, link)
+
     async def register_server(
         self, id: str, pool: str, state: str = "ready"
     ) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -283,6 +283,13 @@
         self.checker.requests["b"] = records.Request(router="r2", sent_at=0.9)
         self.assertEqual([], self.checker.finish())
 
+    def test_a_request_at_a_server_of_another_pool_is_seen(self):
+        for path, count in (("/upload/1", 0), ("/order/1", 0), ("/look/1", 1)):
+            self.checker = invariants.Checker()
+            line = {"kind": "run", "id": "a", "at": 1.0, "path": path}
+            self.checker.read_journal("d1", json.dumps(line))
+            self.assertEqual(count, len(self.checker.violations), path)
+
     def test_another_body_than_was_sent_is_seen(self):
         line = {"kind": "foreign body", "id": "a", "at": 1.0, "bytes": 9}
         self.checker.read_journal("a", json.dumps(line))
