--- a/soak/callers.py
+++ b/soak/callers.py
@@ -141,6 +141,7 @@
                 status=status,
                 body_matches=body == bodies.answer(id),
                 repeatable=repeatable,
+                keyed=platform_system.pool_for(path) == "tables",
                 probe_version=probe_version,
                 reused=opened_before == self.client.opened,
                 error=error_text,
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -182,14 +182,17 @@
         """Checks that planned work cost no request that a router had read.
 
         A request is lost if its connection ended without a complete answer, or
-        if a stopping router answered while a server was at work on it.
+        if a stopping router answered while a server was at work on it. Faults
+        of the store excuse that only for a request with a key.
         """
         closed = answer.status == 0 and self.was_read(answer)
         at_work = answer.ended_at < self.work_end(answer)
         broken_off = answer.status not in (0, 200) and at_work
         if not (closed or broken_off) or self.ran_out_of_time(answer):
             return
-        if not self.is_fault_free(answer.sent_at, answer.ended_at):
+        if not self.is_fault_free(
+            answer.sent_at, answer.ended_at, beside_store=not answer.keyed
+        ):
             return
         planned = [("stop", at) for at in self.stops_near(answer)]
         if closed:
--- a/soak/platformfaults.py
+++ b/soak/platformfaults.py
@@ -36,7 +36,7 @@
     fault = injection.rng.choice(
         [{"down": True}, {"lose": LOST_RESPONSES}, {"compacted": True}]
     )
-    async with injection.span(f"{fault}", "store"):
+    async with injection.span(f"{fault}", records.STORE):
         await injection.system.call(
             injection.system.store, "PUT", "/faults", fault
         )
@@ -52,7 +52,7 @@
 @injector.FAULTS.register("store-freezes")
 async def store_freezes(injection: injector.Injector) -> None:
     """Freezes the process of the store."""
-    async with injection.span(records.FREEZE, "store"):
+    async with injection.span(records.FREEZE, records.STORE):
         injection.system.signal("store", signal.SIGSTOP)
         await asyncio.sleep(injection.duration())
         injection.system.signal("store", signal.SIGCONT)
--- a/soak/records.py
+++ b/soak/records.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 FAULT_EFFECT_SECONDS = 3.0  # Time bounds apply again after this time.
+STORE = "store"  # Target of a fault.
 FREEZE = "pause"  # Kind of a fault, as those below.
 LINK_FAULTS = ("delay", "reset", "one-way", "back", "silent")
 
@@ -20,6 +21,7 @@
         status: HTTP status; 0 without a complete response.
         body_matches: Whether the body belongs to this request.
         repeatable: Whether the contract allows more than one execution.
+        keyed: Whether only the owner of its key can execute it.
         probe_version: Contract version that added the route; 0 for others.
         reused: Whether the request was sent on an existing connection.
         error: Cause of a missing response.
@@ -37,6 +39,7 @@
     status: int
     body_matches: bool
     repeatable: bool
+    keyed: bool = True
     probe_version: int = 0
     reused: bool = False
     error: str = ""
@@ -201,11 +204,20 @@
         self.limits: list[Limit] = []
         self.faults: list[Fault] = []
 
-    def is_fault_free(self, begin: float, end: float) -> bool:
-        """Returns whether no fault affects a time span."""
+    def is_fault_free(
+        self, begin: float, end: float, *, beside_store: bool = False
+    ) -> bool:
+        """Returns whether no fault affects a time span.
+
+        Args:
+            begin: Begin of the time span.
+            end: Its end.
+            beside_store: Whether faults of the store don't count.
+        """
         return not any(
             fault.begin <= end and begin <= fault.end + FAULT_EFFECT_SECONDS
             for fault in self.faults
+            if not (beside_store and fault.target == STORE)
         )
 
     def was_frozen(self, process: str, begin: float, end: float) -> bool:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -359,6 +359,21 @@
         )
         self.assertEqual([], self.checker.finish())
 
+    def test_a_fault_of_the_store_excuses_no_loss_without_a_key(self):
+        for keyed, target, count in (
+            (False, "store", 1),
+            (True, "store", 0),
+            (False, "d1", 0),
+        ):
+            self.checker = invariants.Checker()
+            self.checker.stops.append(("r2", 1.05))
+            self.checker.faults.append(
+                records.Fault(kind="down", target=target, begin=0.5, end=2.0)
+            )
+            self.checker.record_execution("a", {"id": "a", "at": 1.0})
+            self.record_answer(status=0, keyed=keyed)
+            self.assertEqual(count, len(self.checker.finish()), target)
+
     def test_a_request_that_a_reload_closes_is_seen(self):
         self.checker.reloads.append(("r2", 1.05))
         self.record_answer(status=0, ended_at=1.5)
