Count a notice only once its answer was sent on a connection that is open

Trace: r3 had sent c3.3-196 behind an early answer whose rest the stand-in was still reading, hedged it after 43 ms (417, 414), got the other answer and closed this exchange at 2444.635 (411, "gone"). The stand-in read the request 0.2 s later and wrote its refusal to the closed connection, and r3 logged no pause (426). Such a refusal has not been answered to the router; an answer that was sent before the close still counts. A test of the stand-in has the case.

--- a/standins/unruly.py
+++ b/standins/unruly.py
@@ -23,10 +23,13 @@
         repeated: Whether a second copy comes where the next response is due.
         read_rest: Reads the rest of the request after the response; None if it
             was read before.
+        on_sent: Called once the response was sent on a connection that the
+            caller had not closed.
     """
 
     repeated: bool = False
     read_rest: Callable[[], Awaitable[None]] | None = None
+    on_sent: Callable[[], None] | None = None
 
 
 class Connection(serverconnection.ServerConnection):
@@ -53,6 +56,9 @@
         self.phase = serverconnection.Phase.WRITING
         close = response.close or self.may_stop
         await self.write(response, request.method, close)
+        on_sent = getattr(response, "on_sent", None)
+        if on_sent is not None and not self.reader.disconnected:
+            on_sent()
         if not await self.read_rest(response):
             return False
         if getattr(response, "repeated", False):
--- a/tests/test_conduct.py
+++ b/tests/test_conduct.py
@@ -63,6 +63,18 @@
         self.assertIn("not-executed", headers)
         self.assertEqual([], self.instance.ran)
 
+    async def test_a_refusal_that_its_caller_closed_before_names_nothing(self):
+        self.behave(retry_after="2", shares={"early": 1.0}, seed=1)
+        self.send("a", b"a " * 5, LONG_BODY_BYTES)
+        await self.receive()
+        self.behave(retry_after="2", shares={"refuse": 1.0})
+        self.writer.write(b"a " * (LONG_BODY_BYTES // 2 - 5))
+        self.send("b")
+        self.writer.close()
+        await asyncio.sleep(conduct.MAX_READ_DELAY_SECONDS + 0.2)
+        self.assertEqual(2, len(self.instance.arrivals))
+        self.assertFalse(self.instance.named_retry_after)
+
     async def test_a_second_copy_comes_where_the_next_answer_is_due(self):
         self.behave(copied_share=1.0)
         ids = []
