--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import base64
+import importlib.util
 import json
 import pathlib
 import re
 import signal
 import tempfile
+import tomllib
 import unittest
 
 from oleanderhoist import ports
@@ -165,6 +167,15 @@
         self.assertEqual((0.3, 55), (checked.retry_ratio, checked.retry_extra))
         self.assertEqual(3, checked.peer_port)
 
+    def test_the_deploy_file_names_the_program_and_its_metrics(self):
+        deploy = tomllib.loads(pathlib.Path("deploy/system.toml").read_text())
+        (role,) = deploy["roles"].values()
+        module = role["run"].split(" -m ")[1]
+        self.assertIsNotNone(importlib.util.find_spec(module))
+        port, _, path = role["metrics"].partition("/")
+        self.assertEqual(str(platform_settings.METRICS_PORT), port)
+        self.assertEqual("metrics", path)
+
 
 class NamesTest(unittest.TestCase):
     """The platform's wire names stay within the adapter."""
