--- a/oleanderhoist/platform/protocol.py
+++ b/oleanderhoist/platform/protocol.py
@@ -1,6 +1,8 @@
 """Translates HTTP requests and responses of callers and servers."""
 
+from collections.abc import Callable
 import re
+import typing
 
 from oleanderhoist import codes
 from oleanderhoist import outcomes
@@ -12,6 +14,9 @@
 MIN_REMAINING_SECONDS = 0.001
 MAX_DIGITS = 15  # Of a number in a header.
 DECIMAL = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
+PAUSE_STATUS = 503  # With which a server may name a pause.
+LEAVING = "1"  # The only value that says that a server leaves.
+MAX_LOGGED_CHARACTERS = 40  # Of the value of a header.
 REPLACED_HEADERS = frozenset(
     [b"host", b"content-length", headers.REMAINING_MS, headers.EXPECTED_SERVER]
 )
@@ -20,6 +25,7 @@
     codes.OVER_LIMIT: 429,
     codes.OUTSIDE_CONTRACT: 404,
 }
+Value = typing.TypeVar("Value")
 # To callers, these statuses promise that the request never runs.
 NOT_RUN_STATUSES = (408, 429, 503)
 
@@ -85,14 +91,78 @@
     )
 
 
-def server_notice(response: messages.Response) -> ports.ServerNotice | None:
-    """Returns what a server says of itself; None if it can't be read."""
-    text = messages.find(response.headers, headers.SERVER_LIMIT)
-    if text is None:
-        return ports.ServerNotice()
-    if not DECIMAL.fullmatch(text):
-        return None
-    return ports.ServerNotice(limit=float(text))
+def server_notice(response: messages.Response) -> ports.ServerNotice:
+    """Returns what a server says of itself in a response.
+
+    A header that can't be read does not hide the others.
+    """
+    reader = NoticeReader(pairs=response.headers)
+    return ports.ServerNotice(
+        limit=reader.read(
+            ports.NoticeField.LIMIT, headers.SERVER_LIMIT, parse_decimal
+        ),
+        leaving=reader.read(
+            ports.NoticeField.LEAVING, headers.SERVER_LEAVING, parse_leaving
+        )
+        or False,
+        pause=reader.read(
+            ports.NoticeField.PAUSE, headers.RETRY_AFTER, parse_decimal
+        )
+        if response.status == PAUSE_STATUS
+        else None,
+        unreadable=reader.unreadable,
+    )
+
+
+class NoticeReader:
+    """Reads the headers in which a server speaks of itself.
+
+    Args:
+        pairs: Headers of the response.
+
+    Attributes:
+        unreadable: Headers that could not be read, for the log, by field.
+    """
+
+    def __init__(self, *, pairs: messages.Headers):
+        self.pairs = pairs
+        self.unreadable: dict[ports.NoticeField, str] = {}
+
+    def read(
+        self,
+        field: ports.NoticeField,
+        name: bytes,
+        parse: Callable[[str], Value | None],
+    ) -> Value | None:
+        """Returns the value of a header; None if there is none to use."""
+        text = single_value(self.pairs, name)
+        if text is None:
+            return None
+        value = parse(text)
+        if value is None:
+            shown = text[:MAX_LOGGED_CHARACTERS]
+            self.unreadable[field] = f"{name.decode()}: {shown}"
+        return value
+
+
+def parse_decimal(text: str) -> float | None:
+    """Returns a number that is not negative, or None if it is none."""
+    return float(text) if DECIMAL.fullmatch(text) else None
+
+
+def parse_leaving(text: str) -> bool | None:
+    """Returns whether a server leaves, or None if that can't be read."""
+    return True if text == LEAVING else None
+
+
+def single_value(pairs: messages.Headers, name: bytes) -> str | None:
+    """Returns the value of a header; None without it.
+
+    Different values of a repeated header are joined, as HTTP has it, and so
+    are no single value any more.
+    """
+    values = dict.fromkeys(value for key, value in pairs if key == name)
+    return b", ".join(values).decode("latin-1") if values else None
 
 
 def to_response(outcome: outcomes.Outcome) -> messages.Response:
--- a/oleanderhoist/policy/cluster.py
+++ b/oleanderhoist/policy/cluster.py
@@ -7,6 +7,20 @@
 from oleanderhoist.policy import keys
 
 MISSING_GRACE_SECONDS = 2.4
+UNKNOWN_START_MS = 0  # Of a server whose entry does not name its start.
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Incarnation:
+    """One process of a server, from its start to its end.
+
+    Attributes:
+        id: Name of the server.
+        started_ms: Start time of the process, in milliseconds since the epoch.
+    """
+
+    id: str
+    started_ms: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -28,9 +42,14 @@
     address: str
     data_center: str
     slots: int
-    started_ms: int = 0
+    started_ms: int = UNKNOWN_START_MS
     leaving: bool = False
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """The process that is listed."""
+        return Incarnation(id=self.id, started_ms=self.started_ms)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Member:
@@ -60,6 +79,8 @@
         members: Members by address.
         servers: Servers by id.
         maps: Owners of keys by pool.
+        departed: Those of the servers that have said to a router that they
+            leave; not published, and no part of the content.
     """
 
     epoch: int = 0
@@ -68,13 +89,27 @@
     members: dict[str, Member] = dataclasses.field(default_factory=dict)
     servers: dict[str, Server] = dataclasses.field(default_factory=dict)
     maps: dict[str, keys.KeyMap] = dataclasses.field(default_factory=dict)
+    departed: frozenset[Incarnation] = frozenset()
+
+    @property
+    def name(self) -> tuple[int, int]:
+        """Epoch and version, which name the content."""
+        return self.epoch, self.version
+
+    def may_use(self, server: Server) -> bool:
+        """Returns whether a listed server may get new requests."""
+        return not server.leaving and not self.has_departed(server)
+
+    def has_departed(self, server: Server) -> bool:
+        """Returns whether a listed server has said that it leaves."""
+        return server.incarnation in self.departed
 
     @functools.cached_property
     def usable(self) -> dict[str, tuple[Server, ...]]:
         """Servers that may get new requests, by pool."""
         by_pool: dict[str, list[Server]] = {}
         for server in self.servers.values():
-            if not server.leaving:
+            if self.may_use(server):
                 by_pool.setdefault(server.pool, []).append(server)
         return {pool: tuple(servers) for pool, servers in by_pool.items()}
 
@@ -103,12 +138,25 @@
             )
         return self.coordinators[queue]
 
-    def owner(self, pool: str, key: int) -> Server | None:
-        """Returns the server that owns a key, or None."""
+    def usable_server(self, id: str) -> Server | None:
+        """Returns a server if it may get new requests, else None."""
+        server = self.servers.get(id)
+        return server if server and self.may_use(server) else None
+
+    def usable_owner(self, pool: str, key: int) -> Server | None:
+        """Returns the owner of a key if it may get requests, else None."""
         key_map = self.maps.get(pool)
         if key_map is None:
             return None
-        return self.servers.get(key_map.find(key).owner)
+        return self.usable_server(key_map.find(key).owner)
+
+    def departed_from(self, pool: str) -> frozenset[str]:
+        """Returns the ids of a pool's servers that have said they leave."""
+        return frozenset(
+            incarnation.id
+            for incarnation in self.departed
+            if self.servers[incarnation.id].pool == pool
+        )
 
 
 def merge_listing(
@@ -121,7 +169,8 @@
     """Returns the known servers after a read of the directory.
 
     The directory may lose rows during an outage; they reappear soon after
-    it recovers. Until then a server that is not listed is kept.
+    it recovers. Until then a server that is not listed is kept. An entry
+    that does not name its start is that of the process that was known.
 
     Args:
         before: Servers known before, by id.
@@ -129,6 +178,17 @@
         last_failure_at: When a call to the store last failed, as recorded.
         now: Current time, in seconds.
     """
+    started = {
+        id: with_known_start(server, before.get(id))
+        for id, server in listed.items()
+    }
     if now - last_failure_at < MISSING_GRACE_SECONDS:
-        return {**before, **listed}
-    return listed
+        return {**before, **started}
+    return started
+
+
+def with_known_start(server: Server, before: Server | None) -> Server:
+    """Returns a listed server with the start time that was known, if any."""
+    if before is None or server.started_ms != UNKNOWN_START_MS:
+        return server
+    return dataclasses.replace(server, started_ms=before.started_ms)
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -9,11 +9,13 @@
 
 from soak import callers
 from soak import faults
+from soak import injector
 from soak import invariants
 from standins import platform_system
 
 CALLERS_PER_ROUTER = 4
 FAULT_FREE_SECONDS = 2.0
+LATE_EXECUTION_SECONDS = 2.0  # After the last answer.
 MAX_RECOVERY_SECONDS = 15.0  # From the last fault to full service.
 SERVED_WINDOW_SECONDS = 3.0
 POLL_SECONDS = 0.5
@@ -87,15 +89,11 @@
         servers=servers,
         proxied=True,
         journal=checker.read_journal,
-        config=platform_system.config_with_timeout(
-            round(load.deadline_seconds * 1000)
-        )
-        if load.long_share
-        else platform_system.CONFIG,
+        config=make_config(load),
         slots=load.slots,
         folder=folder,
     )
-    injector = faults.Injector(
+    injection = injector.Injector(
         system=system,
         checker=checker,
         seed=seed,
@@ -107,29 +105,37 @@
     )
     try:
         await system.start()
-        caller_tasks = [
-            asyncio.create_task(caller.run())
-            for caller in make_callers(system, checker, seed, load)
-        ]
+        senders = make_callers(system, checker, seed, load)
+        caller_tasks = [asyncio.create_task(caller.run()) for caller in senders]
         await asyncio.sleep(FAULT_FREE_SECONDS)
-        await injector.run(seconds, mean_interval_seconds, fault_names)
+        drawn = [faults.FAULTS.get(name) for name in fault_names]
+        await injection.run(seconds, mean_interval_seconds, drawn)
         recovery_seconds = await wait_for_recovery(checker)
-        for task in caller_tasks:
-            task.cancel()
-        await asyncio.gather(*caller_tasks, return_exceptions=True)
-        await asyncio.sleep(FAULT_FREE_SECONDS)
+        for caller in senders:
+            caller.finishing = True
+        await asyncio.gather(*caller_tasks)
+        await asyncio.sleep(LATE_EXECUTION_SECONDS)
     finally:
         await system.stop()
     return Result(
         seed=seed,
         violations=checker.finish(),
-        log=injector.log,
+        log=injection.log,
         requests=len(checker.answers),
         served_share=checker.served_share(0.0),
         recovery_seconds=recovery_seconds,
     )
 
 
+def make_config(load: callers.Load) -> dict:
+    """Returns the first configuration."""
+    config = platform_system.CONFIG
+    if load.long_share:
+        timeout_ms = round(load.deadline_seconds * 1000)
+        config = platform_system.config_with_timeout(timeout_ms)
+    return platform_system.config_with_uploads(config)
+
+
 def make_callers(
     system: platform_system.System,
     checker: invariants.Checker,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Short soak tests of the real programs with fixed seeds, and their checks."""
 
 import asyncio
+import json
 import os
 import pathlib
 import sys
@@ -12,7 +13,10 @@
 from soak import callers
 from soak import exits
 from soak import faults
+from soak import injector
 from soak import invariants
+from soak import processfaults
+from soak import records
 from soak import runner
 
 PLANNED = ["drain-server", "stop-router", "reload-router", "change-contracts"]
@@ -120,7 +124,7 @@
         )
         await process.stdout.readline()
         checker = invariants.Checker()
-        injector = faults.Injector(
+        injection = injector.Injector(
             system=types.SimpleNamespace(
                 processes={"r2": process},
                 signal=lambda _, number: process.send_signal(number),
@@ -129,10 +133,10 @@
             seed=SEED,
             max_work_seconds=0.0,
         )
-        injector.restart_router = mock.AsyncMock()
+        injection.restart_router = mock.AsyncMock()
         asyncio.get_running_loop().call_later(0.3, time.sleep, stall_seconds)
-        with mock.patch.object(faults, "MAX_STOP_SECONDS", 1.2):
-            await faults.stop_and_restart(injector, "r2")
+        with mock.patch.object(processfaults, "MAX_STOP_SECONDS", 1.2):
+            await processfaults.stop_and_restart(injection, "r2")
         return checker.violations
 
     def test_a_late_stop_is_seen(self):
@@ -164,18 +168,18 @@
     def test_a_router_that_ended_before_its_stop_is_seen(self):
         process = types.SimpleNamespace(returncode=1)
         checker = invariants.Checker()
-        injector = faults.Injector(
+        injection = injector.Injector(
             system=types.SimpleNamespace(processes={"r2": process}),
             checker=checker,
             seed=SEED,
             max_work_seconds=0.0,
         )
-        injector.restart_router = mock.AsyncMock()
-        asyncio.run(faults.stop_and_restart(injector, "r2"))
+        injection.restart_router = mock.AsyncMock()
+        asyncio.run(processfaults.stop_and_restart(injection, "r2"))
         self.assertEqual(1, len(checker.violations))
 
     def test_two_faults_stop_a_router_once(self):
-        injector = faults.Injector(
+        injection = injector.Injector(
             system=types.SimpleNamespace(
                 processes={"r2": types.SimpleNamespace(returncode=None)},
                 routers=(2,),
@@ -187,16 +191,17 @@
 
         async def inject() -> None:
             await asyncio.gather(
-                faults.stop_in_series(injector), faults.stop_router(injector)
+                processfaults.stop_in_series(injection),
+                processfaults.stop_router(injection),
             )
 
         with mock.patch.multiple(
-            faults,
+            processfaults,
             stop_and_restart=mock.AsyncMock(),
             repeat_signal=mock.AsyncMock(),
         ):
             asyncio.run(inject())
-            self.assertEqual(1, faults.stop_and_restart.await_count)
+            self.assertEqual(1, processfaults.stop_and_restart.await_count)
 
 
 class PromisesTest(unittest.TestCase):
@@ -222,8 +227,9 @@
             "status": 200,
             "body_matches": True,
             "repeatable": False,
+            "signature": "a.0",
         }
-        self.checker.record_answer(invariants.Answer(**{**defaults, **changes}))
+        self.checker.record_answer(records.Answer(**{**defaults, **changes}))
 
     def test_two_owners_are_seen(self):
         self.record_lease("a", 1.0, 3.0, 1)
@@ -247,6 +253,41 @@
         self.record_answer(status=503)
         self.assertEqual(1, len(self.checker.finish()))
 
+    def test_an_untrue_not_run_is_seen_in_uploads_and_after_the_answer(self):
+        for status in (408, 421, 429, 503):
+            self.checker = invariants.Checker()
+            self.record_answer(id="upload", status=status, ended_at=1.1)
+            self.checker.record_execution("a", {"id": "upload", "at": 3.0})
+            self.assertEqual(1, len(self.checker.finish()), status)
+
+    def test_a_failure_that_promises_nothing_may_have_run(self):
+        for status in (0, 502, 504):
+            self.checker = invariants.Checker()
+            self.checker.record_execution("a", {"id": "a", "at": 1.0})
+            self.record_answer(status=status, signature="")
+            self.assertEqual([], self.checker.finish(), status)
+
+    def test_a_success_of_another_server_or_none_is_seen(self):
+        for signature, count in (("a.0", 0), ("b.0", 1), ("a.1", 1), ("", 1)):
+            self.checker = invariants.Checker()
+            self.checker.record_execution("a", {"id": "a", "at": 1.0})
+            self.record_answer(signature=signature)
+            self.assertEqual(count, len(self.checker.finish()), signature)
+
+    def test_a_request_that_nobody_sent_is_seen(self):
+        self.checker.record_execution("a", {"id": "b", "at": 1.0})
+        self.assertEqual(1, len(self.checker.finish()))
+
+    def test_a_request_whose_answer_is_due_was_sent(self):
+        self.checker.record_execution("a", {"id": "b", "at": 1.0})
+        self.checker.requests["b"] = records.Request(router="r2", sent_at=0.9)
+        self.assertEqual([], self.checker.finish())
+
+    def test_another_body_than_was_sent_is_seen(self):
+        line = {"kind": "foreign body", "id": "a", "at": 1.0, "bytes": 9}
+        self.checker.read_journal("a", json.dumps(line))
+        self.assertEqual(1, len(self.checker.violations))
+
     def test_a_foreign_body_is_seen(self):
         self.record_answer(body_matches=False)
         self.assertEqual(1, len(self.checker.violations))
@@ -254,7 +295,8 @@
     def test_work_after_a_drain_is_seen_in_calm_only(self):
         self.checker.drained["a"] = 10.0
         self.checker.record_execution("a", {"id": "a", "at": 12.5})
-        self.checker.faults.append((8.0, 9.0, "x"))
+        fault = records.Fault(kind="x", begin=8.0, end=9.0)
+        self.checker.faults.append(fault)
         self.checker.record_execution("a", {"id": "b", "at": 12.5})
         self.assertEqual(1, len(self.checker.violations))
 
