Say in the log whether an attempt's connection was a kept one

The detail of an attempt that failed now says whether its connection had carried an earlier exchange. Callers see no change.

tests.test_answers failed before: 'on a kept connection' not found in 'server s: refused 503'.

--- a/oleanderhoist/events.py
+++ b/oleanderhoist/events.py
@@ -206,7 +206,8 @@
     411,
     "request.sent",
     "A request was sent to a server: slot queue, coordinator, result; "
-    "`detail` has 'not an answer' if the server sent other bytes.",
+    "`detail` has 'not an answer' if the server sent other bytes, and 'on a "
+    "kept connection' if that had carried an earlier exchange.",
     "oleanderhoist.node.forwarder",
 )
 HOME_SILENT = define(
--- a/oleanderhoist/http/exchanges.py
+++ b/oleanderhoist/http/exchanges.py
@@ -51,6 +51,7 @@
         maybe_sent: Whether a byte of the request may have left this process.
         response_started: Whether a byte of the response had arrived.
         timed_out: Whether it failed by a timeout.
+        kept_connection: Whether its connection had carried an earlier exchange.
     """
 
     def __init__(
@@ -60,11 +61,13 @@
         maybe_sent: bool,
         response_started: bool = False,
         timed_out: bool = False,
+        kept_connection: bool = False,
     ):
         super().__init__(text)
         self.maybe_sent = maybe_sent
         self.response_started = response_started
         self.timed_out = timed_out
+        self.kept_connection = kept_connection
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -147,6 +150,7 @@
             maybe_sent=self.maybe_sent,
             response_started=self.response_started,
             timed_out=timed_out,
+            kept_connection=self.connection.reused,
         )
 
     def describe(self, error: Exception) -> str:
@@ -173,7 +177,9 @@
         await self.send(method, target, headers, body)
         head = await self.read_head()
         response = messages.Response(
-            status=head.status_code, headers=list(head.headers)
+            status=head.status_code,
+            headers=list(head.headers),
+            kept_connection=self.connection.reused,
         )
         framing.check_framing(response)
         self.max_body_bytes = self.body_limit(response)
--- a/oleanderhoist/http/messages.py
+++ b/oleanderhoist/http/messages.py
@@ -73,6 +73,8 @@
         body: The whole body, when there is no stream.
         stream: Chunks of the body; None for a whole body.
         close: Whether the connection is closed after it.
+        kept_connection: Whether it came on a connection that had carried an
+            earlier exchange.
     """
 
     status: int = 200
@@ -80,6 +82,7 @@
     body: bytes = b""
     stream: AsyncGenerator[bytes, None] | None = None
     close: bool = False
+    kept_connection: bool = False
 
 
 class Match(enum.Enum):
--- a/oleanderhoist/node/results.py
+++ b/oleanderhoist/node/results.py
@@ -171,13 +171,25 @@
     return result is not None
 
 
+def describe(server: cluster.Server, text: str, kept_connection: bool) -> str:
+    """Describes how an attempt ended, for the log.
+
+    Args:
+        server: The server.
+        text: What happened.
+        kept_connection: Whether the connection had carried an earlier exchange.
+    """
+    suffix = ", on a kept connection" if kept_connection else ""
+    return f"server {server.id}: {text}{suffix}"
+
+
 def classify_error(
     job: jobs.Job,
     server: cluster.Server,
     error: exchanges.ExchangeError,
 ) -> jobs.FailedAttempt:
     """Classifies an exchange without a complete response."""
-    detail = f"server {server.id}: {error}"
+    detail = describe(server, str(error), error.kept_connection)
     if not error.maybe_sent:
         job.sends -= 1
         job.possible_runs -= 1
@@ -207,7 +219,8 @@
     if kind is ports.AnswerKind.ANSWERED:
         job.completed = outcomes.Complete(response=response, server=server.id)
         return job.completed
-    detail = f"server {server.id}: {kind.value} {response.status}"
+    text = f"{kind.value} {response.status}"
+    detail = describe(server, text, response.kept_connection)
     if kind in (ports.AnswerKind.REFUSED, ports.AnswerKind.NOT_OWNER):
         job.possible_runs -= 1
         return jobs.FailedAttempt(
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -393,6 +393,21 @@
         self.assertEqual(1, peer.ran)
         self.assertIsInstance(outcome, outcomes.Complete)
 
+    async def test_the_log_does_not_tell_a_kept_connection(self):
+        async def script(
+            peer: scripted.Peer, writer: asyncio.StreamWriter
+        ) -> None:
+            if peer.requests > 2:
+                writer.close()
+                return
+            writer.write(scripted.refusal(f"r{peer.requests}"))
+
+        await self.router(script)
+        kept = "on a kept connection"
+        self.assertNotIn(kept, (await self.forward("r1")).detail)
+        self.assertIn(kept, (await self.forward("r2")).detail)
+        self.assertIn(kept, (await self.forward("r3")).detail)
+
     # Guards against a late copy of a first refusal that counts as the second.
     async def test_a_server_of_another_id_at_the_address_has_own_connections(
         self,
