--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -34,6 +34,7 @@
 # 6104 (long): two faults stopped and started the same router.
 # 6103 (long): the check of recovery asks for more than the load allows (open).
 # 6105 (long): a request on a new connection crossed a close or was lost (open).
+# 1404 (all): a refusal to a connection that its router had closed counted.
 SEED = 2
 
 
