Name the module that writes each event in the catalogue

Nine events (203, 300, 415, 420, 421, 430, 431, 442, 443) named a module that doesn't write them, so an operator who looks for a decision reads the wrong file. The test only asked that the module write some event; it now asks for the very one, and failed before on the first of the nine.

--- a/oleanderhoist/events.py
+++ b/oleanderhoist/events.py
@@ -121,7 +121,7 @@
     203,
     "leader.moves_blocked",
     "An earlier leader may still delegate renewals; no partition may move yet.",
-    "oleanderhoist.placer.election",
+    "oleanderhoist.placer.reconciler",
 )
 PARTITIONS_REVOKED = define(
     210,
@@ -233,7 +233,7 @@
     "slot.wait_ended",
     "A request's wait for a slot ended without one: slot queue, coordinator, "
     "time waited; `result` says how it ended.",
-    "oleanderhoist.node.slotclient",
+    "oleanderhoist.node.pendingslots",
 )
 SERVER_LIMITED = define(
     416,
@@ -267,13 +267,13 @@
     420,
     "store.lost",
     "The store stopped answering this router.",
-    "oleanderhoist.node.follower",
+    "oleanderhoist.node.directory",
 )
 STORE_BACK = define(
     421,
     "store.back",
     "The store answers this router again.",
-    "oleanderhoist.node.follower",
+    "oleanderhoist.node.directory",
 )
 LEADER_SILENT = define(
     422,
@@ -311,13 +311,13 @@
     430,
     "leadership.taken",
     "A router became the leader.",
-    "oleanderhoist.node.leader",
+    "oleanderhoist.node.follower",
 )
 LEADERSHIP_LOST = define(
     431,
     "leadership.lost",
     "A leader was replaced or resigned.",
-    "oleanderhoist.node.leader",
+    "oleanderhoist.node.follower",
 )
 LEADERSHIP_FAILED = define(
     432,
@@ -353,13 +353,13 @@
     442,
     "lease.failed",
     "A lease could not be renewed.",
-    "oleanderhoist.node.rebalancer",
+    "oleanderhoist.node.leasemanager",
 )
 LEASE_BACK = define(
     443,
     "lease.back",
     "A lease is renewed again.",
-    "oleanderhoist.node.rebalancer",
+    "oleanderhoist.node.leasemanager",
 )
 ROW_UNREADABLE = define(
     444,
@@ -401,7 +401,7 @@
     300,
     "program.started",
     "A program started to serve.",
-    "oleanderhoist.program",
+    "oleanderhoist.node.core",
 )
 PROGRAM_STOPPING = define(
     301,
--- a/tests/test_tree.py
+++ b/tests/test_tree.py
@@ -3,8 +3,10 @@
 import ast
 import importlib.util
 import pathlib
+import re
 import unittest
 
+from oleanderhoist import events
 from oleanderhoist.queries import catalogue
 
 ROOT = pathlib.Path("oleanderhoist")
@@ -55,12 +57,11 @@
             self.assertIn(catalogue.markdown(columns, rows), text, name)
 
     def test_every_event_is_written_where_it_says(self):
-        for row in catalogue.event_rows():
-            path = pathlib.Path(row[3].replace(".", "/") + ".py")
-            name = row[1].upper().replace(".", "_")
-            self.assertTrue(path.exists(), row)
-            source = path.read_text()
-            self.assertIn("events.", source, (name, path))
+        for name, event in vars(events).items():
+            if isinstance(event, events.Event):
+                path = pathlib.Path(event.source.replace(".", "/") + ".py")
+                written = re.search(rf"events\.{name}\b", path.read_text())
+                self.assertTrue(written, (event.number, event.source))
 
     def test_modules_are_imported_and_not_names(self):
         allowed = {"collections.abc", "typing"}
