Serve downloads, and no longer let one unknown route type take down all routes

Cause: the decoder knew the route types safe, unsafe and upload.

Change: `download` may be repeated, as `safe`.

--- a/oleanderhoist/events.py
+++ b/oleanderhoist/events.py
@@ -196,6 +196,13 @@
     "age of the contracts; they are read instead.",
     "oleanderhoist.node.contractwatch",
 )
+TERMS_UNKNOWN = define(
+    404,
+    "terms.unknown_value",
+    "Contracts hold values that are not known: which routes. Their requests "
+    "are served and never repeated.",
+    "oleanderhoist.node.state",
+)
 CALL_ENDED = define(
     410,
     "call.ended",
--- a/oleanderhoist/node/state.py
+++ b/oleanderhoist/node/state.py
@@ -149,6 +149,8 @@
                 works=sum(len(w) for w in versioned.contracts.works.values()),
                 source=source,
             )
+            if versioned.unknown:
+                log.write(events.TERMS_UNKNOWN, values=versioned.unknown)
         if newer:
             self.notify_contract_listeners()
 
--- a/oleanderhoist/platform/contracts.py
+++ b/oleanderhoist/platform/contracts.py
@@ -1,7 +1,6 @@
 """Decodes the operator's configuration into the product's contracts."""
 
 from typing import Annotated
-from typing import Literal
 
 import msgspec
 
@@ -12,6 +11,12 @@
 TABLE = "op"
 KEY = "config"
 
+# Only requests of these types may run more than once.
+REPEATABLE_TYPES = frozenset(["safe", "download"])
+KNOWN_TYPES = REPEATABLE_TYPES | {"unsafe", "upload"}
+MAX_LOGGED_ROUTES = 8
+MAX_LOGGED_CHARACTERS = 40  # Of a name or value that is not known.
+
 NonEmptyText = Annotated[str, msgspec.Meta(min_length=1)]
 Milliseconds = Annotated[float, msgspec.Meta(gt=0)]
 
@@ -53,8 +58,9 @@
     """A route."""
 
     name: NonEmptyText
-    # Only `safe` requests may be repeated; `upload` has a large body.
-    route_type: Literal["safe", "unsafe", "upload"]
+    # A type that is not known is taken as one that may not be repeated, so
+    # that a new type takes down no route.
+    route_type: NonEmptyText
     target_latency_ms: Milliseconds
     priority: Annotated[int, msgspec.Meta(ge=0)]
     match: Match
@@ -121,10 +127,24 @@
     except documents.DocumentError as error:
         raise ports.TermsError(str(error), revision=row.revision) from error
     return ports.VersionedContracts(
-        contracts=convert(document), revision=row.revision
+        contracts=convert(document),
+        revision=row.revision,
+        unknown=unknown_types(document),
     )
 
 
+def unknown_types(document: Configuration) -> tuple[str, ...]:
+    """Returns the routes whose type is not known, for the log; at most some."""
+    texts = [
+        f"{rule.name[:MAX_LOGGED_CHARACTERS]}: "
+        f"route_type {rule.route_type[:MAX_LOGGED_CHARACTERS]!r}"
+        for listener in document.listeners
+        for rule in listener.rules
+        if rule.route_type not in KNOWN_TYPES
+    ]
+    return tuple(texts[:MAX_LOGGED_ROUTES])
+
+
 def convert(document: Configuration) -> contractset.ContractSet:
     """Converts a valid configuration."""
     works = [
@@ -161,7 +181,7 @@
         host=host.lower(),
         prefix=rule.match.prefix,
         rank=rule.priority,
-        repeatable=rule.route_type == "safe",
+        repeatable=rule.route_type in REPEATABLE_TYPES,
         # A target latency above the timeout is valid; the timeout caps it.
         objective=min(rule.target_latency_ms, rule.action.timeout_ms) / 1000,
         timeout=rule.action.timeout_ms / 1000,
--- a/oleanderhoist/ports.py
+++ b/oleanderhoist/ports.py
@@ -85,10 +85,13 @@
     Attributes:
         contracts: The contracts.
         revision: Revision of the contracts' row.
+        unknown: What in them is not known and was taken in the safest way,
+            for the log.
     """
 
     contracts: contractset.ContractSet
     revision: int
+    unknown: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
