--- a/oleanderhoist/node/snapshots.py
+++ b/oleanderhoist/node/snapshots.py
@@ -53,6 +53,7 @@
         server.slots,
         server.started_ms,
         server.leaving,
+        server.cold,
     )
 
 
@@ -73,6 +74,7 @@
         slots=item.slots,
         started_ms=item.started_ms,
         leaving=item.leaving,
+        cold=item.cold,
     )
 
 
--- a/oleanderhoist/node/wire.py
+++ b/oleanderhoist/node/wire.py
@@ -47,6 +47,8 @@
             were current, in milliseconds.
         record: Revision of its leadership record.
         resigned: Whether it resigns.
+        evacuated: Evacuated data centres; None from earlier versions.
+        evacuated_revision: Revision of the store at which they were read.
     """
 
     epoch: int
@@ -55,6 +57,8 @@
     age_ms: int
     record: int
     resigned: bool = False
+    evacuated: list[str] | None = None
+    evacuated_revision: int = 0
 
 
 class SnapshotFragment(Message, tag="Part"):
@@ -94,6 +98,7 @@
     slots: int
     started_ms: int
     leaving: bool
+    cold: bool = False
 
 
 class Delta(Message):
@@ -190,13 +195,25 @@
 
 
 class ReleaseSlot(Message, tag="Done"):
-    """A router releases a slot; `took_ms` is negative when unknown."""
+    """A router releases a slot.
+
+    Attributes:
+        queue: Slot queue of the slot.
+        id: Id of the slot request.
+        server: Id of the server.
+        took_ms: Service time in milliseconds; negative when unknown.
+        failed: Whether the attempt failed.
+        load: Requests running and waiting, slots, and the slowdown in percent
+            that the server named in its answer; None if it named no load.
+            The slowdown is 0 if it did not name one.
+    """
 
     queue: str
     id: int
     server: str
     took_ms: float
     failed: bool
+    load: tuple[int, int, int, int] | None = None
 
 
 class CancelAcquire(Message, tag="Cancel"):
--- a/oleanderhoist/platform/contracts.py
+++ b/oleanderhoist/platform/contracts.py
@@ -80,6 +80,8 @@
     name: NonEmptyText
     max_conns: Annotated[int, msgspec.Meta(ge=1)] = 1000
     sharded: bool = False
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0  # 0 if cold servers are not limited.
 
 
 class CallerLimits(msgspec.Struct, kw_only=True):
@@ -157,6 +159,8 @@
             name=cluster.name,
             keyed=cluster.sharded,
             connections=cluster.max_conns,
+            cold_rate=max(0.0, cluster.cold_per_s),
+            cold_seconds=max(0.0, cluster.cold_start_s),
         )
         for cluster in document.clusters
     ]
--- a/oleanderhoist/platform/settings.py
+++ b/oleanderhoist/platform/settings.py
@@ -18,6 +18,9 @@
 DEFAULT_STOP_SECONDS = 6.0
 DEFAULT_DRAIN_MS = 2000.0
 DEFAULT_CONFIG_APPLY_MS = 2000.0
+DEFAULT_EVACUATE_MS = 5000.0
+DEFAULT_COLD_OVERAGE = 1.0
+DEFAULT_COLD_SLACK = 0.0
 METRICS_PORT = 9464  # Also set in deploy/system.toml.
 DEFAULT_PATH = "/etc/oleanderhoist/node.json"
 
@@ -59,6 +62,7 @@
     limits: MachineLimits = msgspec.field(default_factory=MachineLimits)
     # True only while the whole system starts for the first time.
     bootstrap: bool = False
+    heartbeat_ms: Annotated[float, msgspec.Meta(gt=0)] = 1000.0
     # The platform's time limits and retry budget, as a list of `name=value`
     # strings and not a table.
     bounds: list[str] = []
@@ -124,6 +128,11 @@
         )
         / 1000,
         bootstrap=file.bootstrap,
+        evacuation_seconds=bounds.get("evacuate_ms", DEFAULT_EVACUATE_MS)
+        / 1000,
+        directory_seconds=file.heartbeat_ms / 1000,
+        cold_factor=bounds.get("cold_overage", DEFAULT_COLD_OVERAGE),
+        cold_slack=bounds.get("cold_slack", DEFAULT_COLD_SLACK),
     )
 
 
--- a/oleanderhoist/policy/cluster.py
+++ b/oleanderhoist/policy/cluster.py
@@ -35,6 +35,7 @@
         slots: Requests that it runs concurrently.
         started_ms: Start time of its process, in milliseconds since the epoch.
         leaving: Whether it is draining and must get no new requests.
+        cold: Whether it stands only few requests yet.
     """
 
     id: str
@@ -44,6 +45,7 @@
     slots: int
     started_ms: int = UNKNOWN_START_MS
     leaving: bool = False
+    cold: bool = False
 
     @property
     def incarnation(self) -> Incarnation:
@@ -81,6 +83,8 @@
         maps: Owners of keys by pool.
         departed: Those of the servers that have said to a router that they
             leave; not published, and no part of the content.
+        evacuated: Data centres whose servers must get no requests; not
+            published, and no part of the content.
     """
 
     epoch: int = 0
@@ -90,6 +94,7 @@
     servers: dict[str, Server] = dataclasses.field(default_factory=dict)
     maps: dict[str, keys.KeyMap] = dataclasses.field(default_factory=dict)
     departed: frozenset[Incarnation] = frozenset()
+    evacuated: frozenset[str] = frozenset()
 
     @property
     def name(self) -> tuple[int, int]:
--- a/oleanderhoist/policy/contractset.py
+++ b/oleanderhoist/policy/contractset.py
@@ -67,11 +67,16 @@
         name: Name of the pool.
         keyed: Whether each key has one owning server.
         connections: Connections that one server accepts from all clients.
+        cold_rate: Requests per second that a cold server stands, from all
+            routers together; 0 if cold servers are not limited.
+        cold_seconds: For how long a server stays cold after its start.
     """
 
     name: str
     keyed: bool
     connections: int
+    cold_rate: float = 0.0
+    cold_seconds: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/oleanderhoist/ports.py
+++ b/oleanderhoist/ports.py
@@ -13,6 +13,7 @@
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import contractset
 from oleanderhoist.policy import registry
+from oleanderhoist.policy import serverload
 from oleanderhoist.policy import storeclock
 
 
@@ -102,11 +103,13 @@
         versioned: The contracts; None if there are none or they were rejected.
         error: Why the contracts cannot be applied; None if they can.
         seen_revision: Revision of the store at the time of reading.
+        evacuated: Data centres whose servers must get no requests.
     """
 
     versioned: VersionedContracts | None
     error: TermsError | None
     seen_revision: int
+    evacuated: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -146,6 +149,7 @@
     LIMIT = "limit"
     LEAVING = "leaving"
     PAUSE = "pause"
+    LOAD = "load"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -158,6 +162,7 @@
         leaving: Whether it leaves and must get no new requests.
         pause: How long it wants no requests from this router, in seconds; None
             if it names no time.
+        load: Its load when it answered; None if it names none.
         unreadable: What it says that can't be read, by field; nothing is
             known of these fields.
     """
@@ -165,6 +170,7 @@
     limit: float | None = None
     leaving: bool = False
     pause: float | None = None
+    load: serverload.ServerLoad | None = None
     unreadable: dict[NoticeField, str] = dataclasses.field(default_factory=dict)
 
 
--- a/oleanderhoist/settings.py
+++ b/oleanderhoist/settings.py
@@ -104,6 +104,13 @@
             servers must be applied, in seconds.
         bootstrap: Whether the whole system starts for the first time, so
             that there are no callers yet.
+        evacuation_seconds: Time within which the evacuation of a data centre
+            must be applied, in seconds.
+        directory_seconds: Interval at which servers write their entries, in
+            seconds.
+        cold_factor: Factor on the rate that cold servers stand, up to which
+            they get requests in any second.
+        cold_slack: Requests that they may get in a second beyond that.
     """
 
     id: str
@@ -123,3 +130,7 @@
     stop_seconds: float
     propagation_seconds: float
     bootstrap: bool
+    evacuation_seconds: float = 5.0
+    directory_seconds: float = 1.0
+    cold_factor: float = 1.0
+    cold_slack: float = 0.0
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -9,14 +9,10 @@
 
 import msgspec
 
-from oleanderhoist import ports
-from oleanderhoist.node import contractcodec
 from oleanderhoist.node import datagrams as datagram_endpoint
-from oleanderhoist.node import fragments
 from oleanderhoist.node import leaderstore
 from oleanderhoist.node import wire as datagrams
 from oleanderhoist.peers import wire as messages
-from oleanderhoist.policy import contractset
 from oleanderhoist.policy import slotrequests
 
 DATAGRAMS = [
@@ -38,6 +34,8 @@
         age_ms=4,
         record=5,
         resigned=True,
+        evacuated=["z"],
+        evacuated_revision=6,
     ),
     datagrams.SnapshotFragment(epoch=1, version=2, index=3, count=4, data=b"d"),
     datagrams.ContractsFragment(revision=1, index=2, count=3, data=b"d"),
@@ -57,6 +55,7 @@
                 slots=5,
                 started_ms=6,
                 leaving=True,
+                cold=True,
             )
         ],
         lost_servers=["t"],
@@ -79,7 +78,12 @@
     ),
     datagrams.SlotRefused(id=1, retry_ms=2, wait_ms=3),
     datagrams.ReleaseSlot(
-        queue="q", id=1, server="s", took_ms=2.5, failed=True
+        queue="q",
+        id=1,
+        server="s",
+        took_ms=2.5,
+        failed=True,
+        load=(1, 2, 3, 150),
     ),
     datagrams.CancelAcquire(queue="q", id=1),
     datagrams.ServerLimit(queue="q", server="s", started_ms=1, per_second=2.5),
@@ -90,14 +94,14 @@
 9aa548656c6c6fa161cb3fe0000000000000020381a17092040581a173cb3ff8000000000000c3
 069192a17307
 
-97a4426561740102030405c3
+99a4426561740102030405c391a17a06
 
 96a45061727401020304c40164
 
 95a95465726d7350617274010203c40164
 
-9aa544656c7461010203049193a16da161cb3fe000000000000091a16e9197a173a170a3683a31
-a1610506c391a17481a17091930708a173
+9aa544656c7461010203049193a16da161cb3fe000000000000091a16e9198a173a170a3683a31
+a1610506c3c391a17481a17091930708a173
 
 9aa341736ba17101020304a1610591a173c3
 
@@ -107,7 +111,7 @@
 
 94a75265667573616c010203
 
-96a4446f6e65a17101a173cb4004000000000000c3
+97a4446f6e65a17101a173cb4004000000000000c394010203cc96
 
 93a643616e63656ca17101
 
@@ -138,6 +142,50 @@
         datagrams.SlotGranted(id=1, server="s", service_ms=2, silent_ms=3),
         "95a4536c6f7401a1730203",
     ),
+    (
+        datagrams.Heartbeat(
+            epoch=1,
+            version=2,
+            contracts_revision=3,
+            age_ms=4,
+            record=5,
+            resigned=True,
+        ),
+        "97a4426561740102030405c3",
+    ),
+    (
+        datagrams.Delta(
+            base_epoch=1,
+            base_version=2,
+            epoch=3,
+            version=4,
+            members=[
+                datagrams.MemberItem(address="m", data_center="a", cores=0.5)
+            ],
+            lost_members=["n"],
+            servers=[
+                datagrams.ServerItem(
+                    id="s",
+                    pool="p",
+                    address="h:1",
+                    data_center="a",
+                    slots=5,
+                    started_ms=6,
+                    leaving=True,
+                )
+            ],
+            lost_servers=["t"],
+            ranges={"p": [(7, 8, "s")]},
+        ),
+        "9aa544656c7461010203049193a16da161cb3fe000000000000091a16e9197a173a170a3"
+        "683a31a1610506c391a17481a17091930708a173",
+    ),
+    (
+        datagrams.ReleaseSlot(
+            queue="q", id=1, server="s", took_ms=2.5, failed=True
+        ),
+        "96a4446f6e65a17101a173cb4004000000000000c3",
+    ),
 ]
 
 MESSAGES = [
@@ -260,38 +308,6 @@
 92a1789ba6537461747573a16501020304c3cb40160000000000009195a173a2757006078108cb
 402300000000000081a163cb402500000000000081a17081a16bcb4027000000000000
 """
-CONTRACTS = ports.VersionedContracts(
-    contracts=contractset.build(
-        version=1,
-        works=[
-            contractset.Work(
-                name="w",
-                host="h",
-                prefix="/",
-                rank=2,
-                repeatable=True,
-                objective=0.25,
-                timeout=3.5,
-                attempts=4,
-                shares=(contractset.Share(pool="p", weight=5.5),),
-            )
-        ],
-        pools=[contractset.Pool(name="p", keyed=True, connections=6)],
-        limits=contractset.MessageLimits(
-            head_bytes=7, body_bytes=8, head_seconds=9.5, idle_seconds=10.5
-        ),
-    ),
-    revision=11,
-)
-CONTRACT_BYTES = """
-84a776657273696f6e01a5776f726b7381a1689189a46e616d65a177a4686f7374a168a6707265
-666978a12fa472616e6b02aa72657065617461626c65c3a96f626a656374697665cb3fd0000000
-000000a774696d656f7574cb400c000000000000a8617474656d70747304a67368617265739182
-a4706f6f6ca170a6776569676874cb4016000000000000a5706f6f6c7381a17083a46e616d65a1
-70a56b65796564c3ab636f6e6e656374696f6e7306a66c696d69747384aa686561645f62797465
-7307aa626f64795f627974657308ac686561645f7365636f6e6473cb4023000000000000ac6964
-6c655f7365636f6e6473cb4025000000000000
-"""
 
 
 def unhex(lines: str) -> list[bytes]:
@@ -380,13 +396,25 @@
             leaderstore.encode_leadership(record),
         )
 
-    def test_contracts_are_encoded_as_before(self):
-        (data,) = unhex(CONTRACT_BYTES)
-        (part,) = contractcodec.pack(CONTRACTS)
-        reassembler = fragments.Reassembler()
-        joined = reassembler.add((11,), part.index, part.count, part.data)
-        self.assertEqual(data, joined)
-        self.assertEqual(CONTRACTS, contractcodec.unpack(data, revision=11))
+    def test_earlier_versions_ignore_later_fields_of_other_datagrams(self):
+        later = {
+            datagrams.Heartbeat: ["evacuated", "evacuated_revision"],
+            datagrams.ReleaseSlot: ["load"],
+        }
+        for message in DATAGRAMS:
+            names = later.get(type(message), [])
+            fields = type(message).__annotations__
+            earlier = msgspec.defstruct(
+                "Earlier",
+                [item for item in fields.items() if item[0] not in names],
+                tag=type(message).__struct_config__.tag,
+                array_like=True,
+            )
+            decoded = msgspec.msgpack.decode(
+                datagrams.encode(message), type=earlier
+            )
+            for name in earlier.__struct_fields__:
+                self.assertEqual(getattr(message, name), getattr(decoded, name))
 
     def test_verdicts_keep_their_label_values(self):
         self.assertEqual("Granted", slotrequests.Granted.__name__)
