Count what callers send ahead as memory, over all connections together

Cause: a caller that sends requests ahead and reads no answers fills 0.5 MB of its connection's reader and what the kernel grants its socket. Nothing bounded the sum.

Change: callers' sockets and readers have the small buffers of those to servers. Bodies of the request being read don't count there, they have their own bound.

--- a/oleanderhoist/events.py
+++ b/oleanderhoist/events.py
@@ -423,6 +423,13 @@
     "them have a request without a response, and for how long.",
     "oleanderhoist.http.server",
 )
+CALLER_GIVEN_UP = define(
+    305,
+    "caller.given_up",
+    "Memory was short, and the connection of a caller that had sent most ahead "
+    "of its answers was closed.",
+    "oleanderhoist.http.serverconnection",
+)
 REQUEST_CUT = define(
     303,
     "stop.request_cut",
--- a/oleanderhoist/http/server.py
+++ b/oleanderhoist/http/server.py
@@ -59,6 +59,8 @@
             self.port,
             backlog=LISTEN_BACKLOG,
         )
+        for listening in self.listener.sockets:
+            streams.bound_unread(listening)
         self.port = self.listener.sockets[0].getsockname()[1]
         self.settings.port = self.port
 
--- a/oleanderhoist/http/serverconnection.py
+++ b/oleanderhoist/http/serverconnection.py
@@ -90,6 +90,7 @@
         self.phase = Phase.IDLE
         self.target = ""
         self.body_left = 0  # Bytes of a body with a length, at most.
+        self.ahead = answermemory.Body(give_up=self.give_up)
         self.finishing = False
         self.closed = asyncio.Event()
 
@@ -111,11 +112,34 @@
 
     async def serve(self) -> None:
         """Serves requests sequentially until the connection ends."""
+        exchanges.MEMORY.add(self.ahead)
+        self.reader.on_unread = self.count_ahead
         try:
             while await self.exchange():
                 self.protocol.start_next_cycle()
         except h11.LocalProtocolError:
             pass
+        finally:
+            self.reader.on_unread = None
+            exchanges.MEMORY.remove(self.ahead)
+
+    def count_ahead(self) -> None:
+        """Counts what the caller has sent ahead of an answer as memory."""
+        size_bytes = 0
+        if self.protocol.their_state is h11.DONE:
+            size_bytes = self.reader.unread
+        if size_bytes > streams.BUFFER_LIMIT_BYTES:
+            size_bytes += streams.SOCKET_BUFFER_BYTES
+        exchanges.MEMORY.grow(self.ahead, size_bytes - self.ahead.size_bytes)
+
+    def give_up(self) -> None:
+        """Closes the connection of a caller that has sent too much ahead."""
+        log.write_limited(
+            events.CALLER_GIVEN_UP,
+            port=self.settings.port,
+            unread_bytes=self.reader.unread,
+        )
+        reset(self.writer)
 
     async def close(self) -> None:
         """Closes the connection once the bytes that were written are sent."""
--- a/oleanderhoist/http/streams.py
+++ b/oleanderhoist/http/streams.py
@@ -6,11 +6,10 @@
 import socket
 import weakref
 
-BUFFER_LIMIT_BYTES = 262_144
-# Of a connection to a peer: its reader stops at twice as much.
-PEER_BUFFER_LIMIT_BYTES = 32_768
+# Of a connection; its reader stops at twice as much.
+BUFFER_LIMIT_BYTES = 32_768
 # Unread bytes in the socket count as memory, too.
-PEER_SOCKET_BUFFER_BYTES = 65_536
+SOCKET_BUFFER_BYTES = 65_536
 
 OPENED: weakref.WeakSet[asyncio.StreamWriter] = weakref.WeakSet()
 
@@ -23,6 +22,7 @@
         disconnected: Whether the peer has closed or the connection broke.
         on_disconnect: Callback for that event; None without one.
         on_data: Callback for the arrival of bytes; None without one.
+        on_unread: Callback for a change of the unread bytes; None without one.
     """
 
     def __init__(
@@ -36,6 +36,7 @@
         self.disconnected = False
         self.on_disconnect: Callable[[], object] | None = None
         self.on_data: Callable[[], object] | None = None
+        self.on_unread: Callable[[], object] | None = None
 
     def feed_data(self, data: bytes) -> None:
         """Receives bytes from the socket."""
@@ -43,6 +44,8 @@
         super().feed_data(data)
         if self.on_data is not None:
             self.on_data()
+        if self.on_unread is not None:
+            self.on_unread()
 
     def feed_eof(self) -> None:
         """Receives the end of the peer's stream."""
@@ -64,6 +67,8 @@
         """Reads up to n bytes."""
         data = await super().read(n)
         self.unread -= len(data)
+        if self.on_unread is not None:
+            self.on_unread()
         return data
 
 
@@ -86,18 +91,23 @@
         OSError: The peer refused or cannot be reached.
     """
     loop = asyncio.get_running_loop()
-    reader = Reader(loop=loop, limit=PEER_BUFFER_LIMIT_BYTES)
+    reader = Reader(loop=loop)
     protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
     transport, _ = await loop.create_connection(lambda: protocol, host, port)
     with contextlib.suppress(OSError):
-        transport.get_extra_info("socket").setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, PEER_SOCKET_BUFFER_BYTES
-        )
+        bound_unread(transport.get_extra_info("socket"))
     writer = asyncio.StreamWriter(transport, protocol, reader, loop)
     OPENED.add(writer)
     return reader, writer
 
 
+def bound_unread(bound_socket: socket.socket) -> None:
+    """Bounds the bytes that wait unread in a socket, or one it accepts."""
+    bound_socket.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES
+    )
+
+
 def close_opened() -> None:
     """Closes all connections that `connect` opened, at the end of a program.
 
--- a/oleanderhoist/policy/answermemory.py
+++ b/oleanderhoist/policy/answermemory.py
@@ -1,8 +1,11 @@
-"""How much memory the bodies of answers may take together.
-
-A server may send a body without end, or stop before its last bytes. When memory
-is short, the largest unfinished body is given up, so that the answers to other
-callers, which are mostly small, are read.
+"""How much memory the answers and waiting requests of one process may take.
+
+The load is one of many slow readers: callers take large answers slowly, or send
+requests ahead and read no answer, and a server may send a body without end, or
+stop before its last bytes. Large answers are kept whole only while there is
+memory for them, and are else passed on as they arrive. When memory is short,
+the largest unfinished body is given up, so that the answers to other callers,
+which are mostly small, are read.
 """
 
 from collections.abc import Callable
@@ -10,11 +13,13 @@
 
 # Of the limit; bodies below it are never given up.
 SMALL_BODY_FRACTION = 1 / 256
+# Of the limit; while more is used, only small bodies are kept whole.
+KEEP_WHOLE_FRACTION = 0.5
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
 class Body:
-    """The body of one answer while it is read or written.
+    """The body of one answer, or what a caller has sent ahead.
 
     Attributes:
         give_up: Ends the reading of an unfinished one; None for one that is
@@ -53,20 +58,34 @@
         Returns:
             Whether this one goes on.
         """
-        if body in self.bodies:
-            body.size_bytes += added_bytes
-            self.used_bytes += added_bytes
+        self.resize(body, body.size_bytes + added_bytes)
         if self.used_bytes > self.limit_bytes:
             self.give_up_largest()
         return body in self.bodies
 
+    def resize(self, body: Body, size_bytes: int) -> None:
+        """Records the size of a body, unless it was given up."""
+        if body in self.bodies:
+            self.used_bytes += size_bytes - body.size_bytes
+            body.size_bytes = size_bytes
+
+    def may_keep_whole(self, body: Body) -> bool:
+        """Returns whether an unfinished body may be read to its end first."""
+        return (
+            self.is_small(body)
+            or self.used_bytes <= self.limit_bytes * KEEP_WHOLE_FRACTION
+        )
+
+    def is_small(self, body: Body) -> bool:
+        """Returns whether a body is never given up."""
+        return body.size_bytes <= self.limit_bytes * SMALL_BODY_FRACTION
+
     def give_up_largest(self) -> None:
         """Gives up the largest unfinished body that is not small."""
-        small_bytes = self.limit_bytes * SMALL_BODY_FRACTION
         candidates = [
             body
             for body in self.bodies
-            if body.give_up is not None and body.size_bytes > small_bytes
+            if body.give_up is not None and not self.is_small(body)
         ]
         if candidates:
             largest = max(candidates, key=lambda body: body.size_bytes)
