Pass large answers on as they arrive, no faster than callers take them

Cause: a router read every answer whole (4 MB at most) before its caller got a byte. An answer above 4 MB failed, and slow callers of large ones held the memory for answers, so that those of others were given up.

Change: an answer of a server above 1 MB, and any that is not small while half of the memory for answers is used, is passed on as it arrives (http/bodystream.py). Others are read whole as before, since a retry can replace one that is cut short. A stream counts with what it takes of buffers; the server's slot is kept until its end, so that a server isn't handed more than its slots while it holds unread answers; a hedged attempt that came too late lets its server go, also if nobody read from it. `Client.request` takes `stream_limit` in place of `stream`; three calls in test_garbage and test_endless_streams name the same limit as before by that keyword.

--- a/oleanderhoist/entry/sending.py
+++ b/oleanderhoist/entry/sending.py
@@ -122,7 +122,9 @@
                     if call.remaining_body is not None
                     else call.body
                 ),
-                stream=not call.needs_claim,
+                stream_limit=exchanges.never_stream
+                if call.needs_claim
+                else exchanges.stream_large,
                 idle_seconds=(
                     framing.IDLE_SECONDS
                     if call.work.repeatable
--- a/oleanderhoist/http/client.py
+++ b/oleanderhoist/http/client.py
@@ -69,7 +69,7 @@
         timeout: float,
         headers: messages.Headers | None = None,
         body: bytes | AsyncIterator[bytes] = b"",
-        stream: bool = False,
+        stream_limit: exchanges.StreamLimit = exchanges.never_stream,
         idle_seconds: float = framing.IDLE_SECONDS,
         host: bytes | None = None,
         accept: exchanges.ResponseFilter | None = None,
@@ -86,7 +86,8 @@
                 seconds.
             headers: Additional headers.
             body: The body, whole or as chunks.
-            stream: Whether a large response may be returned as a stream.
+            stream_limit: Returns the largest body of a response that is
+                returned whole, in bytes; None if it must be whole.
             idle_seconds: Longest idle time of a reused connection, in seconds.
             host: Value of the Host header; the peer's address by default.
             accept: Returns which request a response names, given its headers.
@@ -128,12 +129,11 @@
             due=end,
             accept=accept,
             body_limit=body_limit,
+            stream_limit=stream_limit,
         )
         try:
             async with deadline.CatchUpTimeout(end):
-                return await running.run(
-                    method, target, headers or [], body, stream
-                )
+                return await running.run(method, target, headers or [], body)
         except TimeoutError as error:
             running.abort()
             self.drop_idle()
--- a/oleanderhoist/http/exchanges.py
+++ b/oleanderhoist/http/exchanges.py
@@ -9,6 +9,7 @@
 import h11
 
 from oleanderhoist import deadline
+from oleanderhoist.http import bodystream
 from oleanderhoist.http import framing
 from oleanderhoist.http import messages
 from oleanderhoist.http import streams
@@ -16,6 +17,8 @@
 
 READ_BYTES = 65_536
 MAX_BUFFERED_BODY_BYTES = 262_144  # Of an answer that may be a stream.
+# What a stream takes: buffers of both connections and of the server's socket.
+STREAM_BYTES = 3 * streams.SOCKET_BUFFER_BYTES
 # Of one exchange; a page of the platform's store is 1 MB before base64.
 MAX_BODY_BYTES = 4_194_304
 MAX_BODY_CHUNKS = 16_384
@@ -34,6 +37,9 @@
 # Returns the largest body of a response with this head, in bytes; 0 if the body
 # is of no use and the connection is closed instead.
 BodyLimit = Callable[[messages.Response], int]
+# Returns the largest body of a response that is returned whole, in bytes; a
+# larger one is returned as a stream. None if it must be whole.
+StreamLimit = Callable[[messages.Response], int | None]
 
 # Of the bodies of all answers in this process.
 MEMORY = answermemory.AnswerMemory(limit_bytes=MAX_TOTAL_BODY_BYTES)
@@ -44,6 +50,16 @@
     return MAX_BODY_BYTES
 
 
+def never_stream(response: messages.Response) -> int | None:
+    """Returns that a response must be whole."""
+    return None
+
+
+def stream_large(response: messages.Response) -> int | None:
+    """Returns the largest body of a response that is not a stream."""
+    return MAX_BUFFERED_BODY_BYTES
+
+
 class ExchangeError(Exception):
     """An exchange failed.
 
@@ -115,6 +131,7 @@
         due: When the whole response is due, on the event loop's clock.
         accept: Returns which request a response names.
         body_limit: Returns the largest body of a response.
+        stream_limit: Returns the largest body that is returned whole.
     """
 
     def __init__(
@@ -126,12 +143,14 @@
         due: float,
         accept: ResponseFilter | None = None,
         body_limit: BodyLimit = default_body_limit,
+        stream_limit: StreamLimit = never_stream,
     ):
         self.connection = connection
         self.host = host
         self.release = release
         self.accept = accept
         self.body_limit = body_limit
+        self.stream_limit = stream_limit
         self.max_body_bytes = MAX_FOREIGN_BYTES  # Before the response's head.
         self.due = due
         self.foreign_responses = 0
@@ -142,6 +161,7 @@
         self.body_chunks = 0
         self.maybe_sent = False
         self.response_started = False
+        self.finished = False
 
     def failure(self, text: str, timed_out: bool = False) -> ExchangeError:
         """Returns an error that states how far the exchange got."""
@@ -171,7 +191,6 @@
         target: str,
         headers: messages.Headers,
         body: bytes | AsyncIterator[bytes],
-        stream: bool,
     ) -> messages.Response:
         """Sends the request and reads the response."""
         await self.send(method, target, headers, body)
@@ -186,20 +205,29 @@
         if not self.max_body_bytes:
             self.abort()
             return response
-        if not stream and method != "HEAD":
+        whole_bytes = self.stream_limit(response)
+        if whole_bytes is None and method != "HEAD":
             self.check_length(response)
         if not messages.find(response.headers, b"transfer-encoding"):
             self.read_bytes = READ_BYTES
-        await self.read_body(response, stream)
+        await self.read_body(response, whole_bytes)
         if response.stream is None:
             self.finish(response)
         return response
 
     async def read_body(
-        self, response: messages.Response, stream: bool
+        self, response: messages.Response, whole_bytes: int | None
     ) -> None:
         """Reads the whole body, or turns a large one into a stream.
 
+        A body that is read whole can be replaced by that of a retry if it is
+        cut short; a stream can't, but takes no more memory the larger it is.
+
+        Args:
+            response: The response, without its body.
+            whole_bytes: Size above which it is a stream, also without need for
+                memory; None if it must be whole.
+
         Raises:
             ExchangeError: The bodies of all exchanges take too much memory.
         """
@@ -211,8 +239,10 @@
                 data += chunk
                 if not MEMORY.grow(body, len(chunk)):
                     break
-                if stream and len(data) > MAX_BUFFERED_BODY_BYTES:
-                    response.stream = self.stream_body(response, bytes(data))
+                if whole_bytes is not None and (
+                    len(data) > whole_bytes or not MEMORY.may_keep_whole(body)
+                ):
+                    response.stream = self.to_stream(response, bytes(data))
                     return
             # A body without a length ends with its connection.
             if body not in MEMORY.bodies:
@@ -221,11 +251,30 @@
             MEMORY.remove(body)
         response.body = bytes(data)
 
+    def to_stream(
+        self, response: messages.Response, start: bytes
+    ) -> bodystream.BodyStream:
+        """Returns the body as a stream, which counts as memory."""
+        held = answermemory.Body(
+            give_up=self.abort, size_bytes=len(start) + STREAM_BYTES
+        )
+        MEMORY.add(held)
+
+        def end() -> None:
+            MEMORY.remove(held)
+            if not self.finished:
+                self.abort()
+
+        return bodystream.BodyStream(
+            chunks=self.stream_body(response, start, held), on_end=end
+        )
+
     def finish(self, response: messages.Response) -> None:
         """Returns the connection to the idle pool.
 
         Closes it instead if it carried a response to another request.
         """
+        self.finished = True
         if self.foreign_responses:
             self.abort()
             return
@@ -391,16 +440,21 @@
             raise h11.RemoteProtocolError("too many informational responses")
 
     async def stream_body(
-        self, response: messages.Response, start: bytes
+        self, response: messages.Response, start: bytes, held: answermemory.Body
     ) -> AsyncGenerator[bytes, None]:
         """Yields the part already read, then the remaining chunks.
 
+        The rest is read no faster than the chunks are taken.
+
         Raises:
             ConnectionAbortedError: The server broke off.
             TimeoutError: The body was due; the server or the receiver is slow.
         """
         try:
-            yield start
+            for offset in range(0, len(start), READ_BYTES):
+                yield start[offset : offset + READ_BYTES]
+            del start
+            MEMORY.resize(held, STREAM_BYTES)
             while (chunk := await self.read_due_chunk()) is not None:
                 yield chunk
         except TimeoutError:
--- a/oleanderhoist/http/messages.py
+++ b/oleanderhoist/http/messages.py
@@ -7,6 +7,7 @@
 import json
 
 from oleanderhoist import codes
+from oleanderhoist.http import bodystream
 
 HOP_BY_HOP = frozenset(
     [
@@ -80,7 +81,7 @@
     status: int = 200
     headers: Headers = dataclasses.field(default_factory=list)
     body: bytes = b""
-    stream: AsyncGenerator[bytes, None] | None = None
+    stream: AsyncGenerator[bytes, None] | bodystream.BodyStream | None = None
     close: bool = False
     kept_connection: bool = False
 
--- a/oleanderhoist/node/forwarder.py
+++ b/oleanderhoist/node/forwarder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 
 import prometheus_client
 
@@ -45,6 +46,8 @@
 )
 
 MAX_REFUSAL_BYTES = 16_384
+# Of a response that a retry can replace; a larger one is passed on as it comes.
+MAX_WHOLE_BYTES = 1_048_576
 # Of responses that are not passed on. A refusal keeps its connection.
 BODY_LIMITS = {
     ports.AnswerKind.UNSIGNED: 0,
@@ -161,6 +164,7 @@
         """
         attempts = {asyncio.create_task(self.attempt(job))}
         first = next(iter(attempts))
+        result: outcomes.Outcome | jobs.FailedAttempt | None = None
         try:
             hedge_at = asyncio.get_running_loop().time() + self.hedge_delay(job)
             job.hedge_timeout = deadline.CatchUpTimeout(hedge_at)
@@ -169,16 +173,19 @@
                     await asyncio.wait(attempts)
             job.hedge_timeout = None
             if first.done() or not self.may_hedge(job):
-                return await first
+                result = await first
+                return result
             log.write_limited(
                 events.REQUEST_HEDGED, request=job.head.id, pool=job.pool
             )
             attempts.add(asyncio.create_task(self.attempt(job)))
-            return await results.first_answer(job, first, attempts)
+            result = await results.first_answer(job, first, attempts)
+            return result
         finally:
             job.hedge_timeout = None
             for task in attempts:
                 task.cancel()
+            results.abandon_others(result, attempts)
 
     def hedge_delay(self, job: jobs.Job) -> float:
         """Returns how long to wait before a hedged request, in seconds.
@@ -343,9 +350,13 @@
             # A full server stays silent; it is not down.
             if watch.end() and not results.has_response(result):
                 failed = False
-            self.slot_client.release(
-                grant, seconds=elapsed if answered else None, failed=failed
+            release = functools.partial(
+                self.slot_client.release,
+                grant,
+                seconds=elapsed if answered else None,
+                failed=failed,
             )
+            results.when_sent(result, release)
             result_label = "gone"
             if answered:
                 result_label = "answered"
@@ -381,6 +392,11 @@
         kind = self.platform.classify(response)
         return BODY_LIMITS.get(kind, exchanges.MAX_BODY_BYTES)
 
+    def stream_limit(self, response: messages.Response) -> int | None:
+        """Returns the largest body of a response that is read whole."""
+        kind = self.platform.classify(response)
+        return MAX_WHOLE_BYTES if kind is ports.AnswerKind.ANSWERED else None
+
     async def exchange(
         self, job: jobs.Job, server: cluster.Server, queue: str
     ) -> outcomes.Outcome | jobs.FailedAttempt:
@@ -418,6 +434,7 @@
                 ),
                 fresh=fresh,
                 body_limit=self.body_limit,
+                stream_limit=self.stream_limit,
             )
         except exchanges.ExchangeError as error:
             return results.classify_error(job, server, error)
--- a/oleanderhoist/node/results.py
+++ b/oleanderhoist/node/results.py
@@ -1,6 +1,7 @@
 """Outcomes of requests and of attempts."""
 
 import asyncio
+from collections.abc import Callable
 
 from oleanderhoist import codes
 from oleanderhoist import outcomes
@@ -243,6 +244,38 @@
     )
 
 
+def when_sent(
+    result: outcomes.Outcome | jobs.FailedAttempt | None,
+    callback: Callable[[], None],
+) -> None:
+    """Calls back once the server has sent the whole response, or at once.
+
+    A response that is passed on as it arrives stays at its server until its
+    caller has read it.
+    """
+    if isinstance(result, outcomes.Complete) and result.response.stream:
+        result.response.stream.end_callbacks.append(callback)
+    else:
+        callback()
+
+
+def abandon_others(
+    kept: outcomes.Outcome | jobs.FailedAttempt | None,
+    attempts: set[asyncio.Task],
+) -> None:
+    """Lets go of the responses of all attempts but the one that is kept."""
+    for task in attempts:
+        if not task.done() or task.cancelled() or task.exception():
+            continue
+        result = task.result()
+        if (
+            isinstance(result, outcomes.Complete)
+            and result is not kept
+            and result.response.stream
+        ):
+            result.response.stream.abandon()
+
+
 async def first_answer(
     job: jobs.Job, first: asyncio.Task, attempts: set[asyncio.Task]
 ) -> outcomes.Outcome | jobs.FailedAttempt:
--- a/oleanderhoist/platform/protocol.py
+++ b/oleanderhoist/platform/protocol.py
@@ -173,6 +173,7 @@
             status=response.status,
             headers=messages.end_to_end(response.headers),
             body=response.body,
+            stream=response.stream,
         )
     status = STATUS_BY_CODE.get(outcome.code, outcome.code.status)
     # Leaves out details, which name internal hosts.
--- a/tests/test_endless_streams.py
+++ b/tests/test_endless_streams.py
@@ -36,7 +36,7 @@
             address=client.Address(host="127.0.0.1", port=port)
         )
         return await self.client.request(
-            "GET", "/", timeout=timeout, stream=True
+            "GET", "/", timeout=timeout, stream_limit=exchanges.stream_large
         )
 
     async def forward(self, peer: test_garbage.Garbage) -> asyncio.StreamReader:
--- a/tests/test_garbage.py
+++ b/tests/test_garbage.py
@@ -189,7 +189,10 @@
         part = b"x" * (exchanges.MAX_BUFFERED_BODY_BYTES + 1)
         caller = await self.connect(Resetting(OK + b"\r\n" + part, b""))
         response = await caller.request(
-            "GET", "/", timeout=TIMEOUT_SECONDS, stream=True
+            "GET",
+            "/",
+            timeout=TIMEOUT_SECONDS,
+            stream_limit=exchanges.stream_large,
         )
         with self.assertRaises(ConnectionAbortedError):
             async for _ in response.stream:
@@ -200,7 +203,10 @@
             Garbage(CHUNKED, b"fa0\r\n" + LINE + b"\r\n")
         )
         response = await caller.request(
-            "GET", "/", timeout=STREAM_SECONDS, stream=True
+            "GET",
+            "/",
+            timeout=STREAM_SECONDS,
+            stream_limit=exchanges.stream_large,
         )
         size = 0
         async for chunk in response.stream:
