Keep idle connections to a server within a share of what it accepts

Running requests are bounded by a server's slots, but each router kept any number of connections for reuse, so that many routers together could use up what a server accepts; it resets the next, and an order sent on that is unknown.

Change: policy/connectioncaps.py derives the share from the pool's number, the slots and the number of routers; a client closes what has been idle longest beyond it. With the numbers of the deployments (121 with 26 routers to 816 with 120) each router keeps more than one. A reset at the cap is still counted as a failure of the server, as before.

Result: test_connection_caps, test_descriptors, test_forwarder, test_forwarded, test_tree, test_pages pass (x86-64).

--- a/oleanderhoist/http/client.py
+++ b/oleanderhoist/http/client.py
@@ -47,6 +47,9 @@
     Args:
         address: The peer.
         connect_seconds: Time allowed for opening a connection, in seconds.
+
+    Attributes:
+        max_idle: Idle connections that are kept at most; None for any number.
     """
 
     def __init__(
@@ -58,6 +61,7 @@
         self.address = address
         self.connect_seconds = connect_seconds
         self.idle: collections.deque[exchanges.Connection] = collections.deque()
+        self.max_idle: int | None = None
         self.opened = 0
         self.closed = False
 
@@ -246,6 +250,12 @@
         connection.reader.on_data = connection.writer.transport.abort
         connection.reader.on_disconnect = connection.writer.transport.abort
         self.idle.append(connection)
+        self.trim_idle()
+
+    def trim_idle(self) -> None:
+        """Closes the connections that were idle for longest, if too many."""
+        while self.max_idle is not None and len(self.idle) > self.max_idle:
+            self.idle.popleft().writer.close()
 
     def drop_idle(self) -> None:
         """Closes all idle connections to the peer."""
--- a/oleanderhoist/node/forwarder.py
+++ b/oleanderhoist/node/forwarder.py
@@ -26,6 +26,7 @@
 from oleanderhoist.node import slotgrants
 from oleanderhoist.node import state
 from oleanderhoist.policy import cluster
+from oleanderhoist.policy import connectioncaps
 from oleanderhoist.policy import retry
 from oleanderhoist.policy import slotrequests
 
@@ -392,6 +393,19 @@
         kind = self.platform.classify(response)
         return BODY_LIMITS.get(kind, exchanges.MAX_BODY_BYTES)
 
+    def client_of(self, server: cluster.Server) -> client.Client:
+        """Returns the client of a server, which keeps its share idle."""
+        server_client = self.clients.get(server.address, server.id)
+        contracts = self.state.contracts
+        pool = contracts.pools.get(server.pool) if contracts else None
+        if pool is not None:
+            server_client.max_idle = connectioncaps.max_idle(
+                accepted=pool.connections,
+                slots=server.slots,
+                routers=len(self.state.snapshot.members),
+            )
+        return server_client
+
     def stream_limit(self, response: messages.Response) -> int | None:
         """Returns the largest body of a response that is read whole."""
         kind = self.platform.classify(response)
@@ -418,7 +432,7 @@
             else UNREPEATABLE_IDLE_SECONDS
         )
         try:
-            server_client = self.clients.get(server.address, server.id)
+            server_client = self.client_of(server)
             response = await server_client.request(
                 job.request.method,
                 job.request.target,
