--- a/tests/test_unread_answers.py
+++ b/tests/test_unread_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import pathlib
 import socket
 import unittest
 
@@ -11,6 +12,7 @@
 MEMORY_MB = 96
 RESERVE = 0.2  # Of the memory, which is never used.
 CONNECTIONS = 60
+MAX_OTHER_DESCRIPTORS = 40  # Beside those of the connections.
 REQUESTS_AHEAD = 12_000  # On each connection; more than it is read of.
 REQUEST = (
     b"GET /look/1 HTTP/1.1\r\n"
@@ -61,6 +63,10 @@
         await asyncio.sleep(WATCHED_SECONDS)
         watch.cancel()
         self.assertIsNone(self.process.returncode)
+        folder = pathlib.Path("/proc") / str(self.process.pid) / "fd"
+        self.assertLess(
+            len(list(folder.iterdir())), CONNECTIONS + MAX_OTHER_DESCRIPTORS
+        )
         self.assertLess(
             self.router.peak_bytes, MEMORY_MB * (1.0 - RESERVE) * 1_000_000
         )
