Stop using evacuated data centres, and move their keys away

Cause: no router reads the operator's evacuations, so servers of an evacuated data centre get requests as before (docs/design/hard-load.md, Evacuation).

Change: the rows are read with the contracts and named in each heartbeat; the read at the higher revision wins. The leader moves their keys in batches. A router whose leader names no evacuations reads the store itself. Events 405 and 406.

--- a/oleanderhoist/events.py
+++ b/oleanderhoist/events.py
@@ -203,6 +203,20 @@
     "are served and never repeated.",
     "oleanderhoist.node.state",
 )
+EVACUATION_CHANGED = define(
+    405,
+    "evacuation.changed",
+    "A router learned that the evacuation of a data centre has begun or ended: "
+    "the data centre, the revision of the store, and from whom.",
+    "oleanderhoist.node.evacuationnews",
+)
+EVACUATION_UNUSABLE = define(
+    406,
+    "evacuation.unusable",
+    "A row about an evacuation can't be read, or names a data centre that "
+    "nobody has: which row, and why.",
+    "oleanderhoist.node.evacuationnews",
+)
 CALL_ENDED = define(
     410,
     "call.ended",
--- a/oleanderhoist/node/candidates.py
+++ b/oleanderhoist/node/candidates.py
@@ -47,7 +47,9 @@
     """
     found = find(router_state, job)
     if not found:
-        is_planned = is_keyed(router_state, job)
+        is_planned = is_keyed(router_state, job) and may_get_owner(
+            router_state.snapshot, job.pool
+        )
         return (
             min(jobs.owner_wait_end(job), job.deadline) if is_planned else now
         )
@@ -57,19 +59,28 @@
     return end if gains else now
 
 
+def may_get_owner(snapshot: cluster.Snapshot, pool: str) -> bool:
+    """Returns whether keys may soon have an owner that can be used."""
+    return not snapshot.evacuated or bool(snapshot.usable.get(pool))
+
+
 def excluded(
     router_state: state.State, job: jobs.Job, now: float
 ) -> frozenset[str]:
     """Returns the ids of servers that the request should not be sent to.
 
     Its coordinator may not know that some of them leave, and doesn't know
-    which of them want no requests from this router. A server that it was
-    sent to before gets it again if there is no other.
+    which of them want no requests from this router. A coordinator that does
+    not know yet of an evacuation would grant slots there again, hence the
+    exclusion after the first. A server that it was sent to before gets it
+    again if there is no other.
     """
     usable = router_state.snapshot.usable.get(job.pool, ())
     unwanted = router_state.snapshot.departed_from(job.pool).union(
         router_state.pauses.paused(usable, now)
     )
+    if job.returned_slots:
+        unwanted |= router_state.snapshot.evacuated_from(job.pool)
     if not job.tried_servers:
         return unwanted
     with_tried = unwanted.union(job.tried_servers)
--- a/oleanderhoist/node/contractwatch.py
+++ b/oleanderhoist/node/contractwatch.py
@@ -1,4 +1,4 @@
-"""Follows the contracts."""
+"""Follows the contracts, and the evacuations that are read with them."""
 
 import asyncio
 
@@ -6,6 +6,7 @@
 from oleanderhoist import events
 from oleanderhoist import log
 from oleanderhoist import ports
+from oleanderhoist.node import evacuationnews
 from oleanderhoist.node import state
 
 FIRST_READ_RETRY_SECONDS = 0.3
@@ -19,7 +20,7 @@
 
 
 class ContractWatch:
-    """Reads contracts and applies them in this router.
+    """Reads contracts and evacuations and applies them in this router.
 
     Args:
         platform: The store of the contracts.
@@ -27,6 +28,7 @@
         clock: Time source.
 
     Attributes:
+        evacuation_news: Applies the evacuations.
         read_revision: Revision of the store at the latest read. Waits resume
             from it and not from the revision that an earlier wait returned:
             that one may include a change that the wait did not name.
@@ -42,6 +44,9 @@
         self.platform = platform
         self.state = state
         self.clock = clock
+        self.evacuation_news = evacuationnews.EvacuationNews(
+            state=state, clock=clock
+        )
         self.lock = asyncio.Lock()
         self.read_revision = 0
 
@@ -58,9 +63,15 @@
             self.state.reject_contracts(result.error)
         if result.versioned is not None:
             self.state.adopt_contracts(result.versioned, "store")
-        self.state.contracts_confirmation.confirm(sent_at)
+        self.evacuation_news.read(result)
+        self.confirm(sent_at)
         return True
 
+    def confirm(self, at: float) -> None:
+        """Records that all that is read was the newest at a time."""
+        self.state.contracts_confirmation.confirm(at)
+        self.state.evacuations_confirmation.confirm(at)
+
     async def read_until(self, revision: int) -> None:
         """Reads until the store answers or a revision was seen."""
         while self.state.contracts_revision < revision:
@@ -103,7 +114,7 @@
         if not changed:
             # Without a change, the store answered once the wait was over.
             answered_at = min(sent_at + WATCH_SECONDS, self.clock.boottime())
-            self.state.contracts_confirmation.confirm(answered_at)
+            self.confirm(answered_at)
         return changed
 
     def log_failure(self, error: ports.StoreError, sent_at: float) -> None:
--- a/oleanderhoist/node/core.py
+++ b/oleanderhoist/node/core.py
@@ -82,7 +82,7 @@
         self.platform = platform
         self.clock = clock
         self.lag = program.LoopLag(clock=clock)
-        self.state = state.State()
+        self.state = state.State(evacuation_seconds=settings.evacuation_seconds)
         self.datagrams = datagrams.DatagramEndpoint(
             host=settings.ip, port=settings.peer_port
         )
@@ -207,6 +207,7 @@
         self.forwarder.budget.ratio = reloaded.retry_ratio
         self.forwarder.budget.extra = reloaded.retry_extra
         self.follower.max_lease_seconds = reloaded.max_lease_seconds
+        self.state.evacuations.seconds = reloaded.evacuation_seconds
         self.settings = reloaded
         log.write(events.SETTINGS_RELOADED, taken=True, id=reloaded.id)
 
--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -133,9 +133,13 @@
 
     async def run(self) -> None:
         """Follows the leader, and leads when this router is elected."""
-        report_task = asyncio.create_task(
-            program.supervise("reports", self.send_member_reports)
-        )
+        tasks = [
+            asyncio.create_task(program.supervise(name, run))
+            for name, run in (
+                ("reports", self.send_member_reports),
+                ("evacuations", self.contract_watch.evacuation_news.run),
+            )
+        ]
         try:
             while True:
                 await self.step()
@@ -143,7 +147,8 @@
                     await self.election.withdraw()
                 await asyncio.sleep(TICK_SECONDS)
         finally:
-            report_task.cancel()
+            for task in tasks:
+                task.cancel()
 
     async def step(self) -> None:
         """Checks for the leader once, and acts if it is unavailable."""
@@ -367,6 +372,7 @@
             self.epoch = message.epoch
             self.leader_address = peer
             self.send_report(peer)
+        self.contract_watch.evacuation_news.hear(peer, message)
         self.freshness.hear(message)
         if (
             not self.leader_available
--- a/oleanderhoist/node/freshness.py
+++ b/oleanderhoist/node/freshness.py
@@ -100,12 +100,16 @@
     def contracts_overdue(self) -> bool:
         """Returns whether this router must read its contracts itself.
 
-        A delay of its own timers is no excuse: changes apply to it, too.
+        A delay of its own timers is no excuse: changes apply to it, too. It
+        also must if its leader is of a build that names no evacuations.
         """
         if self.state.contracts is None:
             return False
-        age = self.state.contracts_confirmation.age(self.clock.boottime())
-        return age > self.contracts_read_after
+        confirmed_at = min(
+            self.state.contracts_confirmation.at,
+            self.state.evacuations_confirmation.at,
+        )
+        return self.clock.boottime() - confirmed_at > self.contracts_read_after
 
     def hear(self, message: wire.Heartbeat) -> None:
         """Records a heartbeat of the leader."""
@@ -117,6 +121,8 @@
             contracts_revision=message.contracts_revision,
         )
         self.state.snapshot_confirmation.confirm(self.announced.known_at)
+        if message.evacuated is not None:
+            self.state.evacuations_confirmation.confirm(self.announced.known_at)
         self.confirm_contracts()
 
     def confirm_contracts(self) -> None:
--- a/oleanderhoist/node/leader.py
+++ b/oleanderhoist/node/leader.py
@@ -189,6 +189,7 @@
             clock=self.clock,
             publish=self.snapshot_dirty.set,
             spawn=self.spawn,
+            evacuations=self.state.evacuations,
         )
         self.rebalancers[pool] = pool_rebalancer
         pool_rebalancer.update(self.servers_of(pool))
@@ -278,6 +279,8 @@
             age_ms=round(age * 1000),
             record=self.leader_store.rows[leaderstore.LEADER_KEY].revision,
             resigned=self.leader_lease.resigned,
+            evacuated=sorted(self.state.evacuations.known_since),
+            evacuated_revision=self.state.evacuations.revision,
         )
 
     def check_reachability(self) -> None:
--- a/oleanderhoist/node/rebalancer.py
+++ b/oleanderhoist/node/rebalancer.py
@@ -18,6 +18,7 @@
 from oleanderhoist.policy import assignment
 from oleanderhoist.policy import balance
 from oleanderhoist.policy import cluster
+from oleanderhoist.policy import evacuations
 from oleanderhoist.policy import keyload
 from oleanderhoist.policy import keys
 from oleanderhoist.policy import leaderlease
@@ -47,6 +48,7 @@
         clock: Time source.
         publish: Called when the published owners have changed.
         spawn: Starts a task that ends with the leadership.
+        evacuations: Data centres whose servers may own no keys.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         clock: clock.Clock,
         publish: Callable[[], None],
         spawn: Spawn,
+        evacuations: evacuations.Evacuations,
     ):
         self.pool = pool
         self.key_map = key_map
@@ -71,6 +74,7 @@
         self.clock = clock
         self.publish = publish
         self.spawn = spawn
+        self.evacuations = evacuations
         self.servers: dict[str, cluster.Server] = {}
         self.lease_managers: dict[str, leasemanager.LeaseManager] = {}
         # Also of servers whose lease manager was replaced.
@@ -122,13 +126,20 @@
         return {
             id: server
             for id, server in self.servers.items()
-            if not server.leaving
-            and not (
-                id in self.lease_managers
-                and self.lease_managers[id].is_unreachable()
-            )
+            if self.is_ready(server) and not self.is_evacuated(server)
         }
 
+    def is_ready(self, server: cluster.Server) -> bool:
+        """Returns whether a listed server stays and can be reached."""
+        manager = self.lease_managers.get(server.id)
+        return not server.leaving and not (
+            manager is not None and manager.is_unreachable()
+        )
+
+    def is_evacuated(self, server: cluster.Server) -> bool:
+        """Returns whether the data centre of a server is evacuated."""
+        return server.data_center in self.evacuations.known_since
+
     def move_targets(self) -> dict[str, cluster.Server]:
         """Returns the servers that keys may move to."""
         usable = self.usable()
@@ -251,16 +262,49 @@
             for key_range in self.recorded_map().ranges
             if key_range.owner not in usable and not self.is_moving(key_range)
         ]
-        if lost or self.counts_changed:
+        vacated = [one for one in lost if self.is_vacated(one.owner)]
+        lost = [one for one in lost if one not in vacated]
+        vacated = self.due_to_vacate(vacated)
+        if lost or vacated or self.counts_changed:
             planner = self.planner(now)
-            self.place(planner, lost)
+            self.place(planner, lost, "owner lost or leaving")
+            self.place(planner, vacated, "evacuation")
             self.spread_load(planner, now)
 
-    def place(self, planner: balance.Planner, lost: list[keys.Range]) -> None:
-        """Starts to move ranges whose owner is lost or leaving."""
+    def is_vacated(self, owner: str) -> bool:
+        """Returns whether an owner is unusable for an evacuation only."""
+        server = self.servers.get(owner)
+        return (
+            server is not None
+            and self.is_evacuated(server)
+            and self.is_ready(server)
+        )
+
+    def due_to_vacate(self, vacated: list[keys.Range]) -> list[keys.Range]:
+        """Returns which ranges of evacuated servers should move now."""
+        by_data_center: dict[str, list[keys.Range]] = {}
+        for key_range in vacated:
+            data_center = self.servers[key_range.owner].data_center
+            by_data_center.setdefault(data_center, []).append(key_range)
+        now = self.clock.monotonic()
+        due = []
+        for data_center, ranges in by_data_center.items():
+            size = self.evacuations.batch_size(
+                data_center,
+                len(ranges),
+                now=now,
+                interval=PLAN_INTERVAL_SECONDS,
+            )
+            due += ranges[:size]
+        return due
+
+    def place(
+        self, planner: balance.Planner, lost: list[keys.Range], reason: str
+    ) -> None:
+        """Starts to move ranges whose owner may not keep them."""
         for key_range in lost:
             for move in planner.place(key_range):
-                self.start_move(move, "owner lost or leaving")
+                self.start_move(move, reason)
 
     def spread_load(self, planner: balance.Planner, now: float) -> None:
         """Starts to move keys of servers with too much load."""
--- a/oleanderhoist/node/state.py
+++ b/oleanderhoist/node/state.py
@@ -13,6 +13,7 @@
 from oleanderhoist.policy import confirmation
 from oleanderhoist.policy import contractset
 from oleanderhoist.policy import departures
+from oleanderhoist.policy import evacuations
 from oleanderhoist.policy import pauses
 
 LEAVING = prometheus_client.Gauge(
@@ -27,27 +28,38 @@
     The epoch of the snapshot and the version of the contracts never decrease
     while the router runs.
 
+    Args:
+        evacuation_seconds: Time within which an evacuation must be applied,
+            in seconds.
+
     Attributes:
         snapshot: Cluster state.
         departures: Servers that have said in an answer that they leave.
         pauses: Servers that want no requests from this router for a while.
+        evacuations: Data centres whose servers must get no requests.
         contracts: Active contracts; None before the first.
         contracts_revision: Revision of the newest contracts that were adopted.
         rejected_revision: Revision of the newest contracts that were rejected.
         contracts_confirmation: When the contracts were last known to be the
             newest.
         snapshot_confirmation: When the snapshot was last known to be current.
+        evacuations_confirmation: When the evacuations were last known to be
+            the newest.
     """
 
-    def __init__(self):
+    def __init__(
+        self, *, evacuation_seconds: float = evacuations.DEFAULT_SECONDS
+    ):
         self.snapshot = cluster.Snapshot()
         self.departures = departures.Departures()
         self.pauses = pauses.Pauses()
+        self.evacuations = evacuations.Evacuations(seconds=evacuation_seconds)
         self.contracts: contractset.ContractSet | None = None
         self.contracts_revision = 0
         self.rejected_revision = 0
         self.contracts_confirmation = confirmation.Confirmation()
         self.snapshot_confirmation = confirmation.Confirmation()
+        self.evacuations_confirmation = confirmation.Confirmation()
         self.snapshot_listeners: list = []
         self.contract_listeners: list = []
         self.departure_listeners: list = []
@@ -64,7 +76,7 @@
         before = self.snapshot
         if snapshot.epoch < before.epoch:
             return
-        self.snapshot = self.departures.overlay(snapshot)
+        self.snapshot = self.overlay(snapshot)
         self.snapshot.reuse_coordinators(before)
         log.write(
             events.PICTURE_ADOPTED,
@@ -84,6 +96,19 @@
         for listener in self.snapshot_listeners:
             listener(self.snapshot)
 
+    def overlay(self, snapshot: cluster.Snapshot) -> cluster.Snapshot:
+        """Returns a snapshot with what only this router's process keeps."""
+        departed = self.departures.overlay(snapshot)
+        return self.evacuations.overlay(departed)
+
+    def apply_overlays(self) -> None:
+        """Applies changed departures and evacuations to the snapshot."""
+        before = self.snapshot
+        self.snapshot = self.overlay(before)
+        if self.snapshot is not before:
+            self.snapshot.reuse_coordinators(before)
+            self.notify_snapshot_listeners()
+
     def learn_departures(
         self, incarnations: Iterable[cluster.Incarnation], source: str
     ) -> None:
@@ -103,11 +128,7 @@
                 started_ms=incarnation.started_ms,
                 source=source,
             )
-        before = self.snapshot
-        self.snapshot = self.departures.overlay(before)
-        if self.snapshot is not before:
-            self.snapshot.reuse_coordinators(before)
-            self.notify_snapshot_listeners()
+        self.apply_overlays()
         for listener in self.departure_listeners:
             listener(new)
 
--- a/oleanderhoist/platform/adapter.py
+++ b/oleanderhoist/platform/adapter.py
@@ -7,6 +7,7 @@
 from oleanderhoist.http import messages
 from oleanderhoist.platform import contracts
 from oleanderhoist.platform import directory
+from oleanderhoist.platform import evacuations
 from oleanderhoist.platform import leasechannel
 from oleanderhoist.platform import protocol
 from oleanderhoist.platform import store
@@ -51,7 +52,7 @@
         return directory.decode((await self.store.rows(directory.TABLE)).rows)
 
     async def read_contracts(self) -> ports.ContractsRead:
-        """Reads the contracts."""
+        """Reads the contracts, and the evacuations in the same table."""
         snapshot = await self.store.rows(contracts.TABLE)
         versioned = problem = None
         for row in snapshot.rows:
@@ -61,8 +62,13 @@
                 versioned = self.decode_contracts(row)
             except ports.TermsError as error:
                 problem = error
+        evacuated, unusable = evacuations.decode(snapshot.rows)
         return ports.ContractsRead(
-            versioned=versioned, error=problem, seen_revision=snapshot.revision
+            versioned=versioned,
+            error=problem,
+            seen_revision=snapshot.revision,
+            evacuated=evacuated,
+            unusable=unusable,
         )
 
     def decode_contracts(self, row: ports.Row) -> ports.VersionedContracts:
--- a/oleanderhoist/policy/cluster.py
+++ b/oleanderhoist/policy/cluster.py
@@ -85,6 +85,8 @@
             leave; not published, and no part of the content.
         evacuated: Data centres whose servers must get no requests; not
             published, and no part of the content.
+        vacating: Those of them whose servers may still get requests for keys
+            that they own; not published, and no part of the content.
     """
 
     epoch: int = 0
@@ -95,6 +97,7 @@
     maps: dict[str, keys.KeyMap] = dataclasses.field(default_factory=dict)
     departed: frozenset[Incarnation] = frozenset()
     evacuated: frozenset[str] = frozenset()
+    vacating: frozenset[str] = frozenset()
 
     @property
     def name(self) -> tuple[int, int]:
@@ -103,12 +106,26 @@
 
     def may_use(self, server: Server) -> bool:
         """Returns whether a listed server may get new requests."""
-        return not server.leaving and not self.has_departed(server)
+        return (
+            not server.leaving
+            and not self.has_departed(server)
+            and not self.is_evacuated(server)
+        )
 
     def has_departed(self, server: Server) -> bool:
         """Returns whether a listed server has said that it leaves."""
         return server.incarnation in self.departed
 
+    def is_evacuated(self, server: Server) -> bool:
+        """Returns whether an evacuation keeps requests from a server.
+
+        Servers of pools with keys are the owners of their keys.
+        """
+        if server.data_center not in self.evacuated:
+            return False
+        owns_keys = server.pool in self.maps
+        return not (owns_keys and server.data_center in self.vacating)
+
     @functools.cached_property
     def usable(self) -> dict[str, tuple[Server, ...]]:
         """Servers that may get new requests, by pool."""
@@ -163,6 +180,16 @@
             if self.servers[incarnation.id].pool == pool
         )
 
+    def evacuated_from(self, pool: str) -> frozenset[str]:
+        """Returns the ids of a pool's servers that an evacuation excludes."""
+        if not self.evacuated:
+            return frozenset()
+        return frozenset(
+            server.id
+            for server in self.servers.values()
+            if server.pool == pool and self.is_evacuated(server)
+        )
+
 
 def merge_listing(
     before: dict[str, Server],
--- a/oleanderhoist/ports.py
+++ b/oleanderhoist/ports.py
@@ -104,12 +104,14 @@
         error: Why the contracts cannot be applied; None if they can.
         seen_revision: Revision of the store at the time of reading.
         evacuated: Data centres whose servers must get no requests.
+        unusable: Rows about evacuations that can't be read, and why, by key.
     """
 
     versioned: VersionedContracts | None
     error: TermsError | None
     seen_revision: int
     evacuated: frozenset[str] = frozenset()
+    unusable: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/tests/ownership_world.py
+++ b/tests/ownership_world.py
@@ -230,7 +230,10 @@
             raise ports.StoreError("no answer", maybe_applied=False)
         document = self.world.contracts_document
         return ports.ContractsRead(
-            versioned=document, error=None, seen_revision=document.revision
+            versioned=document,
+            error=None,
+            seen_revision=self.world.operator_revision(),
+            evacuated=self.world.evacuated,
         )
 
     async def watch_contracts(self, after: int, seconds: float) -> bool:
@@ -249,7 +252,7 @@
     def hears_change(self, after: int) -> bool:
         """Returns whether a wait for a change names a newer revision."""
         return (
-            self.world.contracts_document.revision > after
+            self.world.operator_revision() > after
             and self.router not in self.world.deaf_feeds
         )
 
@@ -324,6 +327,8 @@
         unreachable_servers: Servers that the leader could not reach when
             `record_state` last ran.
         busy_key: First of the keys that are requested.
+        evacuated: Data centres that the operator has evacuated.
+        evacuated_revision: Revision at which they changed last.
     """
 
     def __init__(self, *, seed: int, servers: int = 4, routers: int = 3):
@@ -348,6 +353,8 @@
             contracts=CONTRACTS, revision=1
         )
         self.busy_key = 30_000
+        self.evacuated: frozenset[str] = frozenset()
+        self.evacuated_revision = 0
         self.backends = {
             f"s{n}": FakeServer(world=self, id=f"s{n}") for n in range(servers)
         }
@@ -365,6 +372,15 @@
             id=id, pool=POOL, address=f"{id}:1", data_center="a", slots=2
         )
 
+    def operator_revision(self) -> int:
+        """Returns the revision of the operator's latest write."""
+        return max(self.contracts_document.revision, self.evacuated_revision)
+
+    def evacuate(self, *data_centers: str) -> None:
+        """Evacuates these data centres, and takes back all others."""
+        self.evacuated = frozenset(data_centers)
+        self.evacuated_revision = self.operator_revision() + 1
+
     def draw_fault(self, fault: str) -> bool:
         """Draws whether a fault happens now."""
         return self.rng.random() < self.fault_rates.get(fault, 0.0)
