--- a/oleanderhoist/policy/cluster.py
+++ b/oleanderhoist/policy/cluster.py
@@ -106,11 +106,9 @@
 
     def may_use(self, server: Server) -> bool:
         """Returns whether a listed server may get new requests."""
-        return (
-            not server.leaving
-            and not self.has_departed(server)
-            and not self.is_evacuated(server)
-        )
+        if self.is_evacuated(server):
+            return False
+        return not server.leaving and not self.has_departed(server)
 
     def has_departed(self, server: Server) -> bool:
         """Returns whether a listed server has said that it leaves."""
