Pace requests to cold servers, and presume those that were away cold

Cause: a server that has just started, or comes back after its data centre was away, stands few requests per second.

Change: the directory's cold time becomes Server.cold. The coordinator of the slot queue grants slots of a cold server from a token bucket (that of named limits, now policy/tokenbucket.py); two coordinators together stay below the bound, and a router that bypasses its coordinator uses a share of what they leave. A server counts as cold as published, while attempts get no answer, and from its return until an entry written since then must have been read. Routers tell the coordinator with the release that nothing answered (ReleaseSlot.unanswered, at the end). Keys: a cold server's capacity is at most the pool's cold rate, and its first keys bring no more than that. Off for pools without a cold rate.

--- a/oleanderhoist/events.py
+++ b/oleanderhoist/events.py
@@ -203,6 +203,20 @@
     "are served and never repeated.",
     "oleanderhoist.node.state",
 )
+SERVER_COLD = define(
+    407,
+    "server.cold",
+    "A server counts as cold, or no longer, at the coordinator of its slot "
+    "queue: `cause`, which is empty at the end.",
+    "oleanderhoist.node.coldservers",
+)
+COLD_TIME_UNREADABLE = define(
+    408,
+    "entry.cold_time_unreadable",
+    "A server's row in the store does not say in a valid way for how long it "
+    "stays cold; it counts as cold: the begin of the value.",
+    "oleanderhoist.node.directory",
+)
 CALL_ENDED = define(
     410,
     "call.ended",
--- a/oleanderhoist/node/coordinator.py
+++ b/oleanderhoist/node/coordinator.py
@@ -10,6 +10,7 @@
 from oleanderhoist import events
 from oleanderhoist import log
 from oleanderhoist import processids
+from oleanderhoist.node import coldservers
 from oleanderhoist.node import state
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import serverslots
@@ -57,11 +58,28 @@
 
 
 class Coordinator:
-    """Runs the slot queues whose coordinator is this router."""
+    """Runs the slot queues whose coordinator is this router.
 
-    def __init__(self, *, state: state.State, clock: clock.Clock):
+    Args:
+        state: Current snapshot and contracts.
+        clock: Time source.
+        cold_terms: What holds for cold servers.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: state.State,
+        clock: clock.Clock,
+        cold_terms: coldservers.ColdTerms | None = None,
+    ):
         self.state = state
         self.clock = clock
+        self.cold_servers = coldservers.ColdServers(
+            state=state,
+            clock=clock,
+            terms=cold_terms or coldservers.ColdTerms(),
+        )
         self.hosted: dict[str, HostedQueue] = {}
         self.wake = asyncio.Event()
         state.snapshot_listeners.append(self.update)
@@ -106,6 +124,7 @@
                 for server in self.servers_of(name)
             ]
         )
+        self.cold_servers.update(hosted.queue)
 
     def refuse_waiting(self, hosted: HostedQueue) -> None:
         """Refuses all waiting requests of a slot queue without servers."""
@@ -126,6 +145,7 @@
             Expected wait in seconds; 0 when the verdict was delivered.
         """
         hosted = self.get(name)
+        self.cold_servers.update_if_due(hosted.queue)
         now = self.clock.monotonic()
         hosted.replies[(request.requester, request.id)] = reply
         verdict = hosted.queue.submit(request, now)
@@ -135,6 +155,18 @@
         self.wake.set()
         return hosted.queue.expected_wait(request, now)
 
+    def bypass(
+        self, name: str, request: slotrequests.SlotRequest, reply: Reply
+    ) -> float:
+        """Submits a request that does not reach its coordinator.
+
+        Returns:
+            As `submit`.
+        """
+        queue = self.get(name).queue
+        with self.cold_servers.bypassed(queue):
+            return self.submit(name, request, reply)
+
     def deliver(
         self, hosted: HostedQueue, verdict: slotrequests.Verdict
     ) -> None:
@@ -154,13 +186,29 @@
         *,
         seconds: float | None,
         failed: bool,
+        unanswered: bool = False,
     ) -> None:
-        """Frees a slot and grants it to the next request."""
+        """Frees a slot and grants it to the next request.
+
+        Args:
+            name: Name of the slot queue.
+            requester: Address of the router that releases it.
+            id: Id of the slot request.
+            server: Id of the server.
+            seconds: Service time in seconds; None when it does not indicate
+                the server's speed.
+            failed: Whether the server failed the request.
+            unanswered: Whether nothing at its address answered.
+        """
         hosted = self.hosted.get(name)
         if hosted is None:
             return
         now = self.clock.monotonic()
         server_slots = hosted.queue.servers.get(server)
+        if unanswered:
+            self.cold_servers.record_failure(hosted.queue, server)
+        elif failed or seconds is not None:
+            self.cold_servers.record_answer(hosted.queue, server)
         blocked_until = server_slots.blocked_until if server_slots else 0.0
         hosted.queue.release(
             requester, id, server, seconds=seconds, failed=failed, now=now
@@ -212,6 +260,7 @@
         if known is None:
             return
         known.silent.record(self.clock.monotonic(), known.service_seconds)
+        known.absence.record_silence(self.clock.monotonic())
         if known.silent.is_full:
             log.write_limited(
                 events.SERVER_FULL,
@@ -270,6 +319,7 @@
 
     def advance(self, hosted: HostedQueue, now: float) -> None:
         """Grants free slots to waiting requests."""
+        self.cold_servers.update_if_due(hosted.queue)
         for verdict in hosted.queue.grant_waiting(now):
             self.deliver(hosted, verdict)
 
@@ -292,13 +342,12 @@
     def service_times_ms(self) -> dict[str, float]:
         """Returns service times in milliseconds, by server, of keyed queues.
 
-        A server that limits its rate seems slower, as its slots allow less.
+        A server whose rate is limited seems slower, as its slots allow less.
         """
         return {
             server.id: round(server.seconds_per_slot() * 1000, 1)
             for name, hosted in self.hosted.items()
             if name.startswith(KEYED_PREFIX)
             for server in hosted.queue.servers.values()
-            if server.answers >= serverslots.MIN_ANSWERS
-            or server.pace is not None
+            if server.answers >= serverslots.MIN_ANSWERS or server.is_paced
         }
--- a/oleanderhoist/node/core.py
+++ b/oleanderhoist/node/core.py
@@ -15,6 +15,7 @@
 from oleanderhoist.http import client
 from oleanderhoist.http import exchanges
 from oleanderhoist.node import budgets
+from oleanderhoist.node import coldservers
 from oleanderhoist.node import coordinator
 from oleanderhoist.node import datagrams
 from oleanderhoist.node import follower
@@ -87,7 +88,9 @@
             host=settings.ip, port=settings.peer_port
         )
         self.coordinator = coordinator.Coordinator(
-            state=self.state, clock=clock
+            state=self.state,
+            clock=clock,
+            cold_terms=coldservers.terms_of(settings),
         )
         self.slot_server = slotserver.SlotServer(
             datagrams=self.datagrams, coordinator=self.coordinator, clock=clock
@@ -206,6 +209,7 @@
             return
         self.forwarder.budget.ratio = reloaded.retry_ratio
         self.forwarder.budget.extra = reloaded.retry_extra
+        self.coordinator.cold_servers.terms = coldservers.terms_of(reloaded)
         self.follower.max_lease_seconds = reloaded.max_lease_seconds
         self.settings = reloaded
         log.write(events.SETTINGS_RELOADED, taken=True, id=reloaded.id)
--- a/oleanderhoist/node/directory.py
+++ b/oleanderhoist/node/directory.py
@@ -41,6 +41,7 @@
         self.last_failure_at = last_failure_at
         self.store_unavailable = False
         self.rejected_keys: set[str] = set()
+        self.odd_cold_times: dict[str, str] = {}
 
     def record_failure(self, error: ports.StoreError) -> None:
         """Records that the store did not answer."""
@@ -65,6 +66,7 @@
             log.write(events.STORE_BACK, away_s=away_s)
         self.confirmation.confirm(sent_at)
         self.log_rejected(listing.rejected)
+        self.log_odd_cold_times(listing.odd_cold_times)
         merged = cluster.merge_listing(
             self.servers,
             listing.servers,
@@ -81,3 +83,12 @@
             if key not in self.rejected_keys:
                 log.write(events.ENTRY_REJECTED, key=key, reason=reason)
         self.rejected_keys = set(rejected)
+
+    def log_odd_cold_times(self, odd: dict[str, str]) -> None:
+        """Logs once what a server says in place of its cold time."""
+        for key, value in odd.items():
+            if self.odd_cold_times.get(key) != value:
+                log.write_limited(
+                    events.COLD_TIME_UNREADABLE, key=key, value=value
+                )
+        self.odd_cold_times = odd
--- a/oleanderhoist/node/forwarder.py
+++ b/oleanderhoist/node/forwarder.py
@@ -340,11 +340,15 @@
             failed = isinstance(result, jobs.FailedAttempt) or (
                 result is None and self.is_overdue(job)
             )
+            silent = watch.end()
             # A full server stays silent; it is not down.
-            if watch.end() and not results.has_response(result):
+            if silent and not results.has_response(result):
                 failed = False
             self.slot_client.release(
-                grant, seconds=elapsed if answered else None, failed=failed
+                grant,
+                seconds=elapsed if answered else None,
+                failed=failed,
+                unanswered=results.is_unanswered(result, silent=silent),
             )
             result_label = "gone"
             if answered:
--- a/oleanderhoist/node/jobs.py
+++ b/oleanderhoist/node/jobs.py
@@ -75,12 +75,14 @@
         code: Result code if it is not retried.
         detail: Description of the failure for the log.
         await_snapshot: Whether to wait for a newer snapshot before a retry.
+        without_response: Whether an exchange had no response, not even in part.
     """
 
     failure: retry.Failure
     code: codes.Code
     detail: str = ""
     await_snapshot: bool = False
+    without_response: bool = False
 
 
 def owner_wait_end(job: Job) -> float:
--- a/oleanderhoist/node/leader.py
+++ b/oleanderhoist/node/leader.py
@@ -333,8 +333,12 @@
         self.update_servers()
 
     def update_servers(self) -> None:
-        """Updates the rebalancers with the current servers."""
+        """Updates the rebalancers with the current servers and their terms."""
+        contracts = self.state.contracts
+        known = contracts.pools if contracts is not None else {}
         for pool, pool_rebalancer in self.rebalancers.items():
+            if pool in known:
+                pool_rebalancer.cold_rate = known[pool].cold_rate
             pool_rebalancer.update(self.servers_of(pool))
 
     async def publish(self) -> None:
--- a/oleanderhoist/node/rebalancer.py
+++ b/oleanderhoist/node/rebalancer.py
@@ -47,6 +47,10 @@
         clock: Time source.
         publish: Called when the published owners have changed.
         spawn: Starts a task that ends with the leadership.
+
+    Attributes:
+        cold_rate: Requests per second that a cold server stands; 0 if cold
+            servers are not limited.
     """
 
     def __init__(
@@ -85,6 +89,7 @@
         self.key_counts = self.key_counter.counts()
         self.counts_changed = False
         self.service_ms: dict[str, float] = {}
+        self.cold_rate = 0.0
         self.settled_at = 0.0
 
     def update(self, servers: dict[str, cluster.Server]) -> None:
@@ -293,6 +298,7 @@
             capacities=self.capacities(self.move_targets()),
             held=held,
             measured=frozenset(self.service_ms),
+            cold=self.cold_servers(),
         )
 
     def is_moving(self, key_range: keys.Range) -> bool:
@@ -303,7 +309,10 @@
         )
 
     def capacities(self, usable: dict[str, cluster.Server]) -> dict[str, float]:
-        """Returns each server's capacity, in requests per second."""
+        """Returns each server's capacity, in requests per second.
+
+        That of a cold server is what it stands.
+        """
         measured = [
             self.service_ms[id] for id in usable if id in self.service_ms
         ]
@@ -311,12 +320,21 @@
         default = (
             measured[len(measured) // 2] if measured else DEFAULT_SERVICE_MS
         )
-        return {
+        found = {
             id: server.slots
             * 1000
             / max(MIN_SERVICE_MS, self.service_ms.get(id, default))
             for id, server in usable.items()
         }
+        for id in self.cold_servers() & found.keys():
+            found[id] = min(found[id], self.cold_rate)
+        return found
+
+    def cold_servers(self) -> frozenset[str]:
+        """Returns the servers that are listed as cold, if these are limited."""
+        if self.cold_rate <= 0:
+            return frozenset()
+        return frozenset(id for id, s in self.servers.items() if s.cold)
 
     def start_move(self, move: assignment.Move, reason: str) -> None:
         """Starts a move."""
--- a/oleanderhoist/node/results.py
+++ b/oleanderhoist/node/results.py
@@ -171,6 +171,26 @@
     return result is not None
 
 
+def is_unanswered(
+    result: outcomes.Outcome | jobs.FailedAttempt | None, *, silent: bool
+) -> bool:
+    """Returns whether nothing at a server's address answered an attempt.
+
+    A connection that is reset soon was reset by the server.
+
+    Args:
+        result: How the attempt ended.
+        silent: Whether it took longer than the server's work usually does.
+    """
+    if not isinstance(result, jobs.FailedAttempt):
+        return False
+    return result.without_response and (
+        silent
+        or result.failure is retry.Failure.NOT_SENT
+        or result.code is codes.TIMED_OUT
+    )
+
+
 def describe(server: cluster.Server, text: str, kept_connection: bool) -> str:
     """Describes how an attempt ended, for the log.
 
@@ -198,6 +218,7 @@
             code=codes.NO_SERVER,
             detail=detail,
             await_snapshot=job.head.key is not None,
+            without_response=True,
         )
     code = codes.LOST
     if error.timed_out:
@@ -205,7 +226,10 @@
     elif error.response_started:
         code = codes.BAD_ANSWER
     return jobs.FailedAttempt(
-        failure=retry.Failure.OUTCOME_UNKNOWN, code=code, detail=detail
+        failure=retry.Failure.OUTCOME_UNKNOWN,
+        code=code,
+        detail=detail,
+        without_response=not error.response_started,
     )
 
 
--- a/oleanderhoist/node/slotclient.py
+++ b/oleanderhoist/node/slotclient.py
@@ -337,7 +337,7 @@
             verdict = result
 
         self.notices.apply_shares(queue)
-        wait = self.coordinator.submit(queue, request, record)
+        wait = self.coordinator.bypass(queue, request, record)
         if isinstance(verdict, slotrequests.Granted):
             return slotgrants.to_grant(queue, self.datagrams.address, verdict)
         self.coordinator.cancel(queue, request.requester, request.id)
@@ -356,6 +356,7 @@
         *,
         seconds: float | None,
         failed: bool,
+        unanswered: bool = False,
     ) -> None:
         """Releases a slot.
 
@@ -364,6 +365,7 @@
             seconds: Service time of the request; None when it does not
                 indicate the server's speed.
             failed: Whether the server failed the request.
+            unanswered: Whether nothing at its address answered.
         """
         if grant.coordinator == self.datagrams.address:
             self.coordinator.release(
@@ -373,6 +375,7 @@
                 grant.server,
                 seconds=seconds,
                 failed=failed,
+                unanswered=unanswered,
             )
             return
         took_ms = -1.0 if seconds is None else round(seconds * 1000, 1)
@@ -384,6 +387,7 @@
                 server=grant.server,
                 took_ms=took_ms,
                 failed=failed,
+                unanswered=unanswered,
             ),
         )
 
--- a/oleanderhoist/node/slotserver.py
+++ b/oleanderhoist/node/slotserver.py
@@ -120,6 +120,7 @@
             message.server,
             seconds=seconds,
             failed=message.failed,
+            unanswered=message.unanswered,
         )
 
     def on_cancel_acquire(self, peer: str, message: wire.CancelAcquire) -> None:
--- a/oleanderhoist/node/wire.py
+++ b/oleanderhoist/node/wire.py
@@ -206,6 +206,7 @@
         load: Requests running and waiting, slots, and the slowdown in percent
             that the server named in its answer; None if it named no load.
             The slowdown is 0 if it did not name one.
+        unanswered: Whether nothing at the server's address answered.
     """
 
     queue: str
@@ -214,6 +215,7 @@
     took_ms: float
     failed: bool
     load: tuple[int, int, int, int] | None = None
+    unanswered: bool = False
 
 
 class CancelAcquire(Message, tag="Cancel"):
--- a/oleanderhoist/policy/balance.py
+++ b/oleanderhoist/policy/balance.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterator
 import dataclasses
 import heapq
+import math
 
 from oleanderhoist.policy import assignment
 from oleanderhoist.policy import eventrate
@@ -59,6 +60,7 @@
         held: Ranges that may not move now, without overlaps.
         measured: Servers whose capacity was measured; keys move for load to
             no other ones, which may be slower than they seem.
+        cold: Servers that stand no more than their capacity.
     """
 
     def __init__(
@@ -69,11 +71,13 @@
         capacities: dict[str, float],
         held: list[keys.Range],
         measured: frozenset[str],
+        cold: frozenset[str] = frozenset(),
     ):
         self.assignment = assignment.Assignment(
             key_map=key_map, counts=counts, capacities=capacities, held=held
         )
         self.measured = measured
+        self.cold = cold
 
     def plan(self) -> list[assignment.Move]:
         """Returns the moves that are worth their cost, at most some."""
@@ -267,7 +271,10 @@
         return moves
 
     def first_move(self, target: str) -> assignment.Move | None:
-        """Returns a move of up to half of the busiest server's load."""
+        """Returns a move of up to half of the busiest server's load.
+
+        A cold target gets no more than it has room for.
+        """
         sources = [
             s for s in self.assignment.capacities if self.assignment.owned[s]
         ]
@@ -277,12 +284,17 @@
         weights = self.assignment.weights(source)
         stretches = self.assignment.stretches(source)
         wanted = sum(weights.get(k, 0) for k in requested_keys(stretches)) / 2
+        room = self.first_room(source, target)
+        is_bounded = room < wanted
+        wanted = min(wanted, room)
         found = [keyruns.densest(one, weights, wanted) for one in stretches]
         best = max((run for run in found if run is not None), default=None)
         if best is not None:
             return assignment.Move(
                 start=best.start, end=best.end, source=source, target=target
             )
+        if is_bounded:
+            return None  # It may get some once it is warm.
         widest = max(
             self.assignment.owned[source], key=lambda key_range: key_range.size
         )
@@ -293,6 +305,18 @@
             start=middle, end=widest.end, source=source, target=target
         )
 
+    def first_room(self, source: str, target: str) -> float:
+        """Returns the requests of a source that a target has room for.
+
+        They are those of the time over which the source's are counted.
+        """
+        if target not in self.cold:
+            return math.inf
+        return self.assignment.target_utilisation * (
+            self.assignment.capacities[target]
+            * self.assignment.rate(source).seconds
+        )
+
     def place(self, key_range: keys.Range) -> list[assignment.Move]:
         """Returns moves that divide a lost owner's range among servers."""
         weights = self.assignment.counts.weights(
--- a/oleanderhoist/policy/serverlimit.py
+++ b/oleanderhoist/policy/serverlimit.py
@@ -8,6 +8,8 @@
 
 import dataclasses
 
+from oleanderhoist.policy import tokenbucket
+
 # Requests per second that a server gets whatever it names: only its answers
 # tell when a limit ends.
 PROBE_RATE = 0.25
@@ -18,24 +20,24 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Pace:
-    """Token bucket that paces the requests to one limited server.
+    """Paces the requests to one server that limits their rate.
 
     Attributes:
         limit: Requests per second that it takes from all routers together.
         routers: Number of routers that share this limit equally.
         confirmed_at: When the server last named the limit, in seconds.
-        tokens: Requests that may be sent now; may be a fraction.
-        updated_at: When the tokens were last counted, in seconds.
+        bucket: One token for each request that may be sent now.
     """
 
     limit: float
     routers: int
     confirmed_at: float
-    tokens: float = 0.0
-    updated_at: float = dataclasses.field(init=False)
+    bucket: tokenbucket.TokenBucket = dataclasses.field(init=False)
 
     def __post_init__(self):
-        self.updated_at = self.confirmed_at
+        self.bucket = tokenbucket.TokenBucket(
+            rate=self.rate, most=self.most, updated_at=self.confirmed_at
+        )
 
     @property
     def rate(self) -> float:
@@ -47,12 +49,17 @@
         """Requests per second that all routers together may send."""
         return max(self.limit, PROBE_RATE)
 
+    @property
+    def most(self) -> float:
+        """Requests that this router may send at once."""
+        return 1.0 + BURST_SECONDS * self.rate
+
     def confirm(self, limit: float, routers: int, now: float) -> None:
         """Applies the limit that the server names now."""
-        self.refill(now)
         self.limit = limit
         self.routers = routers
         self.confirmed_at = now
+        self.bucket.change(self.rate, self.most, now)
 
     def has_lapsed(self, now: float) -> bool:
         """Returns whether the server has not named the limit for long."""
@@ -60,17 +67,8 @@
 
     def allows(self, now: float) -> bool:
         """Returns whether a request may be sent now."""
-        self.refill(now)
-        return self.tokens >= 1.0
+        return self.bucket.allows(now)
 
     def take(self, now: float) -> None:
         """Counts a request that is sent."""
-        self.refill(now)
-        self.tokens -= 1.0
-
-    def refill(self, now: float) -> None:
-        """Adds the tokens of the time that has passed."""
-        elapsed = max(0.0, now - self.updated_at)
-        most = 1.0 + BURST_SECONDS * self.rate
-        self.tokens = min(most, self.tokens + elapsed * self.rate)
-        self.updated_at = now
+        self.bucket.take(now)
--- a/oleanderhoist/policy/serverslots.py
+++ b/oleanderhoist/policy/serverslots.py
@@ -3,6 +3,8 @@
 import dataclasses
 import math
 
+from oleanderhoist.policy import coldpace
+from oleanderhoist.policy import coldstarts
 from oleanderhoist.policy import serverlimit
 from oleanderhoist.policy import silence
 
@@ -10,6 +12,7 @@
 FAILURE_SMOOTHING = 0.15
 MIN_SLOT_SECONDS = 0.002  # No attempt completes sooner.
 QUEUED_AT_SERVER = 1  # Requests that may wait at a busy server.
+MIN_COLD_RATE = 0.1  # Requests per second; bounds what a slot seems to take.
 MIN_ANSWERS = 4  # That a service time rests on before others rely on it.
 
 
@@ -48,6 +51,8 @@
         last_used_at: When it was last granted to a request.
         started_ms: Start time of its process, in milliseconds since the epoch.
         pace: Paces its requests while it limits their rate; else None.
+        cold: Paces its requests while it counts as cold; else None.
+        absence: What attempts show of whether it is away.
         answers: Number of answers that the service time rests on.
         attempts: Number of attempts that have ended.
         deviation_seconds: Smoothed deviation of the service time, in seconds.
@@ -67,6 +72,10 @@
     last_used_at: float = 0.0
     started_ms: int = 0
     pace: serverlimit.Pace | None = None
+    cold: coldpace.ColdPace | None = None
+    absence: coldstarts.Absence = dataclasses.field(
+        default_factory=coldstarts.Absence
+    )
     answers: int = 0
     attempts: int = 0
     deviation_seconds: float = 0.0
@@ -86,16 +95,22 @@
             len(self.running) < self.slots + QUEUED_AT_SERVER
             and self.answers >= MIN_ANSWERS
             and not self.silent.requests
-            and self.pace is None
+            and not self.is_paced
             and self.is_usable(now)
         )
 
+    @property
+    def is_paced(self) -> bool:
+        """Whether the rate of its requests is limited."""
+        return self.pace is not None or self.cold is not None
+
     def is_usable(self, now: float) -> bool:
         """Returns whether it takes requests, slots aside."""
         return (
             now >= self.blocked_until
             and self.silent.allows(now)
             and (self.pace is None or self.pace.allows(now))
+            and (self.cold is None or self.cold.allows(now))
         )
 
     def grant(
@@ -117,6 +132,8 @@
         self.silent.grant(now, self.service_seconds)
         if self.pace is not None:
             self.pace.take(now)
+        if self.cold is not None:
+            self.cold.take(now)
 
     def limit(
         self, limit: float | None, now: float, *, routers: int = 1
@@ -145,12 +162,16 @@
     def seconds_per_slot(self) -> float:
         """Returns the time for which a request keeps a slot from others.
 
-        It is the service time, or longer while the server limits the rate of
-        all routers together.
+        It is the service time, or longer while the rate of all routers
+        together is limited.
         """
-        if self.pace is None:
-            return self.service_seconds
-        return max(self.service_seconds, self.slots / self.pace.total_rate)
+        seconds = self.service_seconds
+        if self.pace is not None:
+            seconds = max(seconds, self.slots / self.pace.total_rate)
+        if self.cold is not None:
+            rate = max(MIN_COLD_RATE, self.cold.granted.rate)
+            seconds = max(seconds, self.slots / rate)
+        return seconds
 
     def service_rate(self) -> float:
         """Returns the requests per second that it can complete.
@@ -161,7 +182,11 @@
         """
         seconds = max(MIN_SLOT_SECONDS, self.slot_seconds())
         rate = self.slots * (1.0 - self.failure_rate) / seconds
-        return rate if self.pace is None else min(rate, self.pace.rate)
+        if self.pace is not None:
+            rate = min(rate, self.pace.rate)
+        if self.cold is not None:
+            rate = min(rate, self.cold.rate)
+        return rate
 
     def slot_seconds(self) -> float:
         """Returns the time that an attempt holds a slot, in seconds."""
--- a/oleanderhoist/ports.py
+++ b/oleanderhoist/ports.py
@@ -73,10 +73,13 @@
     Attributes:
         servers: Servers by id.
         rejected: Why rows of the directory were rejected, by key.
+        odd_cold_times: What servers that are listed as cold say in place of a
+            time, by id.
     """
 
     servers: dict[str, cluster.Server]
     rejected: dict[str, str]
+    odd_cold_times: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -84,6 +84,7 @@
         took_ms=2.5,
         failed=True,
         load=(1, 2, 3, 150),
+        unanswered=True,
     ),
     datagrams.CancelAcquire(queue="q", id=1),
     datagrams.ServerLimit(queue="q", server="s", started_ms=1, per_second=2.5),
@@ -111,7 +112,7 @@
 
 94a75265667573616c010203
 
-97a4446f6e65a17101a173cb4004000000000000c394010203cc96
+98a4446f6e65a17101a173cb4004000000000000c394010203cc96c3
 
 93a643616e63656ca17101
 
@@ -399,7 +400,7 @@
     def test_earlier_versions_ignore_later_fields_of_other_datagrams(self):
         later = {
             datagrams.Heartbeat: ["evacuated", "evacuated_revision"],
-            datagrams.ReleaseSlot: ["load"],
+            datagrams.ReleaseSlot: ["load", "unanswered"],
         }
         for message in DATAGRAMS:
             names = later.get(type(message), [])
