Play a cold server with real routers, and measure it anew when it is warm

Cause: a server's service time was measured while it was cold and counted for a dozen answers afterwards. No test ran routers as processes with a cold server.

Change: measurements count as few when the pace of a cold server begins or ends.

--- a/oleanderhoist/node/coldservers.py
+++ b/oleanderhoist/node/coldservers.py
@@ -155,10 +155,10 @@
                 belief=belief,
                 now=now,
             )
-        if pool is None or cause is None:
-            server.cold = None
-        else:
+        if pool is not None and cause is not None:
             self.pace(server, pool, now)
+        elif server.cold is not None:
+            server.set_cold(None)
         self.note(server.id, cause)
 
     def pace(
@@ -174,8 +174,8 @@
         )
         routers = len(self.state.snapshot.members)
         if server.cold is None:
-            server.cold = coldpace.ColdPace(
-                bound=bound, routers=routers, now=now
+            server.set_cold(
+                coldpace.ColdPace(bound=bound, routers=routers, now=now)
             )
         else:
             server.cold.change(bound, routers, now)
--- a/oleanderhoist/policy/serverslots.py
+++ b/oleanderhoist/policy/serverslots.py
@@ -154,6 +154,14 @@
         else:
             self.pace.confirm(limit, routers, now)
 
+    def set_cold(self, pace: coldpace.ColdPace | None) -> None:
+        """Begins or ends the pace of a cold server.
+
+        Its work takes another time from then on, which is soon measured.
+        """
+        self.cold = pace
+        self.answers = min(self.answers, MIN_ANSWERS)
+
     def end_lapsed_limit(self, now: float) -> None:
         """Ends a limit that the server has not named for long."""
         if self.pace is not None and self.pace.has_lapsed(now):
--- a/standins/platform_system.py
+++ b/standins/platform_system.py
@@ -142,6 +142,7 @@
         config: First configuration.
         slots: Slots of each server.
         limits: Limits of the routers' VMs, as their settings name them.
+        bounds: Bounds of the platform, as the routers' settings name them.
         folder: Folder for settings and logs that is kept; None for a temporary
             one.
 
@@ -167,6 +168,7 @@
         config: dict = CONFIG,
         slots: int = SERVER_SLOTS,
         limits: dict | None = None,
+        bounds: tuple[str, ...] = (),
         folder: pathlib.Path | None = None,
     ):
         self.subnet = subnet or process_subnet()
@@ -181,6 +183,7 @@
         self.config = config
         self.slots = slots
         self.limits = limits or {}
+        self.bounds = list(bounds)
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = folder or pathlib.Path(self.temporary.name)
         self.folder.mkdir(parents=True, exist_ok=True)
@@ -263,7 +266,7 @@
         return ids.get(link, link)
 
     async def register_server(
-        self, id: str, pool: str, state: str = "ready"
+        self, id: str, pool: str, state: str = "ready", *, cold_ms: int = 0
     ) -> None:
         """Writes the row of a server to the store."""
         self.sequences[id] += 1
@@ -273,6 +276,7 @@
             "zone": "z",
             "slots": self.slots,
             "state": state,
+            "cold_remaining_ms": cold_ms,
             "sequence": self.sequences[id],
             "born": self.born[id],
         }
@@ -289,6 +293,7 @@
             "listen": {"front": f"{ip}:{FRONT_PORT}", "ready": f"{ip}:18640"},
             "internal_ports": [17620, 17635],
             "limits": self.limits,
+            "bounds": self.bounds,
             "provider": {
                 "address": await self.reachable_address(
                     f"store-{number}", self.store
--- a/tests/test_coldstarts.py
+++ b/tests/test_coldstarts.py
@@ -261,6 +261,17 @@
         self.assertIsNone(server.pace)
         self.assertIsNotNone(server.cold)
 
+    def test_a_warm_server_seems_slow_for_long(self):
+        server = serverslots.ServerSlots(
+            id="s", data_center="a", slots=3, service_seconds=0.1
+        )
+        for _ in range(40):
+            server.record_service(0.4)
+        server.set_cold(None)
+        for _ in range(6):
+            server.record_service(0.1)
+        self.assertLess(server.service_seconds, 0.25)
+
     def test_a_refusal_names_a_wait_at_the_usual_rate(self):
         queue = slotqueue.SlotQueue(service_seconds=0.05)
         server = serverslots.ServerSlots(
