Count servers as cold for keys after an evacuation was taken back

Cause: only the coordinators presumed these servers cold; the leader would have given them keys as to warm ones.

Change: the leader marks them for its rebalancers, not in what it publishes. An attempt that ends at its deadline shows that a server is away only if it was silent.

--- a/oleanderhoist/node/coldservers.py
+++ b/oleanderhoist/node/coldservers.py
@@ -18,6 +18,7 @@
 from oleanderhoist import log
 from oleanderhoist import settings
 from oleanderhoist.node import state
+from oleanderhoist.policy import cluster
 from oleanderhoist.policy import coldpace
 from oleanderhoist.policy import coldstarts
 from oleanderhoist.policy import contractset
@@ -50,6 +51,9 @@
     slack: float = 0.0
 
 
+DEFAULT_TERMS = ColdTerms()
+
+
 def terms_of(router_settings: settings.RouterSettings) -> ColdTerms:
     """Returns the terms that a router's settings name."""
     return ColdTerms(
@@ -65,6 +69,47 @@
     return {}
 
 
+def belief_of(
+    known: state.State, time: clock.Clock, terms: ColdTerms
+) -> coldstarts.Belief:
+    """Returns what a router knows of the directory."""
+    age = known.snapshot_confirmation.age(time.boottime())
+    return coldstarts.Belief(
+        directory_seconds=terms.directory_seconds,
+        confirmed_at=time.monotonic() - age,
+        ended_evacuations=ended_evacuations(known),
+    )
+
+
+def mark_returned(
+    servers: Mapping[str, cluster.Server],
+    pool: contractset.Pool,
+    belief: coldstarts.Belief,
+    now: float,
+) -> dict[str, cluster.Server]:
+    """Returns servers of a pool of which those presumed cold are cold.
+
+    Args:
+        servers: The servers by id.
+        pool: Their pool.
+        belief: What this router knows of the directory.
+        now: Current time, in seconds.
+    """
+    marked = dict(servers)
+    for id, server in servers.items():
+        cause = coldstarts.find_cause(
+            published=server.cold,
+            absence=coldstarts.Absence(),
+            data_center=server.data_center,
+            cold_seconds=pool.cold_seconds,
+            belief=belief,
+            now=now,
+        )
+        if cause is not None and not server.cold:
+            marked[id] = dataclasses.replace(server, cold=True)
+    return marked
+
+
 class ColdServers:
     """Decides which servers of slot queues count as cold, and paces these.
 
@@ -102,7 +147,7 @@
         self.checked_at[queue] = now
         if not self.is_needed():
             return
-        belief = self.belief(now)
+        belief = belief_of(self.state, self.clock, self.terms)
         for server in queue.servers.values():
             self.update_server(server, belief, now)
         for id in self.causes.keys() - self.state.snapshot.servers.keys():
@@ -118,15 +163,6 @@
             pool.cold_rate > 0 for pool in contracts.pools.values()
         )
 
-    def belief(self, now: float) -> coldstarts.Belief:
-        """Returns what this router knows of the directory."""
-        age = self.state.snapshot_confirmation.age(self.clock.boottime())
-        return coldstarts.Belief(
-            directory_seconds=self.terms.directory_seconds,
-            confirmed_at=now - age,
-            ended_evacuations=ended_evacuations(self.state),
-        )
-
     def pool_of(
         self, server: serverslots.ServerSlots
     ) -> contractset.Pool | None:
--- a/oleanderhoist/node/coordinator.py
+++ b/oleanderhoist/node/coordinator.py
@@ -71,14 +71,14 @@
         *,
         state: state.State,
         clock: clock.Clock,
-        cold_terms: coldservers.ColdTerms | None = None,
+        cold_terms: coldservers.ColdTerms = coldservers.DEFAULT_TERMS,
     ):
         self.state = state
         self.clock = clock
         self.cold_servers = coldservers.ColdServers(
             state=state,
             clock=clock,
-            terms=cold_terms or coldservers.ColdTerms(),
+            terms=cold_terms,
         )
         self.hosted: dict[str, HostedQueue] = {}
         self.wake = asyncio.Event()
--- a/oleanderhoist/node/core.py
+++ b/oleanderhoist/node/core.py
@@ -141,6 +141,7 @@
             bootstrap=settings.bootstrap,
             coordinator=self.coordinator,
             forwarder=self.forwarder,
+            cold_terms=coldservers.terms_of(settings),
         )
         self.health = program.HealthServer(
             address=settings.readiness_listen,
@@ -209,7 +210,9 @@
             return
         self.forwarder.budget.ratio = reloaded.retry_ratio
         self.forwarder.budget.extra = reloaded.retry_extra
-        self.coordinator.cold_servers.terms = coldservers.terms_of(reloaded)
+        cold_terms = coldservers.terms_of(reloaded)
+        self.coordinator.cold_servers.terms = cold_terms
+        self.follower.cold_terms = cold_terms
         self.follower.max_lease_seconds = reloaded.max_lease_seconds
         self.settings = reloaded
         log.write(events.SETTINGS_RELOADED, taken=True, id=reloaded.id)
--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -7,6 +7,7 @@
 from oleanderhoist import log
 from oleanderhoist import ports
 from oleanderhoist import program
+from oleanderhoist.node import coldservers
 from oleanderhoist.node import contractwatch
 from oleanderhoist.node import coordinator
 from oleanderhoist.node import datagrams
@@ -47,6 +48,7 @@
             for a leader; otherwise it reads the store at once.
         coordinator: Reports the service times of the servers.
         forwarder: Reports the requested keys.
+        cold_terms: What holds for cold servers.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         bootstrap: bool,
         coordinator: coordinator.Coordinator,
         forwarder: forwarder.Forwarder,
+        cold_terms: coldservers.ColdTerms = coldservers.DEFAULT_TERMS,
     ):
         self.platform = platform
         self.datagrams = datagrams
@@ -73,6 +76,7 @@
         self.max_lease_seconds = max_lease_seconds
         self.coordinator = coordinator
         self.forwarder = forwarder
+        self.cold_terms = cold_terms
         self.contract_watch = contractwatch.ContractWatch(
             platform=platform, state=state, clock=clock
         )
@@ -270,6 +274,7 @@
             contract_watch=self.contract_watch,
             store_last_failure_at=self.store_reader.last_failure_at,
             departure_news=self.departure_news,
+            cold_terms=self.cold_terms,
         )
         reason = ""
         try:
--- a/oleanderhoist/node/leader.py
+++ b/oleanderhoist/node/leader.py
@@ -12,6 +12,7 @@
 from oleanderhoist import log
 from oleanderhoist import ports
 from oleanderhoist import program
+from oleanderhoist.node import coldservers
 from oleanderhoist.node import contractwatch
 from oleanderhoist.node import datagrams
 from oleanderhoist.node import departurenews
@@ -61,6 +62,7 @@
         store_last_failure_at: When a store call of this router last failed,
             as `StoreReader` recorded it, on the monotonic clock.
         departure_news: Passes on which servers have said that they leave.
+        cold_terms: What holds for cold servers.
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         contract_watch: contractwatch.ContractWatch,
         store_last_failure_at: float,
         departure_news: departurenews.DepartureNews,
+        cold_terms: coldservers.ColdTerms,
     ):
         self.platform = platform
         self.datagrams = datagrams
@@ -86,6 +89,7 @@
         self.leader_lease = leader_lease
         self.contract_watch = contract_watch
         self.departure_news = departure_news
+        self.cold_terms = cold_terms
         self.fences = leasemanager.FencingTokens(epoch=leader_lease.epoch)
         self.leader_store = leaderstore.LeaderStore(
             platform=platform,
@@ -335,11 +339,15 @@
     def update_servers(self) -> None:
         """Updates the rebalancers with the current servers and their terms."""
         contracts = self.state.contracts
-        known = contracts.pools if contracts is not None else {}
-        for pool, pool_rebalancer in self.rebalancers.items():
-            if pool in known:
-                pool_rebalancer.cold_rate = known[pool].cold_rate
-            pool_rebalancer.update(self.servers_of(pool))
+        belief = coldservers.belief_of(self.state, self.clock, self.cold_terms)
+        now = self.clock.monotonic()
+        for name, pool_rebalancer in self.rebalancers.items():
+            servers = self.servers_of(name)
+            pool = contracts.pools.get(name) if contracts else None
+            if pool is not None:
+                pool_rebalancer.cold_rate = pool.cold_rate
+                servers = coldservers.mark_returned(servers, pool, belief, now)
+            pool_rebalancer.update(servers)
 
     async def publish(self) -> None:
         """Publishes the snapshot after each change."""
--- a/oleanderhoist/node/results.py
+++ b/oleanderhoist/node/results.py
@@ -176,7 +176,8 @@
 ) -> bool:
     """Returns whether nothing at a server's address answered an attempt.
 
-    A connection that is reset soon was reset by the server.
+    A connection that is reset soon was reset by the server, and a deadline may
+    end an attempt before the server could answer.
 
     Args:
         result: How the attempt ended.
@@ -185,9 +186,7 @@
     if not isinstance(result, jobs.FailedAttempt):
         return False
     return result.without_response and (
-        silent
-        or result.failure is retry.Failure.NOT_SENT
-        or result.code is codes.TIMED_OUT
+        silent or result.failure is retry.Failure.NOT_SENT
     )
 
 
--- a/tests/test_coldstarts.py
+++ b/tests/test_coldstarts.py
@@ -9,8 +9,11 @@
 import hypothesis
 from hypothesis import strategies
 
+from oleanderhoist import codes
 from oleanderhoist import ports
 from oleanderhoist.node import coldservers
+from oleanderhoist.node import jobs
+from oleanderhoist.node import results
 from oleanderhoist.platform import directory
 from oleanderhoist.policy import balance
 from oleanderhoist.policy import cluster
@@ -18,6 +21,7 @@
 from oleanderhoist.policy import coldstarts
 from oleanderhoist.policy import contractset
 from oleanderhoist.policy import keys
+from oleanderhoist.policy import retry
 from oleanderhoist.policy import serverslots
 from oleanderhoist.policy import slotqueue
 from oleanderhoist.policy import slotrequests
@@ -151,6 +155,42 @@
         self.confirmed_at = 11.5
         self.assertIsNone(self.cause(12.0))
 
+    def test_keys_go_to_servers_whose_evacuation_was_taken_back(self):
+        servers = {
+            name: cluster.Server(
+                id=name, pool="p", address="x:1", data_center=name, slots=3
+            )
+            for name in ("a", "b")
+        }
+        belief = coldstarts.Belief(
+            directory_seconds=1.0,
+            confirmed_at=10.0,
+            ended_evacuations={"a": 10.0},
+        )
+        pool = contracts().pools["p"]
+        marked = coldservers.mark_returned(servers, pool, belief, 11.0)
+        self.assertTrue(marked["a"].cold)
+        self.assertFalse(marked["b"].cold)
+
+    def test_an_answer_shows_that_a_server_is_away(self):
+        def attempt(
+            failure: retry.Failure, *, without_response: bool = True
+        ) -> jobs.FailedAttempt:
+            return jobs.FailedAttempt(
+                failure=failure,
+                code=codes.LOST,
+                without_response=without_response,
+            )
+
+        unsent = attempt(retry.Failure.NOT_SENT)
+        lost = attempt(retry.Failure.OUTCOME_UNKNOWN)
+        failed = attempt(retry.Failure.REFUSED, without_response=False)
+        self.assertTrue(results.is_unanswered(unsent, silent=False))
+        self.assertFalse(results.is_unanswered(lost, silent=False))
+        self.assertTrue(results.is_unanswered(lost, silent=True))
+        self.assertFalse(results.is_unanswered(failed, silent=True))
+        self.assertFalse(results.is_unanswered(None, silent=True))
+
 
 class BoundTest(unittest.TestCase):
     """All routers together stay below the bound in any second."""
