Let a new process serve only once it may know of evacuations

Change: it ignores contracts of the leader until it has heard a heartbeat or read the store; the heartbeat then makes it ask for them again.

--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -1,6 +1,7 @@
 """Follows the leader, falls back to the store, and stands for election."""
 
 import asyncio
+import math
 
 from oleanderhoist import clock
 from oleanderhoist import events
@@ -116,9 +117,7 @@
         )
         datagrams.handlers[wire.Heartbeat] = self.on_heartbeat
         datagrams.handlers[wire.SnapshotFragment] = self.on_snapshot_fragment
-        datagrams.handlers[wire.ContractsFragment] = (
-            self.updates.on_contracts_fragment
-        )
+        datagrams.handlers[wire.ContractsFragment] = self.on_contracts_fragment
         datagrams.handlers[wire.Delta] = self.on_delta
         datagrams.handlers[wire.MemberReport] = self.on_member_report
 
@@ -386,6 +385,19 @@
                 self.leader_address, message.contracts_revision
             )
 
+    def on_contracts_fragment(
+        self, peer: str, message: wire.ContractsFragment
+    ) -> None:
+        """Handles a fragment of contracts.
+
+        Requests are served from the first contracts on. A new process waits
+        with them until it may know of evacuations.
+        """
+        if self.freshness.has_heard or not math.isinf(
+            self.state.evacuations_confirmation.at
+        ):
+            self.updates.on_contracts_fragment(peer, message)
+
     def on_delta(self, peer: str, message: wire.Delta) -> None:
         """Handles a delta unless this router leads or it is outdated."""
         if self.leadership is None and message.epoch >= self.epoch:
--- a/oleanderhoist/node/freshness.py
+++ b/oleanderhoist/node/freshness.py
@@ -111,6 +111,11 @@
         )
         return self.clock.boottime() - confirmed_at > self.contracts_read_after
 
+    @property
+    def has_heard(self) -> bool:
+        """Whether this process has heard any heartbeat."""
+        return not math.isinf(self.announced.known_at)
+
     def hear(self, message: wire.Heartbeat) -> None:
         """Records a heartbeat of the leader."""
         self.last_heartbeat_at = self.clock.monotonic()
--- a/tests/test_evacuation_routers.py
+++ b/tests/test_evacuation_routers.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from oleanderhoist.node import leaderstore
 from oleanderhoist.node import state
 from oleanderhoist.node import wire
 from oleanderhoist.policy import cluster
@@ -355,6 +356,28 @@
 
         self.play(scenario)
 
+    def test_a_new_router_gets_contracts_before_it_may_know(self):
+        async def scenario() -> None:
+            self.world.evacuate(EMPTIED)
+            await asyncio.sleep(EVACUATION_SECONDS)
+            new = "10.0.0.99:1"
+            self.world.lost_reads.add(new)
+            self.world.start(new)
+            follower = self.world.followers[new]
+            follower.follow_recorded_leader(
+                leaderstore.leadership_of(self.world.rows)
+            )
+            end = self.world.loop.now + LEARNED_SECONDS
+            while self.world.loop.now < end:
+                if follower.state.contracts is not None:
+                    self.assertEqual(
+                        {EMPTIED}, follower.state.snapshot.evacuated
+                    )
+                await asyncio.sleep(STEP_SECONDS)
+            self.assertIsNotNone(follower.state.contracts)
+
+        self.play(scenario)
+
     def test_a_late_heartbeat_changes_nothing(self):
         async def scenario() -> None:
             self.world.evacuate(EMPTIED)
