--- a/tests/test_coldstarts.py
+++ b/tests/test_coldstarts.py
@@ -297,9 +297,12 @@
         )
         total = sum(len(times) for times in granted.values())
         self.assertGreater(total, 0.97 * id)
-        # Nor does the limit's end, long ago, end the pace of the cold server.
+        # The end of either pace does not end the other.
         self.assertIsNone(server.pace)
         self.assertIsNotNone(server.cold)
+        server.limit(50.0, now)
+        server.set_cold(None)
+        self.assertIsNotNone(server.pace)
 
     def test_a_warm_server_seems_slow_for_long(self):
         server = serverslots.ServerSlots(
