--- a/oleanderhoist/node/freshness.py
+++ b/oleanderhoist/node/freshness.py
@@ -116,7 +116,9 @@
             known_at=self.clock.boottime() - age,
             contracts_revision=message.contracts_revision,
         )
-        self.state.snapshot_confirmation.confirm(self.announced.known_at)
+        if self.state.snapshot.name >= (message.epoch, message.version):
+            # Else the newer one is on its way, or was lost.
+            self.state.snapshot_confirmation.confirm(self.announced.known_at)
         self.confirm_contracts()
 
     def confirm_contracts(self) -> None:
