--- a/tests/test_garbage.py
+++ b/tests/test_garbage.py
@@ -255,7 +255,10 @@
         result = await (await self.start_attempt(Garbage(b"", LINE), 4.0))
         self.assertEqual(codes.BAD_ANSWER, result.code)
         self.assertTrue(self.job.maybe_run)
-        self.assertEqual([{"seconds": None, "failed": True}], self.released)
+        self.assertEqual(
+            [{"seconds": None, "failed": True, "unanswered": False}],
+            self.released,
+        )
 
     async def test_a_server_is_unjudged_if_its_caller_leaves_at_the_deadline(
         self,
@@ -268,7 +271,8 @@
             await asyncio.wait([attempt])
             await asyncio.wait_for(garbage.closed.wait(), ATTEMPT_SECONDS)
             self.assertEqual(
-                [{"seconds": None, "failed": failed}], self.released
+                [{"seconds": None, "failed": failed, "unanswered": False}],
+                self.released,
             )
 
     async def test_a_trickled_head_outlasts_the_deadline(self):
