Count a slot as taken while its request is at the server, not on its way

Change: a coordinator learns from each release how long slots are on their way for a requester, and counts the part of a slot that the server sees, at least half of it. A request that doesn't wait for its coordinator is announced to it (AcquireSlot.started, a new last field; an earlier build takes it for a slot request, whose slot the release frees), and its release goes there as well. A reply is waited for at most an eighth of the time to the objective, twice.

The kept bytes of AcquireSlot gained the field; the former ones are kept as those of an earlier version.

--- a/oleanderhoist/node/coordinator.py
+++ b/oleanderhoist/node/coordinator.py
@@ -15,6 +15,7 @@
 from oleanderhoist.policy import serverslots
 from oleanderhoist.policy import slotqueue
 from oleanderhoist.policy import slotrequests
+from oleanderhoist.policy import transits
 
 TICK_SECONDS = 0.05  # For what no release brings about, as an expiry.
 NO_SERVER_RETRY_SECONDS = 0.1
@@ -25,6 +26,11 @@
     "oleander_lane_verdicts", "Asks by verdict", ["verdict"]
 )
 
+STARTED = prometheus_client.Counter(
+    "oleander_requests_started",
+    "Requests of other routers that were sent to a server without a grant",
+)
+
 Reply = Callable[[slotrequests.Verdict], None]
 
 
@@ -63,6 +69,7 @@
         self.state = state
         self.clock = clock
         self.hosted: dict[str, HostedQueue] = {}
+        self.transits = transits.Transits()
         self.wake = asyncio.Event()
         state.snapshot_listeners.append(self.update)
 
@@ -79,6 +86,7 @@
         hosted = self.hosted.get(name)
         if hosted is None:
             hosted = HostedQueue(queue=slotqueue.SlotQueue())
+            hosted.queue.transits = self.transits
             self.hosted[name] = hosted
             self.refresh(name, hosted)
         return hosted
@@ -243,6 +251,19 @@
         now = self.clock.monotonic()
         return hosted.queue.remaining_wait(requester, id, now)
 
+    def add_started(
+        self, name: str, request: slotrequests.SlotRequest, server: str
+    ) -> None:
+        """Counts a request that its router sent to a server without a grant.
+
+        An earlier copy of its slot request no longer waits.
+        """
+        self.drop_earlier_copy(name, request.requester, request.id)
+        STARTED.inc()
+        self.get(name).queue.add_started(
+            request, server, self.clock.monotonic()
+        )
+
     def drop_earlier_copy(self, name: str, requester: str, id: int) -> None:
         """Drops the earlier copy of a retransmitted slot request.
 
--- a/oleanderhoist/node/slotclient.py
+++ b/oleanderhoist/node/slotclient.py
@@ -1,6 +1,7 @@
 """Acquires slots of servers from the coordinators of slot queues."""
 
 import asyncio
+import dataclasses
 
 import prometheus_client
 
@@ -192,8 +193,17 @@
         request: slotrequests.SlotRequest,
         *,
         retransmitted: bool = False,
+        started: str = "",
     ) -> None:
-        """Sends a slot request, or submits it locally."""
+        """Sends a slot request, or submits it locally.
+
+        Args:
+            coordinator_address: Address of the coordinator.
+            queue: Slot queue of the slot.
+            request: The slot request.
+            retransmitted: Whether the coordinator may hold an earlier copy.
+            started: Server that it is sent to without waiting for a grant.
+        """
         if coordinator_address == self.datagrams.address:
             self.coordinator.submit(
                 queue,
@@ -214,6 +224,7 @@
                 body_bytes=request.body_bytes,
                 excluded=list(request.excluded),
                 retransmitted=retransmitted,
+                started=started,
             ),
         )
 
@@ -239,7 +250,9 @@
                     pending.request,
                     retransmitted=True,
                 )
-            timeout = self.reply_times.timeout()
+            timeout = self.reply_times.patience(
+                pending.request.objective - asked_at
+            )
             await asyncio.wait([pending.future], timeout=timeout)
             if pending.future.done() or pending.expected_wait is not None:
                 # Which of several requests was replied to is not known.
@@ -339,7 +352,7 @@
         self.notices.apply_shares(queue)
         wait = self.coordinator.submit(queue, request, record)
         if isinstance(verdict, slotrequests.Granted):
-            return slotgrants.to_grant(queue, self.datagrams.address, verdict)
+            return self.tell_started(queue, request, verdict)
         self.coordinator.cancel(queue, request.requester, request.id)
         if isinstance(verdict, slotrequests.Refused):
             return verdict
@@ -350,6 +363,29 @@
             ),
         )
 
+    def tell_started(
+        self,
+        queue: str,
+        request: slotrequests.SlotRequest,
+        verdict: slotrequests.Granted,
+    ) -> slotgrants.SlotGrant:
+        """Tells the coordinator of a request that did not wait for it.
+
+        It may be late only, and would grant the slot to others.
+        """
+        grant = slotgrants.to_grant(queue, self.datagrams.address, verdict)
+        address = self.state.snapshot.coordinator(queue)
+        if address in ("", self.datagrams.address):
+            return grant
+        self.send(
+            address,
+            queue,
+            request,
+            retransmitted=True,
+            started=grant.server,
+        )
+        return dataclasses.replace(grant, told=address)
+
     def release(
         self,
         grant: slotgrants.SlotGrant,
@@ -374,10 +410,11 @@
                 seconds=seconds,
                 failed=failed,
             )
-            return
+            if not grant.told:
+                return
         took_ms = -1.0 if seconds is None else round(seconds * 1000, 1)
         self.datagrams.send(
-            grant.coordinator,
+            grant.told or grant.coordinator,
             wire.ReleaseSlot(
                 queue=grant.queue,
                 id=grant.id,
--- a/oleanderhoist/node/slotserver.py
+++ b/oleanderhoist/node/slotserver.py
@@ -44,6 +44,11 @@
         A repeated one that still waits keeps its place in the queue.
         """
         self.observe_process(peer, processids.process_of(message.id))
+        if message.started:
+            self.coordinator.add_started(
+                message.queue, self.to_request(peer, message), message.started
+            )
+            return
         if message.retransmitted:
             remaining = self.coordinator.remaining_wait(
                 message.queue, peer, message.id
@@ -52,8 +57,20 @@
                 self.report_wait(peer, message.id, remaining)
                 return
             self.coordinator.drop_earlier_copy(message.queue, peer, message.id)
+        wait = self.coordinator.submit(
+            message.queue,
+            self.to_request(peer, message),
+            lambda verdict: self.reply(peer, message.queue, verdict),
+        )
+        if wait:
+            self.report_wait(peer, message.id, wait)
+
+    def to_request(
+        self, peer: str, message: wire.AcquireSlot
+    ) -> slotrequests.SlotRequest:
+        """Returns the slot request of a message that has just arrived."""
         now = self.clock.monotonic()
-        request = slotrequests.SlotRequest(
+        return slotrequests.SlotRequest(
             id=message.id,
             requester=peer,
             rank=message.rank,
@@ -63,13 +80,6 @@
             body_bytes=message.body_bytes,
             excluded=frozenset(message.excluded),
         )
-        wait = self.coordinator.submit(
-            message.queue,
-            request,
-            lambda verdict: self.reply(peer, message.queue, verdict),
-        )
-        if wait:
-            self.report_wait(peer, message.id, wait)
 
     def observe_process(self, peer: str, process: int) -> None:
         """Drops the requests of an earlier process at a router's address."""
--- a/oleanderhoist/node/wire.py
+++ b/oleanderhoist/node/wire.py
@@ -141,6 +141,8 @@
         body_bytes: Size of the request's body, in bytes.
         excluded: Ids of servers that the request was already sent to.
         retransmitted: Whether the message repeats one that got no reply.
+        started: Id of the server that the request was sent to without waiting
+            for a grant; empty if it waits. There is no reply then.
     """
 
     queue: str
@@ -152,6 +154,7 @@
     body_bytes: int
     excluded: list[str]
     retransmitted: bool = False
+    started: str = ""
 
 
 class SlotQueued(Message, tag="Waiting"):
--- a/oleanderhoist/policy/roundtrip.py
+++ b/oleanderhoist/policy/roundtrip.py
@@ -12,6 +12,9 @@
 MEAN_SMOOTHING = 1 / 8
 DEVIATION_SMOOTHING = 1 / 4
 BACKOFF_FACTOR = 2.0
+# Of the time to the objective. What a late grant brings is not worth more, as
+# the server queues a few requests itself.
+PATIENCE_FRACTION = 1 / 8
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -35,6 +38,15 @@
         )
         return min(MAX_TIMEOUT_SECONDS, usual * self.backoff)
 
+    def patience(self, until_objective: float) -> float:
+        """Returns how long a request waits for a reply, in seconds.
+
+        Args:
+            until_objective: Time to its objective, in seconds.
+        """
+        limit = max(MIN_TIMEOUT_SECONDS, PATIENCE_FRACTION * until_objective)
+        return min(limit, self.timeout())
+
     def record(self, seconds: float) -> None:
         """Records the time to a reply, in seconds."""
         deviation = abs(seconds - self.mean)
--- a/oleanderhoist/policy/serverslots.py
+++ b/oleanderhoist/policy/serverslots.py
@@ -22,11 +22,15 @@
         reclaim_at: When the slot is freed if it has not been released.
         position: Number of requests at the server, including this one, when it
             was granted.
+        share: Part of its time that it is expected to be at the server.
+        started: Whether it was sent to the server before this was known here.
     """
 
     granted_at: float
     reclaim_at: float
-    position: int = 1
+    position: float = 1.0
+    share: float = 1.0
+    started: bool = False
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -74,7 +78,11 @@
 
     def available(self, now: float) -> bool:
         """Returns whether it can run another request at once."""
-        return len(self.running) < self.slots and self.is_usable(now)
+        return self.used() <= self.slots - 1 and self.is_usable(now)
+
+    def used(self) -> float:
+        """Returns how many requests are expected to be at the server."""
+        return sum(running.share for running in self.running.values())
 
     def may_queue(self, now: float) -> bool:
         """Returns whether it may get a request that waits there for a slot.
@@ -83,7 +91,7 @@
         would be idle.
         """
         return (
-            len(self.running) < self.slots + QUEUED_AT_SERVER
+            self.used() <= self.slots - 1 + QUEUED_AT_SERVER
             and self.answers >= MIN_ANSWERS
             and not self.silent.requests
             and self.pace is None
@@ -99,7 +107,13 @@
         )
 
     def grant(
-        self, request: tuple[str, int], now: float, reclaim_at: float
+        self,
+        request: tuple[str, int],
+        now: float,
+        reclaim_at: float,
+        *,
+        share: float = 1.0,
+        started: bool = False,
     ) -> None:
         """Gives a request one of the slots.
 
@@ -107,11 +121,15 @@
             request: Requester and id of the slot request.
             now: Current time, in seconds.
             reclaim_at: When the slot is freed if it has not been released.
+            share: Part of that time that it is expected to be at the server.
+            started: Whether it was sent to the server already.
         """
         self.running[request] = Running(
             granted_at=now,
             reclaim_at=reclaim_at,
-            position=len(self.running) + 1,
+            position=self.used() + share,
+            share=share,
+            started=started,
         )
         self.last_used_at = now
         self.silent.grant(now, self.service_seconds)
--- a/oleanderhoist/policy/slotqueue.py
+++ b/oleanderhoist/policy/slotqueue.py
@@ -18,6 +18,7 @@
 from oleanderhoist.policy import serverchoice
 from oleanderhoist.policy import serverslots
 from oleanderhoist.policy import slotrequests
+from oleanderhoist.policy import transits
 
 DEFAULT_SERVICE_SECONDS = 0.1
 # Of the objective of the first request; assumed before the first answer.
@@ -57,6 +58,7 @@
             collections.deque()
         )
         self.demand = demand.Demand()
+        self.transits = transits.Transits()
 
     def update(self, servers: list[serverslots.ServerSlots]) -> None:
         """Replaces the usable servers, keeping the state of known ones.
@@ -281,6 +283,7 @@
             (request.requester, request.id),
             now,
             request.deadline + RECLAIM_DELAY_SECONDS,
+            share=self.transits.share(request.requester, server.slot_seconds()),
         )
         return slotrequests.Granted(
             request=request,
@@ -289,6 +292,22 @@
             silent_after=server.silent_after(),
         )
 
+    def add_started(
+        self, request: slotrequests.SlotRequest, server: str, now: float
+    ) -> None:
+        """Counts a request that was sent to a server without a grant.
+
+        It takes a slot there all the same.
+        """
+        known = self.servers.get(server)
+        if known is not None:
+            known.grant(
+                request.key,
+                now,
+                request.deadline + RECLAIM_DELAY_SECONDS,
+                started=True,
+            )
+
     def release(
         self,
         requester: str,
@@ -308,7 +327,12 @@
             return
         # A request that waited at the server took longer than its work.
         share = min(1.0, known.slots / ended.position)
-        occupied = (now - ended.granted_at) * share
+        held = now - ended.granted_at
+        if not ended.started:
+            if seconds is not None:
+                self.transits.record(requester, held, seconds)
+            held = self.transits.time_at_server(requester, held)
+        occupied = held * share
         if seconds is not None:
             seconds *= share
         known.record_attempt(occupied, seconds, failed)
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -71,6 +71,7 @@
         body_bytes=5,
         excluded=["s"],
         retransmitted=True,
+        started="s",
     ),
     datagrams.SlotQueued(id=1, wait_ms=2),
     datagrams.SlotGranted(
@@ -103,7 +104,7 @@
 9aa544656c7461010203049193a16da161cb3fe000000000000091a16e9198a173a170a3683a31
 a1610506c3c391a17481a17091930708a173
 
-9aa341736ba17101020304a1610591a173c3
+9ba341736ba17101020304a1610591a173c3a173
 
 93a757616974696e670102
 
@@ -186,6 +187,20 @@
         ),
         "96a4446f6e65a17101a173cb4004000000000000c3",
     ),
+    (
+        datagrams.AcquireSlot(
+            queue="q",
+            id=1,
+            rank=2,
+            remaining_ms=3,
+            objective_ms=4,
+            data_center="a",
+            body_bytes=5,
+            excluded=["s"],
+            retransmitted=True,
+        ),
+        "9aa341736ba17101020304a1610591a173c3",
+    ),
 ]
 
 MESSAGES = [
@@ -400,6 +415,7 @@
         later = {
             datagrams.Heartbeat: ["evacuated", "evacuated_revision"],
             datagrams.ReleaseSlot: ["load"],
+            datagrams.AcquireSlot: ["started"],
         }
         for message in DATAGRAMS:
             names = later.get(type(message), [])
