Name slots that ended in the next slot request, as releases get lost

Cause: a narrow link that is full drops datagrams. A slot whose release or cancellation is lost counted as taken until 0.5 s after the deadline of its request, and a coordinator took idle servers for full.

Result: tests.test_room's two new tests fail on the version before; test_lanes, test_permits, test_coordinator_moves, test_restarted_requester, test_stalls, test_outer_names, test_outer_contracts, test_tree and test_pages pass.

--- a/oleanderhoist/node/coordinator.py
+++ b/oleanderhoist/node/coordinator.py
@@ -31,6 +31,10 @@
     "Requests of other routers that were sent to a server without a grant",
 )
 
+FREED = prometheus_client.Counter(
+    "oleander_ended_slots_freed", "Slots whose release was lost on the way"
+)
+
 Reply = Callable[[slotrequests.Verdict], None]
 
 
@@ -275,6 +279,17 @@
             hosted.replies.pop((requester, id), None)
             hosted.queue.cancel(requester, id)
 
+    def free_ended(self, requester: str, ids: list[int]) -> None:
+        """Frees the slots of ended requests whose release was lost."""
+        for hosted in self.hosted.values():
+            lost = [id for id in ids if hosted.queue.has(requester, id)]
+            for id in lost:
+                hosted.replies.pop((requester, id), None)
+                hosted.queue.cancel(requester, id)
+            if lost:
+                FREED.inc(len(lost))
+                self.advance(hosted, self.clock.monotonic())
+
     def drop_process(self, requester: str, process: int) -> None:
         """Drops the requests of a router's ended process; frees their slots."""
 
--- a/oleanderhoist/node/slotclient.py
+++ b/oleanderhoist/node/slotclient.py
@@ -18,6 +18,7 @@
 from oleanderhoist.node import state
 from oleanderhoist.node import wire
 from oleanderhoist.policy import cluster
+from oleanderhoist.policy import endedslots
 from oleanderhoist.policy import roundtrip
 from oleanderhoist.policy import slotqueue
 from oleanderhoist.policy import slotrequests
@@ -46,6 +47,7 @@
             coordinators of the pending requests.
         slots_due: Until when requests may wait for a slot; set by a stop. The
             caller of `acquire` cancels it then.
+        ended: Slots that ended, in case a release is lost.
         reply_times: How long coordinators' replies take to reach this router.
         notices: What servers say of themselves in their answers.
     """
@@ -67,6 +69,7 @@
         self.suspected_until: dict[str, float] = {}
         self.cores_by_member: dict[str, float] = {}
         self.reply_times = roundtrip.RoundTrip()
+        self.ended = endedslots.EndedSlots()
         self.slots_due = deadline.SharedDeadline()
         self.notices = servernotices.ServerNotices(
             datagrams=datagrams,
@@ -212,6 +215,7 @@
             )
             return
         now = self.clock.monotonic()
+        self.ended.discard(coordinator_address, request.id)
         self.datagrams.send(
             coordinator_address,
             wire.AcquireSlot(
@@ -225,6 +229,7 @@
                 excluded=list(request.excluded),
                 retransmitted=retransmitted,
                 started=started,
+                ended=self.ended.name(coordinator_address, now),
             ),
         )
 
@@ -413,8 +418,10 @@
             if not grant.told:
                 return
         took_ms = -1.0 if seconds is None else round(seconds * 1000, 1)
+        address = grant.told or grant.coordinator
+        self.ended.add(address, grant.id, self.clock.monotonic())
         self.datagrams.send(
-            grant.told or grant.coordinator,
+            address,
             wire.ReleaseSlot(
                 queue=grant.queue,
                 id=grant.id,
@@ -438,10 +445,11 @@
         """Cancels a slot request."""
         if coordinator_address == self.datagrams.address:
             self.coordinator.cancel(queue, coordinator_address, id)
-        else:
-            self.datagrams.send(
-                coordinator_address, wire.CancelAcquire(queue=queue, id=id)
-            )
+            return
+        self.ended.add(coordinator_address, id, self.clock.monotonic())
+        self.datagrams.send(
+            coordinator_address, wire.CancelAcquire(queue=queue, id=id)
+        )
 
     def resolve(
         self, coordinator_address: str, verdict: slotrequests.Verdict
--- a/oleanderhoist/node/slotserver.py
+++ b/oleanderhoist/node/slotserver.py
@@ -44,6 +44,7 @@
         A repeated one that still waits keeps its place in the queue.
         """
         self.observe_process(peer, processids.process_of(message.id))
+        self.coordinator.free_ended(peer, message.ended)
         if message.started:
             self.coordinator.add_started(
                 message.queue, self.to_request(peer, message), message.started
--- a/oleanderhoist/node/wire.py
+++ b/oleanderhoist/node/wire.py
@@ -143,6 +143,8 @@
         retransmitted: Whether the message repeats one that got no reply.
         started: Id of the server that the request was sent to without waiting
             for a grant; empty if it waits. There is no reply then.
+        ended: Ids of the sender's slot requests at this coordinator that have
+            ended, in case it was not told.
     """
 
     queue: str
@@ -155,6 +157,7 @@
     excluded: list[str]
     retransmitted: bool = False
     started: str = ""
+    ended: list[int] = []
 
 
 class SlotQueued(Message, tag="Waiting"):
--- a/oleanderhoist/policy/slotqueue.py
+++ b/oleanderhoist/policy/slotqueue.py
@@ -356,6 +356,14 @@
         if (blocked + 1) * 2 <= len(self.servers):
             server.blocked_until = now + BLOCK_SECONDS
 
+    def has(self, requester: str, id: int) -> bool:
+        """Returns whether a request waits or holds a slot."""
+        key = (requester, id)
+        queues = [*self.queues.values(), self.overdue]
+        return any(key in s.running for s in self.servers.values()) or any(
+            one.key == key for queue in queues for one in queue
+        )
+
     def cancel(self, requester: str, id: int) -> None:
         """Removes a waiting request, or frees the slot that it holds."""
         for server in self.servers.values():
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -72,6 +72,7 @@
         excluded=["s"],
         retransmitted=True,
         started="s",
+        ended=[6],
     ),
     datagrams.SlotQueued(id=1, wait_ms=2),
     datagrams.SlotGranted(
@@ -104,7 +105,7 @@
 9aa544656c7461010203049193a16da161cb3fe000000000000091a16e9198a173a170a3683a31
 a1610506c3c391a17481a17091930708a173
 
-9ba341736ba17101020304a1610591a173c3a173
+9ca341736ba17101020304a1610591a173c3a1739106
 
 93a757616974696e670102
 
@@ -415,7 +416,7 @@
         later = {
             datagrams.Heartbeat: ["evacuated", "evacuated_revision"],
             datagrams.ReleaseSlot: ["load"],
-            datagrams.AcquireSlot: ["started"],
+            datagrams.AcquireSlot: ["started", "ended"],
         }
         for message in DATAGRAMS:
             names = later.get(type(message), [])
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -134,6 +134,29 @@
         await asyncio.sleep(0.01)
         self.assertEqual(0, pair.running())
 
+    async def check_lost(self, kind: type) -> None:
+        """Checks that the next slot request frees what a lost message held."""
+        pair = test_permits.Pair(lose=test_permits.lose_first(kind))
+        client = pair.slot_clients[test_permits.REQUESTER]
+        first = await pair.acquire(1)
+        if kind is wire.ReleaseSlot:
+            client.release(first, seconds=0.1, failed=False)
+        else:
+            client.cancel(first.coordinator, first.queue, first.id)
+        await asyncio.sleep(0.01)
+        self.assertEqual(1, pair.running())
+        second = await pair.acquire(2)
+        self.assertEqual(1, pair.running())
+        client.release(second, seconds=0.1, failed=False)
+        await asyncio.sleep(0.01)
+        self.assertEqual(0, pair.running())
+
+    async def test_a_slot_whose_release_is_lost_does_not_stay_taken(self):
+        await self.check_lost(wire.ReleaseSlot)
+
+    async def test_a_slot_whose_cancellation_is_lost_does_not_stay_taken(self):
+        await self.check_lost(wire.CancelAcquire)
+
     def test_a_late_reply_costs_little_of_the_objective(self):
         reply_times = roundtrip.RoundTrip()
         for _ in range(4):
