Count a request that did not wait for its coordinator for its time at the server

Cause: told releases of bypasses brought failures and times that are the requester's link's, not the server's, and counted for all of the time that the link took: 510 servers were blocked (162 before), and the services without keys seemed full.

Change: such a release says nothing of speed or failures, and the slot counts for the part of its time that the server sees. An estimate rests on four slots at least.

--- a/oleanderhoist/node/slotclient.py
+++ b/oleanderhoist/node/slotclient.py
@@ -417,6 +417,8 @@
             )
             if not grant.told:
                 return
+            # Its own link, which made the coordinator late, delayed it too.
+            seconds, failed = None, False
         took_ms = -1.0 if seconds is None else round(seconds * 1000, 1)
         address = grant.told or grant.coordinator
         self.ended.add(address, grant.id, self.clock.monotonic())
--- a/oleanderhoist/policy/slotqueue.py
+++ b/oleanderhoist/policy/slotqueue.py
@@ -283,7 +283,9 @@
             (request.requester, request.id),
             now,
             request.deadline + RECLAIM_DELAY_SECONDS,
-            share=self.transits.share(request.requester, server.slot_seconds()),
+            share=self.transits.share(
+                request.requester, server.slot_seconds(), started=False
+            ),
         )
         return slotrequests.Granted(
             request=request,
@@ -305,6 +307,9 @@
                 request.key,
                 now,
                 request.deadline + RECLAIM_DELAY_SECONDS,
+                share=self.transits.share(
+                    request.requester, known.slot_seconds(), started=True
+                ),
                 started=True,
             )
 
@@ -328,11 +333,11 @@
         # A request that waited at the server took longer than its work.
         share = min(1.0, known.slots / ended.position)
         held = now - ended.granted_at
-        if not ended.started:
-            if seconds is not None:
-                self.transits.record(requester, held, seconds)
-            held = self.transits.time_at_server(requester, held)
-        occupied = held * share
+        if seconds is not None and not ended.started:
+            self.transits.record(requester, held, seconds)
+        occupied = share * self.transits.time_at_server(
+            requester, held, started=ended.started
+        )
         if seconds is not None:
             seconds *= share
         known.record_attempt(occupied, seconds, failed)
--- a/oleanderhoist/policy/transits.py
+++ b/oleanderhoist/policy/transits.py
@@ -6,47 +6,81 @@
 the coordinator for a server that has room.
 """
 
+import dataclasses
+
 SMOOTHING = 0.1
-MIN_SHARE = 0.5  # At most twice the slots are granted.
-TRIPS = 2.0  # Request and answer pass the link as grant and release do.
+MIN_SAMPLES = 4  # That an estimate rests on before it is used.
+MIN_SHARE = 0.4  # Bounds the requests that are under way at once.
+GRANTED_TRIPS = 2.0  # Request and answer pass the link as grant and release do.
+STARTED_TRIPS = 1.0  # The begin is told with the request, the end after it.
 
 
-class Transits:
-    """Estimates by requester, from all slots that this router grants.
+@dataclasses.dataclass(kw_only=True)
+class Transit:
+    """How long grant and release are on their way for one requester.
 
     Attributes:
-        seconds: Smoothed time by which a slot is held longer than the request
-            takes as its requester sees it, by address of the requester.
+        seconds: Smoothed time of both, in seconds.
+        samples: Number of slots that it rests on.
     """
 
+    seconds: float = 0.0
+    samples: int = 0
+
+    def record(self, seconds: float) -> None:
+        """Records the time of one slot, in seconds."""
+        self.samples += 1
+        step = max(1 / self.samples, SMOOTHING)
+        self.seconds += (seconds - self.seconds) * step
+
+
+class Transits:
+    """Estimates by requester, from all slots that this router grants."""
+
     def __init__(self):
-        self.seconds: dict[str, float] = {}
+        self.by_requester: dict[str, Transit] = {}
 
     def record(self, requester: str, held: float, taken: float) -> None:
-        """Records a slot that was released after an answer.
+        """Records a slot that was granted, and released after an answer.
 
         Args:
             requester: Address of the requester.
             held: Time between grant and release here, in seconds.
             taken: Time between request and answer there, in seconds.
         """
-        transit = max(0.0, held - taken)
-        known = self.seconds.get(requester, 0.0)
-        self.seconds[requester] = known + (transit - known) * SMOOTHING
+        transit = self.by_requester.setdefault(requester, Transit())
+        transit.record(max(0.0, held - taken))
+
+    def seconds(self, requester: str, *, started: bool) -> float:
+        """Returns the part of a slot's time that is not spent at the server.
+
+        Args:
+            requester: Address of the requester.
+            started: Whether it did not wait for a grant.
+        """
+        known = self.by_requester.get(requester)
+        if known is None or known.samples < MIN_SAMPLES:
+            return 0.0
+        return known.seconds * (STARTED_TRIPS if started else GRANTED_TRIPS)
 
-    def share(self, requester: str, service_seconds: float) -> float:
-        """Returns the part of a grant's time that is spent at the server.
+    def share(
+        self, requester: str, service_seconds: float, *, started: bool
+    ) -> float:
+        """Returns the part of a slot's time that is spent at the server.
 
         Args:
             requester: Address of the requester.
             service_seconds: Time that the server needs, in seconds.
+            started: Whether it did not wait for a grant.
         """
-        underway = TRIPS * self.seconds.get(requester, 0.0)
+        underway = self.seconds(requester, started=started)
         if not underway:
             return 1.0
         return max(MIN_SHARE, service_seconds / (service_seconds + underway))
 
-    def time_at_server(self, requester: str, held: float) -> float:
-        """Returns the part of a held time that is spent at the server."""
-        underway = TRIPS * self.seconds.get(requester, 0.0)
+    def time_at_server(
+        self, requester: str, held: float, *, started: bool
+    ) -> float:
+        """Returns how much of a held time is spent at the server."""
+        underway = self.seconds(requester, started=started)
         return max(MIN_SHARE * held, held - underway)
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -97,6 +97,18 @@
         # The server completes 25 a second; a slot is held for 0.84 s.
         self.assertGreater(NarrowLinks(rate=12, seconds=30).run(), 0.9)
 
+    def test_a_request_that_did_not_wait_counts_for_its_time_at_the_server(
+        self,
+    ):
+        queue = NarrowLinks(rate=0.1, seconds=0).queue
+        for _ in range(SLOTS):
+            queue.transits.record("narrow", WORK_SECONDS + 0.5, 0.5)
+        request = slotrequests.SlotRequest(
+            id=1, requester="narrow", rank=0, deadline=9, objective=9
+        )
+        queue.add_started(request, "s", 1.0)
+        self.assertAlmostEqual(0.5, queue.servers["s"].used(), delta=0.01)
+
     def test_a_link_without_delay_grants_no_slot_twice(self):
         queue = NarrowLinks(rate=0.1, seconds=0).queue
         for _ in range(SLOTS):
