Decide who is served where there is too little room

Change: policy/admission.py counts what arrives and is served at a slot queue by kind of work (AcquireSlot.kind, age_ms: new last fields). A kind served less than a third as often as all goes first until it is. While first attempts are refused, none of their rank is queued for longer than the refused bore, and what repeats sooner than any caller is told to gets what others leave. Callers return one after the other as fast as there is room, or spread evenly. The simulation has callers that repeat, kinds of one rank.

--- a/bench/lanes.py
+++ b/bench/lanes.py
@@ -24,7 +24,7 @@
 URGENT = 0
 LEAST_URGENT = 2
 FAILURE_SECONDS = 0.01  # Until a refused connection or a rejection is seen.
-LEAST_URGENT_TIME_FACTOR = 4.0  # On the urgent rank's objective and deadline.
+REPEAT_SECONDS = 0.035  # Until a caller that repeats at once is back.
 SLOW_SERVICE_FACTOR = 5  # On the service time of a slow server.
 # Of the lognormal factor on the service time, whose mean is about 1.
 SERVICE_LOG_MEAN = -0.1
@@ -39,6 +39,7 @@
         submitted: Requests by rank, without those whose callers leave early.
         punctual: Answers within the objective, by rank.
         late: Answers after the objective and within the deadline, by rank.
+        heeding: Punctual answers to callers that heed refusals.
         given_up: Requests that were given up after refusals or failures.
         cross_center: Requests whose body was sent to another data centre.
     """
@@ -52,6 +53,7 @@
     late: collections.Counter[int] = dataclasses.field(
         default_factory=collections.Counter
     )
+    heeding: int = 0
     given_up: int = 0
     cross_center: int = 0
 
@@ -68,12 +70,16 @@
     Attributes:
         rank: Urgency.
         first_sent_at: When it was first sent, in virtual seconds.
+        sent_at: When its latest attempt was sent, in virtual seconds.
+        repeats: Whether it repeats refused attempts at once.
         failed_attempts: Attempts that were refused or failed.
         leaves_at: When its caller disconnects, in virtual seconds.
     """
 
     rank: int
     first_sent_at: float
+    sent_at: float
+    repeats: bool = False
     failed_attempts: int = 0
     leaves_at: float = float("inf")
 
@@ -160,7 +166,9 @@
     def arrive(self, rank: int, now: float) -> None:
         """Handles the arrival of a new request."""
         id = next(self.numbers)
-        caller = SimulatedCaller(rank=rank, first_sent_at=now)
+        caller = SimulatedCaller(rank=rank, first_sent_at=now, sent_at=now)
+        if self.pattern.repeating_fraction:
+            caller.repeats = self.rng.random() < self.pattern.repeating_fraction
         if self.rng.random() < self.pattern.leaving_fraction and self.in_burst(
             now
         ):
@@ -179,7 +187,12 @@
     def time_factor(self, id: int) -> float:
         """Returns the factor on the objective and deadline of a request."""
         urgent = self.callers[id].rank == URGENT
-        return 1.0 if urgent else LEAST_URGENT_TIME_FACTOR
+        return 1.0 if urgent else self.pattern.background_time_factor
+
+    def queue_rank(self, caller: SimulatedCaller) -> int:
+        """Returns the rank with which a caller's requests are queued."""
+        urgent = caller.rank == URGENT
+        return URGENT if urgent else self.pattern.background_rank
 
     def submit_request(self, id: int, now: float) -> None:
         """Submits a request to the slot queue."""
@@ -189,13 +202,15 @@
         request = slotrequests.SlotRequest(
             id=id,
             requester="a",
-            rank=caller.rank,
+            rank=self.queue_rank(caller),
             deadline=caller.first_sent_at
             + self.time_factor(id) * self.pattern.deadline_seconds,
             objective=caller.first_sent_at
             + self.time_factor(id) * self.pattern.objective_seconds,
             data_center=self.data_center(id),
             body_bytes=self.pattern.body_bytes,
+            kind=f"kind {caller.rank}",
+            age=caller.sent_at - caller.first_sent_at,
         )
         verdict = self.queue.submit(request, now)
         if verdict is not None:
@@ -215,7 +230,10 @@
             else:
                 self.schedule(now + seconds, self.on_completion(verdict, now))
             return
-        self.retry_or_give_up(id, verdict.retry_after, now)
+        caller = self.callers[id]
+        retry_after = REPEAT_SECONDS if caller.repeats else verdict.retry_after
+        caller.sent_at = now + retry_after
+        self.retry_or_give_up(id, retry_after, now)
 
     def retry_or_give_up(self, id: int, retry_after: float, now: float) -> None:
         """Schedules another attempt, unless no retry or time remains."""
@@ -226,7 +244,10 @@
             - now
         )
         caller.failed_attempts += 1
-        if caller.failed_attempts > self.pattern.max_retries or remaining <= 0:
+        retries = self.pattern.max_retries
+        if caller.repeats:
+            retries = self.pattern.repeats
+        if caller.failed_attempts > retries or remaining <= 0:
             self.result.given_up += 1
             return
         wait = min(retry_after, remaining * MAX_RETRY_WAIT_FRACTION)
@@ -286,6 +307,7 @@
                 seconds <= self.time_factor(id) * self.pattern.objective_seconds
             ):
                 self.result.punctual[caller.rank] += 1
+                self.result.heeding += not caller.repeats
             elif (
                 seconds <= self.time_factor(id) * self.pattern.deadline_seconds
             ):
--- a/bench/patterns.py
+++ b/bench/patterns.py
@@ -33,6 +33,11 @@
             burst.
         background_rate: Requests per second of the least urgent rank.
         background_factor: Factor on the background rate within the burst.
+        background_rank: Rank with which background requests are queued.
+        background_time_factor: Factor on their objective and deadline.
+        repeating_fraction: Fraction of callers that repeat refused attempts at
+            once.
+        repeats: How often these repeat.
         leaving_fraction: Fraction of callers in the burst that leave after
             half of the objective.
         data_centers: Data centres over which servers and callers are spread.
@@ -57,6 +62,10 @@
     failing_fraction: float = 0.0
     background_rate: float = 0.0
     background_factor: float = 1.0
+    background_rank: int = 2
+    background_time_factor: float = 4.0
+    repeating_fraction: float = 0.0
+    repeats: int = 5
     leaving_fraction: float = 0.0
     data_centers: int = 1
     body_bytes: int = 0
--- a/oleanderhoist/node/forwarder.py
+++ b/oleanderhoist/node/forwarder.py
@@ -274,6 +274,8 @@
                 self.state, job, self.clock.monotonic()
             ),
             request_id=job.head.id,
+            kind=job.work.name,
+            age=job.age,
         )
         verdict = await self.slot_client.acquire(queue, request)
         if isinstance(verdict, slotrequests.Refused):
--- a/oleanderhoist/node/frontend.py
+++ b/oleanderhoist/node/frontend.py
@@ -194,6 +194,7 @@
             arrived=arrived,
             deadline=arrived + remaining,
             objective=arrived + objective,
+            age=self.objectives.age(work, head.remaining),
         )
 
     def apply_limits(self, limits: contractset.MessageLimits) -> None:
--- a/oleanderhoist/node/jobs.py
+++ b/oleanderhoist/node/jobs.py
@@ -29,6 +29,7 @@
         arrived: When it arrived, in seconds on the monotonic clock.
         deadline: When its final response is due, on the same clock.
         objective: Latest time for a response of full value, on the same clock.
+        age: Time from the caller's first attempt to this one, in seconds.
         sends: Number of times it was sent to a server.
         unsent_attempts: Attempts that ended before it was sent.
         returned_slots: Ids of servers whose slot was given back, since they
@@ -51,6 +52,7 @@
     arrived: float
     deadline: float
     objective: float
+    age: float = 0.0
     sends: int = 0
     unsent_attempts: int = 0
     returned_slots: set[str] = dataclasses.field(default_factory=set)
--- a/oleanderhoist/node/slotclient.py
+++ b/oleanderhoist/node/slotclient.py
@@ -219,6 +219,8 @@
                 excluded=list(request.excluded),
                 retransmitted=retransmitted,
                 ended=self.ended.name(coordinator_address, now),
+                kind=request.kind,
+                age_ms=round(request.age * 1000),
             ),
         )
 
--- a/oleanderhoist/node/slotserver.py
+++ b/oleanderhoist/node/slotserver.py
@@ -63,6 +63,8 @@
             data_center=message.data_center,
             body_bytes=message.body_bytes,
             excluded=frozenset(message.excluded),
+            kind=message.kind,
+            age=message.age_ms / 1000,
         )
         wait = self.coordinator.submit(
             message.queue,
--- a/oleanderhoist/node/wire.py
+++ b/oleanderhoist/node/wire.py
@@ -143,6 +143,9 @@
         retransmitted: Whether the message repeats one that got no reply.
         ended: Ids of the sender's slot requests at this coordinator that have
             ended, in case it was not told.
+        kind: Kind of work; empty from earlier versions.
+        age_ms: Time from the caller's first attempt to this one, in
+            milliseconds.
     """
 
     queue: str
@@ -155,6 +158,8 @@
     excluded: list[str]
     retransmitted: bool = False
     ended: list[int] = []
+    kind: str = ""
+    age_ms: int = 0
 
 
 class SlotQueued(Message, tag="Waiting"):
--- a/oleanderhoist/policy/objectives.py
+++ b/oleanderhoist/policy/objectives.py
@@ -30,9 +30,21 @@
                 None if not given.
         """
         objective = work.objective - TRANSIT_SECONDS
+        return objective - self.age(work, caller_remaining)
+
+    def age(
+        self, work: contractset.Work, caller_remaining: float | None
+    ) -> float:
+        """Returns the time since the caller's first attempt, in seconds.
+
+        Args:
+            work: Kind of work.
+            caller_remaining: Time until the caller times out, in seconds;
+                None if not given.
+        """
         if caller_remaining is None:
-            return objective
+            return 0.0
         key = (work.host, work.prefix)
         longest = max(self.longest_waits.get(key, 0.0), caller_remaining)
         self.longest_waits[key] = longest
-        return objective - (longest - caller_remaining)
+        return longest - caller_remaining
--- a/oleanderhoist/policy/slotqueue.py
+++ b/oleanderhoist/policy/slotqueue.py
@@ -14,6 +14,7 @@
 import collections
 from collections.abc import Callable
 
+from oleanderhoist.policy import admission
 from oleanderhoist.policy import demand
 from oleanderhoist.policy import serverchoice
 from oleanderhoist.policy import serverslots
@@ -29,7 +30,7 @@
 OBJECTIVE_MARGIN = 1.5  # Service times; at 1, about half would be late.
 LOCAL_UTILISATION = 0.75  # Above this no slot may idle while requests wait.
 MAX_SKIPPED = 8  # Bounds the work of one scan of a queue.
-MIN_RETRY_SECONDS = 0.05
+MIN_RETRY_SECONDS = admission.SOONEST_RETURN_SECONDS
 MAX_RETRY_SECONDS = 2.0
 RETRY_FRACTION = 1 / 3  # Of the time left; the rest is for waiting and work.
 MAX_UTILISATION = 0.95  # Above this no overdue request is queued.
@@ -38,6 +39,8 @@
 MIN_RATE_FRACTION = 0.05  # Of the service rate; assumed for every rank.
 MIN_RATE = 1e-3  # Requests per second; assumed if no server is usable.
 RECLAIM_DELAY_SECONDS = 0.5
+BEHIND_RANK = -1  # Queue of kinds that are served too seldom.
+BURST_RETURN_FRACTION = 0.7  # Of the latest return; earlier, all is full.
 
 
 class SlotQueue:
@@ -59,6 +62,7 @@
         )
         self.demand = demand.Demand()
         self.transits = transits.Transits()
+        self.admission = admission.Admission()
 
     def update(self, servers: list[serverslots.ServerSlots]) -> None:
         """Replaces the usable servers, keeping the state of known ones.
@@ -159,7 +163,9 @@
         """
         if not self.answers:
             self.assume_service(request, now)
-        if now + self.service_seconds <= request.objective:
+        self.admission.arrive(request, now)
+        early = self.admission.is_early(request, now)
+        if now + self.service_seconds <= request.objective and not early:
             self.demand.count(request.rank, now, self.service_seconds)
         # A free slot suits no queued request, so taking it overtakes none.
         server = self.choose(request, now)
@@ -167,18 +173,42 @@
             return self.grant(request, server, now)
         wait = self.expected_wait(request, now)
         end = now + wait + self.service_seconds
-        if (
-            now + wait + OBJECTIVE_MARGIN * self.service_seconds
-            <= request.objective
-        ):
-            queue = self.queues.setdefault(request.rank, collections.deque())
-            queue.append(request)
+        rank = self.queue_rank(request, wait, now)
+        if rank is not None and not early:
+            self.queues.setdefault(rank, collections.deque()).append(request)
             return None
         spare_rate = self.spare_rate(now, self.excluded_from(request))
         if spare_rate and end <= request.deadline:
             return self.submit_overdue(request, spare_rate, now)
         return self.refuse(request, wait, now)
 
+    def queue_rank(
+        self, request: slotrequests.SlotRequest, wait: float, now: float
+    ) -> int | None:
+        """Returns the rank with which a request is queued on time, or None.
+
+        Args:
+            request: The request.
+            wait: Its expected wait, in seconds.
+            now: Current time, in seconds.
+        """
+        behind = self.queued_ahead(BEHIND_RANK)
+        if self.admission.is_behind(request, behind, now):
+            first = (behind + 1) / max(MIN_RATE, self.service_rate(now))
+            if now + first + self.service_seconds <= request.deadline:
+                return BEHIND_RANK
+        bearable = self.admission.bearable_wait(request.rank, now)
+        bearable = max(bearable, self.service_seconds)
+        if wait <= min(bearable, self.bearable_wait(request, now)):
+            return request.rank
+        return None
+
+    def bearable_wait(
+        self, request: slotrequests.SlotRequest, now: float
+    ) -> float:
+        """Returns the wait after which it meets its objective, in seconds."""
+        return request.objective - now - OBJECTIVE_MARGIN * self.service_seconds
+
     def assume_service(
         self, request: slotrequests.SlotRequest, now: float
     ) -> None:
@@ -226,20 +256,25 @@
 
         Callers that retry during a burst are refused again, and few retry a
         second time, so during a burst they are told to retry late, when it
-        may be over.
+        may be over. They return as fast as there is room for them.
         """
         latest = RETRY_FRACTION * (request.deadline - now)
         latest = min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, latest))
         slack = max(0.0, request.objective - now - self.service_seconds)
-        retry = max(MIN_RETRY_SECONDS, wait - slack)
+        earliest = max(MIN_RETRY_SECONDS, wait - slack)
         if self.demand.surely_exceeds(
             OVERLOAD_RATIO * self.service_rate(now), now
         ):
-            retry = latest
+            earliest = max(earliest, BURST_RETURN_FRACTION * latest)
+        rate = max(self.spare_rate(now), self.minimum_rate(now))
+        retry = self.admission.return_after(earliest, latest, rate, now)
+        self.admission.refuse(
+            request,
+            bearable_wait=self.bearable_wait(request, now),
+            now=now,
+        )
         return slotrequests.Refused(
-            request=request,
-            retry_after=min(retry, latest),
-            expected_wait=wait,
+            request=request, retry_after=retry, expected_wait=wait
         )
 
     def choose(
@@ -279,6 +314,7 @@
         now: float,
     ) -> slotrequests.Granted:
         """Grants a request a slot."""
+        self.admission.serve(request, now)
         server.grant(
             (request.requester, request.id),
             now,
--- a/oleanderhoist/policy/slotrequests.py
+++ b/oleanderhoist/policy/slotrequests.py
@@ -21,6 +21,8 @@
         body_bytes: Size of the request's body.
         excluded: Servers that the request was already sent to.
         request_id: Id of the caller's request, for the log.
+        kind: Kind of work; empty from earlier versions.
+        age: Time from the caller's first attempt to this one, in seconds.
     """
 
     id: int
@@ -32,6 +34,8 @@
     body_bytes: int = 0
     excluded: frozenset[str] = frozenset()
     request_id: str = ""
+    kind: str = ""
+    age: float = 0.0
 
     @property
     def key(self) -> RequestKey:
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -72,6 +72,8 @@
         excluded=["s"],
         retransmitted=True,
         ended=[6],
+        kind="k",
+        age_ms=7,
     ),
     datagrams.SlotQueued(id=1, wait_ms=2),
     datagrams.SlotGranted(
@@ -104,7 +106,7 @@
 9aa544656c7461010203049193a16da161cb3fe000000000000091a16e9198a173a170a3683a31
 a1610506c3c391a17481a17091930708a173
 
-9ba341736ba17101020304a1610591a173c39106
+9da341736ba17101020304a1610591a173c39106a16b07
 
 93a757616974696e670102
 
@@ -419,7 +421,7 @@
         later = {
             datagrams.Heartbeat: ["evacuated", "evacuated_revision"],
             datagrams.ReleaseSlot: ["load"],
-            datagrams.AcquireSlot: ["ended"],
+            datagrams.AcquireSlot: ["ended", "kind", "age_ms"],
             datagrams.CancelAcquire: ["started"],
         }
         for message in DATAGRAMS:
