Admit less while requests are refused; refuse what waits in vain

Requests past their objective waited for capacity that others no longer left, up to 1.9 s, and were refused then.

Change: kinds of one rank are compared by their objectives. While first attempts are refused, the margin before the objective is 1.8 service times, not 1.5. Overdue requests are refused once what is left doesn't reach them.

--- a/oleanderhoist/policy/admission.py
+++ b/oleanderhoist/policy/admission.py
@@ -7,8 +7,10 @@
 - Kinds of one rank have different objectives. A queue as long as the patient
   kind bears would be too long for the other, so none is queued for longer than
   the one that was refused bears.
-- Some callers repeat a refused request at once, and often. Such a request gets
-  what the others leave, however often it is repeated.
+- All that are queued then wait for as long as is admitted, so less is admitted
+  while requests are refused: most would be late if the work takes a little
+  longer. Callers that repeat at once gain nothing, as their objective counts
+  from the first attempt.
 - Many requests are refused within a moment. If all were told to return at the
   same time, they would be refused again.
 """
@@ -24,7 +26,7 @@
 PRESSURE_SECONDS = 1.0  # For which a refusal shows that there is no room.
 GOLDEN_RATIO = 0.6180339887  # Spreads any number of values evenly.
 FIRST_AGE_SECONDS = 0.001  # A first attempt is not older.
-SOONEST_RETURN_SECONDS = 0.05  # No refused caller is told to return sooner.
+FRESH_PART = 0.9  # Of the objective; remains to a request that just arrived.
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -33,11 +35,13 @@
 
     Attributes:
         rank: Urgency; 0 is the most urgent.
+        objective: Longest time to the objective of a request, in seconds.
         arrived: First attempts that arrived.
         served: Requests that were granted a slot.
     """
 
     rank: int
+    objective: float = 0.0
     arrived: eventrate.DecayingRate = dataclasses.field(
         default_factory=lambda: eventrate.DecayingRate(window=WINDOW_SECONDS)
     )
@@ -57,12 +61,11 @@
 
     Attributes:
         refused_at: When a first attempt was last refused, in seconds.
-        bearable_wait: Least wait, in seconds, that such a request would have
-            borne.
+        kinds: Kinds of work that were refused.
     """
 
     refused_at: float
-    bearable_wait: float = float("inf")
+    kinds: set[str] = dataclasses.field(default_factory=set)
 
     def is_over(self, now: float) -> bool:
         """Returns whether nothing has been refused for a while."""
@@ -90,7 +93,9 @@
     def arrive(self, request: slotrequests.SlotRequest, now: float) -> None:
         """Counts a request; a repeated one counts where it first arrived."""
         if request.age <= FIRST_AGE_SECONDS:
-            self.kind_of(request).arrived.count(now)
+            kind = self.kind_of(request)
+            kind.arrived.count(now)
+            kind.objective = max(kind.objective, request.objective - now)
 
     def serve(self, request: slotrequests.SlotRequest, now: float) -> None:
         """Counts a request that is granted a slot."""
@@ -119,47 +124,43 @@
             kind.part(now) >= part for kind in kinds if kind.rank < own.rank
         )
 
-    def bearable_wait(self, rank: int, now: float) -> float:
-        """Returns the longest wait for which a rank is queued, in seconds."""
+    def is_pressed(self, rank: int, now: float) -> bool:
+        """Returns whether first attempts of a rank are refused."""
         pressure = self.pressures.get(rank)
-        if pressure is None or pressure.is_over(now):
-            return float("inf")
-        return pressure.bearable_wait
+        return pressure is not None and not pressure.is_over(now)
 
-    def is_early(self, request: slotrequests.SlotRequest, now: float) -> bool:
-        """Returns whether a request repeats one sooner than any is told to.
+    def least_objective(
+        self, request: slotrequests.SlotRequest, now: float
+    ) -> float:
+        """Returns the shortest objective among refused kinds of its rank.
 
-        It matters only while first attempts are refused.
+        It is infinite if nothing is refused, its own kind aside.
         """
-        pressure = self.pressures.get(request.rank)
-        if pressure is None or pressure.is_over(now):
-            return False
-        return FIRST_AGE_SECONDS < request.age < SOONEST_RETURN_SECONDS
-
-    def refuse(
-        self,
-        request: slotrequests.SlotRequest,
-        *,
-        bearable_wait: float,
-        now: float,
-    ) -> None:
+        if not self.is_pressed(request.rank, now):
+            return float("inf")
+        others = self.pressures[request.rank].kinds - {request.kind}
+        return min(
+            (self.kinds[kind].objective for kind in others),
+            default=float("inf"),
+        )
+
+    def refuse(self, request: slotrequests.SlotRequest, now: float) -> None:
         """Records a refusal.
 
-        Args:
-            request: The request.
-            bearable_wait: Longest wait after which it meets its objective, in
-                seconds; not above 0 if there is none.
-            now: Current time, in seconds.
+        One that was tried at a server before, or that waited, has less time
+        left than first attempts have, and says nothing of them.
         """
-        if request.age > FIRST_AGE_SECONDS or not request.kind:
+        kind = self.kinds.get(request.kind)
+        if kind is None or request.age > FIRST_AGE_SECONDS:
+            return
+        if request.objective - now < FRESH_PART * kind.objective:
             return
         pressure = self.pressures.get(request.rank)
         if pressure is None or pressure.is_over(now):
             pressure = Pressure(refused_at=now)
             self.pressures[request.rank] = pressure
         pressure.refused_at = now
-        if bearable_wait > 0:
-            pressure.bearable_wait = min(pressure.bearable_wait, bearable_wait)
+        pressure.kinds.add(request.kind)
 
     def return_after(
         self, earliest: float, latest: float, rate: float, now: float
--- a/oleanderhoist/policy/slotqueue.py
+++ b/oleanderhoist/policy/slotqueue.py
@@ -28,9 +28,10 @@
 BLOCK_FAILURE_RATE = 0.6
 BLOCK_SECONDS = 0.7
 OBJECTIVE_MARGIN = 1.5  # Service times; at 1, about half would be late.
+PRESSED_MARGIN = 1.8  # While requests are refused: all wait that long then.
 LOCAL_UTILISATION = 0.75  # Above this no slot may idle while requests wait.
 MAX_SKIPPED = 8  # Bounds the work of one scan of a queue.
-MIN_RETRY_SECONDS = admission.SOONEST_RETURN_SECONDS
+MIN_RETRY_SECONDS = 0.05
 MAX_RETRY_SECONDS = 2.0
 RETRY_FRACTION = 1 / 3  # Of the time left; the rest is for waiting and work.
 MAX_UTILISATION = 0.95  # Above this no overdue request is queued.
@@ -164,8 +165,7 @@
         if not self.answers:
             self.assume_service(request, now)
         self.admission.arrive(request, now)
-        early = self.admission.is_early(request, now)
-        if now + self.service_seconds <= request.objective and not early:
+        if now + self.service_seconds <= request.objective:
             self.demand.count(request.rank, now, self.service_seconds)
         # A free slot suits no queued request, so taking it overtakes none.
         server = self.choose(request, now)
@@ -174,7 +174,7 @@
         wait = self.expected_wait(request, now)
         end = now + wait + self.service_seconds
         rank = self.queue_rank(request, wait, now)
-        if rank is not None and not early:
+        if rank is not None:
             self.queues.setdefault(rank, collections.deque()).append(request)
             return None
         spare_rate = self.spare_rate(now, self.excluded_from(request))
@@ -197,18 +197,16 @@
             first = (behind + 1) / max(MIN_RATE, self.service_rate(now))
             if now + first + self.service_seconds <= request.deadline:
                 return BEHIND_RANK
-        bearable = self.admission.bearable_wait(request.rank, now)
-        bearable = max(bearable, self.service_seconds)
-        if wait <= min(bearable, self.bearable_wait(request, now)):
+        margin = OBJECTIVE_MARGIN
+        if self.admission.is_pressed(request.rank, now):
+            margin = PRESSED_MARGIN
+        reserve = margin * self.service_seconds
+        others = self.admission.least_objective(request, now) - reserve
+        bearable = max(others, self.service_seconds)
+        if wait <= min(bearable, request.objective - now - reserve):
             return request.rank
         return None
 
-    def bearable_wait(
-        self, request: slotrequests.SlotRequest, now: float
-    ) -> float:
-        """Returns the wait after which it meets its objective, in seconds."""
-        return request.objective - now - OBJECTIVE_MARGIN * self.service_seconds
-
     def assume_service(
         self, request: slotrequests.SlotRequest, now: float
     ) -> None:
@@ -268,11 +266,7 @@
             earliest = max(earliest, BURST_RETURN_FRACTION * latest)
         rate = max(self.spare_rate(now), self.minimum_rate(now))
         retry = self.admission.return_after(earliest, latest, rate, now)
-        self.admission.refuse(
-            request,
-            bearable_wait=self.bearable_wait(request, now),
-            now=now,
-        )
+        self.admission.refuse(request, now)
         return slotrequests.Refused(
             request=request, retry_after=retry, expected_wait=wait
         )
@@ -457,6 +451,7 @@
         for queue in [*self.queues.values(), self.overdue]:
             while queue and now + required > queue[0].deadline:
                 refused.append(self.refuse(queue.popleft(), 0.0, now))
+        refused.extend(self.refuse_hopeless(now))
         for server in self.servers.values():
             server.end_lapsed_limit(now)
             for key, running in list(server.running.items()):
@@ -464,6 +459,26 @@
                     del server.running[key]
         return refused
 
+    def refuse_hopeless(self, now: float) -> list[slotrequests.Verdict]:
+        """Refuses overdue requests that are not reached in time any more.
+
+        What requests on time leave may have become less since they came, and
+        a caller that waits to the end has no time left to return.
+        """
+        if not self.overdue:
+            return []
+        rate = max(self.spare_rate(now), self.minimum_rate(now))
+        kept: list[slotrequests.SlotRequest] = []
+        refused: list[slotrequests.Verdict] = []
+        for request in self.overdue:
+            wait = (len(kept) + 1) / rate
+            if now + wait + self.service_seconds > request.deadline:
+                refused.append(self.refuse(request, wait, now))
+            else:
+                kept.append(request)
+        self.overdue = collections.deque(kept)
+        return refused
+
     def drain(self) -> list[slotrequests.SlotRequest]:
         """Removes and returns all waiting requests."""
         waiting = [request for q in self.queues.values() for request in q]
