--- a/oleanderhoist/policy/admission.py
+++ b/oleanderhoist/policy/admission.py
@@ -7,10 +7,6 @@
 - Kinds of one rank have different objectives. A queue as long as the patient
   kind bears would be too long for the other, so none is queued for longer than
   the one that was refused bears.
-- All that are queued then wait for as long as is admitted, so less is admitted
-  while requests are refused: most would be late if the work takes a little
-  longer. Callers that repeat at once gain nothing, as their objective counts
-  from the first attempt.
 - Many requests are refused within a moment. If all were told to return at the
   same time, they would be refused again.
 """
@@ -124,11 +120,6 @@
             kind.part(now) >= part for kind in kinds if kind.rank < own.rank
         )
 
-    def is_pressed(self, rank: int, now: float) -> bool:
-        """Returns whether first attempts of a rank are refused."""
-        pressure = self.pressures.get(rank)
-        return pressure is not None and not pressure.is_over(now)
-
     def least_objective(
         self, request: slotrequests.SlotRequest, now: float
     ) -> float:
@@ -136,9 +127,10 @@
 
         It is infinite if nothing is refused, its own kind aside.
         """
-        if not self.is_pressed(request.rank, now):
+        pressure = self.pressures.get(request.rank)
+        if pressure is None or pressure.is_over(now):
             return float("inf")
-        others = self.pressures[request.rank].kinds - {request.kind}
+        others = pressure.kinds - {request.kind}
         return min(
             (self.kinds[kind].objective for kind in others),
             default=float("inf"),
--- a/oleanderhoist/policy/slotqueue.py
+++ b/oleanderhoist/policy/slotqueue.py
@@ -28,7 +28,6 @@
 BLOCK_FAILURE_RATE = 0.6
 BLOCK_SECONDS = 0.7
 OBJECTIVE_MARGIN = 1.5  # Service times; at 1, about half would be late.
-PRESSED_MARGIN = 1.8  # While requests are refused: all wait that long then.
 LOCAL_UTILISATION = 0.75  # Above this no slot may idle while requests wait.
 MAX_SKIPPED = 8  # Bounds the work of one scan of a queue.
 MIN_RETRY_SECONDS = 0.05
@@ -197,10 +196,7 @@
             first = (behind + 1) / max(MIN_RATE, self.service_rate(now))
             if now + first + self.service_seconds <= request.deadline:
                 return BEHIND_RANK
-        margin = OBJECTIVE_MARGIN
-        if self.admission.is_pressed(request.rank, now):
-            margin = PRESSED_MARGIN
-        reserve = margin * self.service_seconds
+        reserve = OBJECTIVE_MARGIN * self.service_seconds
         others = self.admission.least_objective(request, now) - reserve
         bearable = max(others, self.service_seconds)
         if wait <= min(bearable, request.objective - now - reserve):
