Bound what admission and started requests keep

Cause: a coordinator that is told only of requests that did not wait for it never ended them; kinds of work whose routes are renamed stayed.

Change: each such message ends what has lapsed; a new kind replaces those that no longer arrive.

--- a/oleanderhoist/node/coordinator.py
+++ b/oleanderhoist/node/coordinator.py
@@ -264,9 +264,10 @@
         """
         self.drop_earlier_copy(name, requester, id)
         STARTED.inc()
-        self.get(name).queue.add_started(
-            (requester, id), server, self.clock.monotonic()
-        )
+        hosted = self.get(name)
+        now = self.clock.monotonic()
+        hosted.queue.add_started((requester, id), server, now)
+        self.advance(hosted, now)
 
     def drop_earlier_copy(self, name: str, requester: str, id: int) -> None:
         """Drops the earlier copy of a retransmitted slot request.
--- a/oleanderhoist/policy/admission.py
+++ b/oleanderhoist/policy/admission.py
@@ -17,6 +17,7 @@
 from oleanderhoist.policy import slotrequests
 
 WINDOW_SECONDS = 10.0  # In which the parts of kinds are compared.
+FORGOTTEN_WEIGHT = 0.01  # Of arrivals, whose weights fade.
 MIN_ARRIVALS = 8.0  # Of a kind, before it is compared.
 LEAST_PART = 1 / 3  # Of how often all are served; callers notice a quarter.
 PRESSURE_SECONDS = 1.0  # For which a refusal shows that there is no room.
@@ -77,11 +78,19 @@
         self.next_return = 0.0
         self.refusals = 0
 
-    def kind_of(self, request: slotrequests.SlotRequest) -> Kind:
-        """Returns the kind of a request; by rank if no kind is given."""
+    def kind_of(self, request: slotrequests.SlotRequest, now: float) -> Kind:
+        """Returns the kind of a request; by rank if no kind is given.
+
+        A new one replaces those that no longer arrive.
+        """
         name = request.kind or f"rank {request.rank}"
         kind = self.kinds.get(name)
         if kind is None:
+            self.kinds = {
+                name: kind
+                for name, kind in self.kinds.items()
+                if kind.arrived.weight_at(now) > FORGOTTEN_WEIGHT
+            }
             kind = self.kinds[name] = Kind(rank=request.rank)
         kind.rank = request.rank
         return kind
@@ -89,13 +98,13 @@
     def arrive(self, request: slotrequests.SlotRequest, now: float) -> None:
         """Counts a request; a repeated one counts where it first arrived."""
         if request.age <= FIRST_AGE_SECONDS:
-            kind = self.kind_of(request)
+            kind = self.kind_of(request, now)
             kind.arrived.count(now)
             kind.objective = max(kind.objective, request.objective - now)
 
     def serve(self, request: slotrequests.SlotRequest, now: float) -> None:
         """Counts a request that is granted a slot."""
-        self.kind_of(request).served.count(now)
+        self.kind_of(request, now).served.count(now)
 
     def is_behind(
         self, request: slotrequests.SlotRequest, waiting: int, now: float
@@ -109,7 +118,7 @@
             waiting: Requests that are queued for this reason already.
             now: Current time, in seconds.
         """
-        own = self.kind_of(request)
+        own = self.kind_of(request, now)
         if own.arrived.weight_at(now) < MIN_ARRIVALS:
             return False
         kinds = list(self.kinds.values())
@@ -130,7 +139,7 @@
         pressure = self.pressures.get(request.rank)
         if pressure is None or pressure.is_over(now):
             return float("inf")
-        others = pressure.kinds - {request.kind}
+        others = (pressure.kinds - {request.kind}) & self.kinds.keys()
         return min(
             (self.kinds[kind].objective for kind in others),
             default=float("inf"),
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -136,6 +136,16 @@
             )
         )
 
+    async def test_requests_that_pass_by_are_forgotten_without_any_other(self):
+        pair = test_permits.Pair(lose=lambda message: False)
+        told = pair.coordinators[test_permits.COORDINATOR]
+        for id in range(30):
+            told.add_started(
+                test_permits.QUEUE, test_permits.REQUESTER, id, "s"
+            )
+            await asyncio.sleep(0.01)
+        self.assertLess(pair.running(), 20)  # The work takes 0.1 s.
+
     async def check_lost(self, kind: type) -> None:
         """Checks that the next slot request frees what a lost message held."""
         pair = test_permits.Pair(lose=test_permits.lose_first(kind))
