--- a/oleanderhoist/node/coordinator.py
+++ b/oleanderhoist/node/coordinator.py
@@ -16,6 +16,7 @@
 from oleanderhoist.policy import serverslots
 from oleanderhoist.policy import slotqueue
 from oleanderhoist.policy import slotrequests
+from oleanderhoist.policy import transits
 
 TICK_SECONDS = 0.05  # For what no release brings about, as an expiry.
 NO_SERVER_RETRY_SECONDS = 0.1
@@ -26,6 +27,15 @@
     "oleander_lane_verdicts", "Asks by verdict", ["verdict"]
 )
 
+STARTED = prometheus_client.Counter(
+    "oleander_requests_started",
+    "Requests of other routers that were sent to a server without a grant",
+)
+
+FREED = prometheus_client.Counter(
+    "oleander_ended_slots_freed", "Slots whose release was lost on the way"
+)
+
 Reply = Callable[[slotrequests.Verdict], None]
 
 
@@ -81,6 +91,7 @@
             terms=cold_terms,
         )
         self.hosted: dict[str, HostedQueue] = {}
+        self.transits = transits.Transits()
         self.wake = asyncio.Event()
         state.snapshot_listeners.append(self.update)
 
@@ -97,6 +108,7 @@
         hosted = self.hosted.get(name)
         if hosted is None:
             hosted = HostedQueue(queue=slotqueue.SlotQueue())
+            hosted.queue.transits = self.transits
             self.hosted[name] = hosted
             self.refresh(name, hosted)
         return hosted
@@ -292,6 +304,20 @@
         now = self.clock.monotonic()
         return hosted.queue.remaining_wait(requester, id, now)
 
+    def add_started(
+        self, name: str, requester: str, id: int, server: str
+    ) -> None:
+        """Counts a request that its router sent to a server without a grant.
+
+        Its slot request no longer waits.
+        """
+        self.drop_earlier_copy(name, requester, id)
+        STARTED.inc()
+        hosted = self.get(name)
+        now = self.clock.monotonic()
+        hosted.queue.add_started((requester, id), server, now)
+        self.advance(hosted, now)
+
     def drop_earlier_copy(self, name: str, requester: str, id: int) -> None:
         """Drops the earlier copy of a retransmitted slot request.
 
@@ -303,6 +329,17 @@
             hosted.replies.pop((requester, id), None)
             hosted.queue.cancel(requester, id)
 
+    def free_ended(self, requester: str, ids: list[int]) -> None:
+        """Frees the slots of ended requests whose release was lost."""
+        for hosted in self.hosted.values():
+            lost = [id for id in ids if hosted.queue.has(requester, id)]
+            for id in lost:
+                hosted.replies.pop((requester, id), None)
+                hosted.queue.cancel(requester, id)
+            if lost:
+                FREED.inc(len(lost))
+                self.advance(hosted, self.clock.monotonic())
+
     def drop_process(self, requester: str, process: int) -> None:
         """Drops the requests of a router's ended process; frees their slots."""
 
--- a/oleanderhoist/node/slotclient.py
+++ b/oleanderhoist/node/slotclient.py
@@ -17,6 +17,7 @@
 from oleanderhoist.node import state
 from oleanderhoist.node import wire
 from oleanderhoist.policy import cluster
+from oleanderhoist.policy import endedslots
 from oleanderhoist.policy import roundtrip
 from oleanderhoist.policy import slotqueue
 from oleanderhoist.policy import slotrequests
@@ -45,6 +46,7 @@
             coordinators of the pending requests.
         slots_due: Until when requests may wait for a slot; set by a stop. The
             caller of `acquire` cancels it then.
+        ended: Slots that ended, in case a release is lost.
         reply_times: How long coordinators' replies take to reach this router.
         notices: What servers say of themselves in their answers.
     """
@@ -66,6 +68,7 @@
         self.suspected_until: dict[str, float] = {}
         self.cores_by_member: dict[str, float] = {}
         self.reply_times = roundtrip.RoundTrip()
+        self.ended = endedslots.EndedSlots()
         self.slots_due = deadline.SharedDeadline()
         self.notices = servernotices.ServerNotices(
             datagrams=datagrams,
@@ -202,6 +205,7 @@
             )
             return
         now = self.clock.monotonic()
+        self.ended.discard(coordinator_address, request.id)
         self.datagrams.send(
             coordinator_address,
             wire.AcquireSlot(
@@ -214,6 +218,9 @@
                 body_bytes=request.body_bytes,
                 excluded=list(request.excluded),
                 retransmitted=retransmitted,
+                ended=self.ended.name(coordinator_address, now),
+                kind=request.kind,
+                age_ms=round(request.age * 1000),
             ),
         )
 
@@ -239,7 +246,9 @@
                     pending.request,
                     retransmitted=True,
                 )
-            timeout = self.reply_times.timeout()
+            timeout = self.reply_times.patience(
+                pending.request.objective - asked_at
+            )
             await asyncio.wait([pending.future], timeout=timeout)
             if pending.future.done() or pending.expected_wait is not None:
                 # Which of several requests was replied to is not known.
@@ -339,6 +348,7 @@
         self.notices.apply_shares(queue)
         wait = self.coordinator.bypass(queue, request, record)
         if isinstance(verdict, slotrequests.Granted):
+            self.tell_started(queue, request.id, verdict.server)
             return slotgrants.to_grant(queue, self.datagrams.address, verdict)
         self.coordinator.cancel(queue, request.requester, request.id)
         if isinstance(verdict, slotrequests.Refused):
@@ -350,6 +360,19 @@
             ),
         )
 
+    def tell_started(self, queue: str, id: int, server: str) -> None:
+        """Tells the coordinator of a request that does not wait for it.
+
+        It may be late only, and would grant the slot to others.
+        """
+        address = self.state.snapshot.coordinator(queue)
+        if address in ("", self.datagrams.address):
+            return
+        self.ended.discard(address, id)
+        self.datagrams.send(
+            address, wire.CancelAcquire(queue=queue, id=id, started=server)
+        )
+
     def release(
         self,
         grant: slotgrants.SlotGrant,
@@ -379,6 +402,7 @@
             )
             return
         took_ms = -1.0 if seconds is None else round(seconds * 1000, 1)
+        self.ended.add(grant.coordinator, grant.id, self.clock.monotonic())
         self.datagrams.send(
             grant.coordinator,
             wire.ReleaseSlot(
@@ -405,10 +429,11 @@
         """Cancels a slot request."""
         if coordinator_address == self.datagrams.address:
             self.coordinator.cancel(queue, coordinator_address, id)
-        else:
-            self.datagrams.send(
-                coordinator_address, wire.CancelAcquire(queue=queue, id=id)
-            )
+            return
+        self.ended.add(coordinator_address, id, self.clock.monotonic())
+        self.datagrams.send(
+            coordinator_address, wire.CancelAcquire(queue=queue, id=id)
+        )
 
     def resolve(
         self, coordinator_address: str, verdict: slotrequests.Verdict
--- a/oleanderhoist/node/slotserver.py
+++ b/oleanderhoist/node/slotserver.py
@@ -44,6 +44,7 @@
         A repeated one that still waits keeps its place in the queue.
         """
         self.observe_process(peer, processids.process_of(message.id))
+        self.coordinator.free_ended(peer, message.ended)
         if message.retransmitted:
             remaining = self.coordinator.remaining_wait(
                 message.queue, peer, message.id
@@ -62,6 +63,8 @@
             data_center=message.data_center,
             body_bytes=message.body_bytes,
             excluded=frozenset(message.excluded),
+            kind=message.kind,
+            age=message.age_ms / 1000,
         )
         wait = self.coordinator.submit(
             message.queue,
@@ -125,7 +128,12 @@
 
     def on_cancel_acquire(self, peer: str, message: wire.CancelAcquire) -> None:
         """Drops a slot request, and frees its slot if it was granted one."""
-        self.coordinator.cancel(message.queue, peer, message.id)
+        if message.started:
+            self.coordinator.add_started(
+                message.queue, peer, message.id, message.started
+            )
+        else:
+            self.coordinator.cancel(message.queue, peer, message.id)
 
     def on_server_silent(self, peer: str, message: wire.ServerSilent) -> None:
         """Counts a request that a server left unanswered."""
--- a/oleanderhoist/node/wire.py
+++ b/oleanderhoist/node/wire.py
@@ -141,6 +141,11 @@
         body_bytes: Size of the request's body, in bytes.
         excluded: Ids of servers that the request was already sent to.
         retransmitted: Whether the message repeats one that got no reply.
+        ended: Ids of the sender's slot requests at this coordinator that have
+            ended, in case it was not told.
+        kind: Kind of work; empty from earlier versions.
+        age_ms: Time from the caller's first attempt to this one, in
+            milliseconds.
     """
 
     queue: str
@@ -152,6 +157,9 @@
     body_bytes: int
     excluded: list[str]
     retransmitted: bool = False
+    ended: list[int] = []
+    kind: str = ""
+    age_ms: int = 0
 
 
 class SlotQueued(Message, tag="Waiting"):
@@ -219,10 +227,18 @@
 
 
 class CancelAcquire(Message, tag="Cancel"):
-    """A router cancels a slot request."""
+    """A router cancels a slot request.
+
+    Attributes:
+        queue: Slot queue of the slot.
+        id: Id of the slot request.
+        started: Id of the server that the request is sent to without a grant;
+            empty if it is not.
+    """
 
     queue: str
     id: int
+    started: str = ""
 
 
 class ServerLimit(Message, tag="Limit"):
--- a/oleanderhoist/policy/slotqueue.py
+++ b/oleanderhoist/policy/slotqueue.py
@@ -14,10 +14,12 @@
 import collections
 from collections.abc import Callable
 
+from oleanderhoist.policy import admission
 from oleanderhoist.policy import demand
 from oleanderhoist.policy import serverchoice
 from oleanderhoist.policy import serverslots
 from oleanderhoist.policy import slotrequests
+from oleanderhoist.policy import transits
 
 DEFAULT_SERVICE_SECONDS = 0.1
 # Of the objective of the first request; assumed before the first answer.
@@ -37,6 +39,8 @@
 MIN_RATE_FRACTION = 0.05  # Of the service rate; assumed for every rank.
 MIN_RATE = 1e-3  # Requests per second; assumed if no server is usable.
 RECLAIM_DELAY_SECONDS = 0.5
+BEHIND_RANK = -1  # Queue of kinds that are served too seldom.
+BURST_RETURN_FRACTION = 0.7  # Of the latest return; earlier, all is full.
 
 
 class SlotQueue:
@@ -57,6 +61,8 @@
             collections.deque()
         )
         self.demand = demand.Demand()
+        self.transits = transits.Transits()
+        self.admission = admission.Admission()
 
     def update(self, servers: list[serverslots.ServerSlots]) -> None:
         """Replaces the usable servers, keeping the state of known ones.
@@ -157,6 +163,7 @@
         """
         if not self.answers:
             self.assume_service(request, now)
+        self.admission.arrive(request, now)
         if now + self.service_seconds <= request.objective:
             self.demand.count(request.rank, now, self.service_seconds)
         # A free slot suits no queued request, so taking it overtakes none.
@@ -165,18 +172,37 @@
             return self.grant(request, server, now)
         wait = self.expected_wait(request, now)
         end = now + wait + self.service_seconds
-        if (
-            now + wait + OBJECTIVE_MARGIN * self.service_seconds
-            <= request.objective
-        ):
-            queue = self.queues.setdefault(request.rank, collections.deque())
-            queue.append(request)
+        rank = self.queue_rank(request, wait, now)
+        if rank is not None:
+            self.queues.setdefault(rank, collections.deque()).append(request)
             return None
         spare_rate = self.spare_rate(now, self.excluded_from(request))
         if spare_rate and end <= request.deadline:
             return self.submit_overdue(request, spare_rate, now)
         return self.refuse(request, wait, now)
 
+    def queue_rank(
+        self, request: slotrequests.SlotRequest, wait: float, now: float
+    ) -> int | None:
+        """Returns the rank with which a request is queued on time, or None.
+
+        Args:
+            request: The request.
+            wait: Its expected wait, in seconds.
+            now: Current time, in seconds.
+        """
+        behind = self.queued_ahead(BEHIND_RANK)
+        if self.admission.is_behind(request, behind, now):
+            first = (behind + 1) / max(MIN_RATE, self.service_rate(now))
+            if now + first + self.service_seconds <= request.deadline:
+                return BEHIND_RANK
+        reserve = OBJECTIVE_MARGIN * self.service_seconds
+        others = self.admission.least_objective(request, now) - reserve
+        bearable = max(others, self.service_seconds)
+        if wait <= min(bearable, request.objective - now - reserve):
+            return request.rank
+        return None
+
     def assume_service(
         self, request: slotrequests.SlotRequest, now: float
     ) -> None:
@@ -224,20 +250,21 @@
 
         Callers that retry during a burst are refused again, and few retry a
         second time, so during a burst they are told to retry late, when it
-        may be over.
+        may be over. They return as fast as there is room for them.
         """
         latest = RETRY_FRACTION * (request.deadline - now)
         latest = min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, latest))
         slack = max(0.0, request.objective - now - self.service_seconds)
-        retry = max(MIN_RETRY_SECONDS, wait - slack)
+        earliest = max(MIN_RETRY_SECONDS, wait - slack)
         if self.demand.surely_exceeds(
             OVERLOAD_RATIO * self.service_rate(now), now
         ):
-            retry = latest
+            earliest = max(earliest, BURST_RETURN_FRACTION * latest)
+        rate = max(self.spare_rate(now), self.minimum_rate(now))
+        retry = self.admission.return_after(earliest, latest, rate, now)
+        self.admission.refuse(request, now)
         return slotrequests.Refused(
-            request=request,
-            retry_after=min(retry, latest),
-            expected_wait=wait,
+            request=request, retry_after=retry, expected_wait=wait
         )
 
     def choose(
@@ -277,10 +304,12 @@
         now: float,
     ) -> slotrequests.Granted:
         """Grants a request a slot."""
+        self.admission.serve(request, now)
         server.grant(
             (request.requester, request.id),
             now,
             request.deadline + RECLAIM_DELAY_SECONDS,
+            share=self.transits.share(request.requester, server.slot_seconds()),
         )
         return slotrequests.Granted(
             request=request,
@@ -289,6 +318,18 @@
             silent_after=server.silent_after(),
         )
 
+    def add_started(
+        self, key: slotrequests.RequestKey, server: str, now: float
+    ) -> None:
+        """Counts a request that was sent to a server without a grant.
+
+        It takes a slot there all the same, for as long as others do. When it
+        ends is not told: that would pass the link that made the grant late.
+        """
+        known = self.servers.get(server)
+        if known is not None:
+            known.grant(key, now, now + known.slot_seconds())
+
     def release(
         self,
         requester: str,
@@ -308,7 +349,10 @@
             return
         # A request that waited at the server took longer than its work.
         share = min(1.0, known.slots / ended.position)
-        occupied = (now - ended.granted_at) * share
+        held = now - ended.granted_at
+        if seconds is not None:
+            self.transits.record(requester, held, seconds)
+        occupied = share * self.transits.time_at_server(requester, held)
         if seconds is not None:
             seconds *= share
         known.record_attempt(occupied, seconds, failed)
@@ -332,6 +376,14 @@
         if (blocked + 1) * 2 <= len(self.servers):
             server.blocked_until = now + BLOCK_SECONDS
 
+    def has(self, requester: str, id: int) -> bool:
+        """Returns whether a request waits or holds a slot."""
+        key = (requester, id)
+        queues = [*self.queues.values(), self.overdue]
+        return any(key in s.running for s in self.servers.values()) or any(
+            one.key == key for queue in queues for one in queue
+        )
+
     def cancel(self, requester: str, id: int) -> None:
         """Removes a waiting request, or frees the slot that it holds."""
         for server in self.servers.values():
@@ -395,6 +447,7 @@
         for queue in [*self.queues.values(), self.overdue]:
             while queue and now + required > queue[0].deadline:
                 refused.append(self.refuse(queue.popleft(), 0.0, now))
+        refused.extend(self.refuse_hopeless(now))
         for server in self.servers.values():
             server.end_lapsed_limit(now)
             for key, running in list(server.running.items()):
@@ -402,6 +455,26 @@
                     del server.running[key]
         return refused
 
+    def refuse_hopeless(self, now: float) -> list[slotrequests.Verdict]:
+        """Refuses overdue requests that are not reached in time any more.
+
+        What requests on time leave may have become less since they came, and
+        a caller that waits to the end has no time left to return.
+        """
+        if not self.overdue:
+            return []
+        rate = max(self.spare_rate(now), self.minimum_rate(now))
+        kept: list[slotrequests.SlotRequest] = []
+        refused: list[slotrequests.Verdict] = []
+        for request in self.overdue:
+            wait = (len(kept) + 1) / rate
+            if now + wait + self.service_seconds > request.deadline:
+                refused.append(self.refuse(request, wait, now))
+            else:
+                kept.append(request)
+        self.overdue = collections.deque(kept)
+        return refused
+
     def drain(self) -> list[slotrequests.SlotRequest]:
         """Removes and returns all waiting requests."""
         waiting = [request for q in self.queues.values() for request in q]
--- a/tests/test_coordinator_moves.py
+++ b/tests/test_coordinator_moves.py
@@ -346,6 +346,8 @@
         self.messages: list[dict] = []
         log.DESTINATIONS.append(self.messages.append)
         self.addCleanup(log.DESTINATIONS.remove, self.messages.append)
+        # Earlier tests of the process may have used up the rate of the line.
+        log.RATE_LIMITERS.pop(events.SLOT_WAIT_ENDED.number, None)
         self.routers = Routers()
         self.routers.fill(BEFORE)
         self.routers.fill(AFTER)
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -71,6 +71,9 @@
         body_bytes=5,
         excluded=["s"],
         retransmitted=True,
+        ended=[6],
+        kind="k",
+        age_ms=7,
     ),
     datagrams.SlotQueued(id=1, wait_ms=2),
     datagrams.SlotGranted(
@@ -86,7 +89,7 @@
         load=(1, 2, 3, 150),
         unanswered=True,
     ),
-    datagrams.CancelAcquire(queue="q", id=1),
+    datagrams.CancelAcquire(queue="q", id=1, started="s"),
     datagrams.ServerLimit(queue="q", server="s", started_ms=1, per_second=2.5),
     datagrams.ServerLeaving(server="s", started_ms=1),
     datagrams.ServerSilent(queue="q", server="s"),
@@ -104,7 +107,7 @@
 9aa544656c7461010203049193a16da161cb3fe000000000000091a16e9198a173a170a3683a31
 a1610506c3c391a17481a17091930708a173
 
-9aa341736ba17101020304a1610591a173c3
+9da341736ba17101020304a1610591a173c39106a16b07
 
 93a757616974696e670102
 
@@ -114,7 +117,7 @@
 
 98a4446f6e65a17101a173cb4004000000000000c394010203cc96c3
 
-93a643616e63656ca17101
+94a643616e63656ca17101a173
 
 95a54c696d6974a171a17301cb4004000000000000
 
@@ -187,6 +190,24 @@
         ),
         "96a4446f6e65a17101a173cb4004000000000000c3",
     ),
+    (
+        datagrams.AcquireSlot(
+            queue="q",
+            id=1,
+            rank=2,
+            remaining_ms=3,
+            objective_ms=4,
+            data_center="a",
+            body_bytes=5,
+            excluded=["s"],
+            retransmitted=True,
+        ),
+        "9aa341736ba17101020304a1610591a173c3",
+    ),
+    (
+        datagrams.CancelAcquire(queue="q", id=1),
+        "93a643616e63656ca17101",
+    ),
 ]
 
 MESSAGES = [
@@ -401,6 +422,8 @@
         later = {
             datagrams.Heartbeat: ["evacuated", "evacuated_revision"],
             datagrams.ReleaseSlot: ["load", "unanswered"],
+            datagrams.AcquireSlot: ["ended", "kind", "age_ms"],
+            datagrams.CancelAcquire: ["started"],
         }
         for message in DATAGRAMS:
             names = later.get(type(message), [])
