Pace large answers on narrow links, so that small ones and datagrams pass

A download of 90 kB fills such a link for 0.13 s, one of 540 kB for 0.8 s, and what is written after it waits: small answers, requests to servers, slot requests and releases. Trace of the part on too little room: 40 to 70% of the sends bypassed their coordinator, which was silent for a median of 0.56 s.

--- a/oleanderhoist/http/serverconnection.py
+++ b/oleanderhoist/http/serverconnection.py
@@ -22,9 +22,11 @@
 from oleanderhoist.http import messages
 from oleanderhoist.http import streams
 from oleanderhoist.policy import answermemory
+from oleanderhoist.policy import linkpace
 
 READ_BYTES = 65_536
 WRITE_BYTES = 65_536
+PACED_BYTES = linkpace.PIECE_BYTES
 DEFAULT_HEAD_BYTES = 16_384
 HEAD_SECONDS = 5.0
 BODY_STALL_SECONDS = 10.0
@@ -60,6 +62,7 @@
         cancel_on_disconnect: Whether a handler is cancelled once its caller has
             closed the connection.
         close_after_response: Whether each response closes its connection.
+        link: Paces large responses; None if the link is wide.
     """
 
     handler: Handler
@@ -69,6 +72,7 @@
     idle_seconds: float = IDLE_SECONDS
     cancel_on_disconnect: bool = False
     close_after_response: bool = False
+    link: linkpace.LinkPace | None = None
 
 
 class ServerConnection:
@@ -378,9 +382,8 @@
             self.writer.write(parts.pop())
             async with contextlib.aclosing(response.stream) as chunks:
                 async for chunk in chunks:
-                    self.writer.write(self.protocol.send(h11.Data(data=chunk)))
-                    await self.drain()
-        elif len(response.body) > WRITE_BYTES and method != "HEAD":
+                    await self.write_parts(chunk)
+        elif len(response.body) > self.part_bytes and method != "HEAD":
             self.writer.write(parts.pop())
             await self.write_long_body(response.body)
         elif response.body and method != "HEAD":
@@ -394,13 +397,32 @@
         written = answermemory.Body(size_bytes=len(body))
         exchanges.MEMORY.add(written)
         try:
-            for start in range(0, len(body), WRITE_BYTES):
-                part = body[start : start + WRITE_BYTES]
-                self.writer.write(self.protocol.send(h11.Data(data=part)))
-                await self.drain()
+            await self.write_parts(body)
         finally:
             exchanges.MEMORY.remove(written)
 
+    @property
+    def part_bytes(self) -> int:
+        """Size of the parts in which a long body is written, in bytes."""
+        return WRITE_BYTES if self.settings.link is None else PACED_BYTES
+
+    async def write_parts(self, data: bytes) -> None:
+        """Writes a part of a body after the other, each in its turn."""
+        for start in range(0, len(data), self.part_bytes):
+            part = data[start : start + self.part_bytes]
+            await self.wait_for_turn(len(part))
+            self.writer.write(self.protocol.send(h11.Data(data=part)))
+            await self.drain()
+
+    async def wait_for_turn(self, size_bytes: int) -> None:
+        """Waits until a narrow link has room for a part of a large body."""
+        if self.settings.link is None:
+            return
+        now = asyncio.get_running_loop().time()
+        delay = self.settings.link.delay(size_bytes, now)
+        if delay > 0:
+            await asyncio.sleep(delay)
+
     async def drain(self) -> None:
         """Waits, with a time limit, until the socket accepts more data.
 
--- a/oleanderhoist/node/core.py
+++ b/oleanderhoist/node/core.py
@@ -25,6 +25,7 @@
 from oleanderhoist.node import slotserver
 from oleanderhoist.node import state
 from oleanderhoist.policy import cluster
+from oleanderhoist.policy import linkpace
 
 RESIGN_TIMEOUT_SECONDS = 1.0
 # For this long, a stopping router fails its readiness probe and still accepts
@@ -125,6 +126,10 @@
             clock=clock,
             memory_bytes=settings.memory_bytes,
         )
+        link = linkpace.LinkPace(
+            bytes_per_second=settings.link_bytes_per_second
+        )
+        self.frontend.server.settings.link = link if link.is_needed else None
         self.follower = follower.Follower(
             platform=platform,
             datagrams=self.datagrams,
--- a/oleanderhoist/platform/settings.py
+++ b/oleanderhoist/platform/settings.py
@@ -21,6 +21,7 @@
 DEFAULT_EVACUATE_MS = 5000.0
 DEFAULT_COLD_OVERAGE = 1.0
 DEFAULT_COLD_SLACK = 0.0
+BYTES_PER_MEGABIT = 125_000
 METRICS_PORT = 9464  # Also set in deploy/system.toml.
 DEFAULT_PATH = "/etc/oleanderhoist/node.json"
 
@@ -133,6 +134,7 @@
         directory_seconds=file.heartbeat_ms / 1000,
         cold_factor=bounds.get("cold_overage", DEFAULT_COLD_OVERAGE),
         cold_slack=bounds.get("cold_slack", DEFAULT_COLD_SLACK),
+        link_bytes_per_second=file.limits.link_mbps * BYTES_PER_MEGABIT,
     )
 
 
--- a/oleanderhoist/settings.py
+++ b/oleanderhoist/settings.py
@@ -95,6 +95,7 @@
         store: Address of the row store.
         cores: Processor cores that the router may use; may be a fraction.
         memory_bytes: Memory of the VM, in bytes.
+        link_bytes_per_second: Rate of the VM's network link.
         max_lease_seconds: Longest lease that servers accept, in seconds.
         retry_ratio: Retries allowed for each request to a pool.
         retry_window_seconds: Period over which retries are counted, in seconds.
@@ -134,3 +135,4 @@
     directory_seconds: float = 1.0
     cold_factor: float = 1.0
     cold_slack: float = 0.0
+    link_bytes_per_second: float = 125_000_000.0
