Soak evacuated data centres and cold servers

Cause: the soak knew neither the operator's evacuations nor servers that are cold, so nothing but unit tests checked EVAC and FAILBACK. Change: servers and routers in three data centres; the fault `evacuate` writes and removes the operator's rows, in series or overlapping, with other faults beside it; servers are cold for 4 s after a restart, and after an evacuation that had left them idle, as their entries say. Servers write each arrival to their journals, and which ones they had no key for. Two checks by the journals: no router in touch reaches an evacuated server over 5 s after the acknowledgement; a cold server gets at most rate x overage + slack in any second, from all routers. Entries are written under a lock for each server, since they are now rewritten beside drains.

--- a/soak/answerfaults.py
+++ b/soak/answerfaults.py
@@ -141,7 +141,7 @@
         pool = platform_system.pool_of(name)
         await injection.system.register_server(name, pool, state)
     elif state == "removed":
-        await injection.system.write_row("servers", name, None)
+        await injection.system.unregister_server(name)
     injection.log.append(f"{time.monotonic():.2f} entry of {name}: {state}")
     if state != "ready":
         injection.checker.drained[name] = time.monotonic()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,6 +1,7 @@
 """All faults by name."""
 
 from soak import answerfaults
+from soak import evacuationfaults
 from soak import injector
 from soak import platformfaults
 from soak import processfaults
@@ -8,4 +9,10 @@
 
 FAULTS = injector.FAULTS
 # They register the faults.
-MODULES = (answerfaults, platformfaults, processfaults, serverfaults)
+MODULES = (
+    answerfaults,
+    evacuationfaults,
+    platformfaults,
+    processfaults,
+    serverfaults,
+)
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -124,8 +124,9 @@
                 RESTART_DELAY_SECONDS, MAX_SERVER_RESTART_DELAY_SECONDS
             )
         )
+        self.checker.note_cold(name)
         await self.system.start_server(
-            name, platform_system.pool_of(name), name[0] == "t"
+            name, platform_system.pool_of(name), name[0] == "t", cold=True
         )
 
     async def end_process(self, name: str, signal_number: int) -> None:
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -4,6 +4,8 @@
 import json
 
 from oleanderhoist.policy import registry
+from soak import coldservers
+from soak import evacuations
 from soak import notices
 from soak import records
 from standins import platform_system
@@ -138,6 +140,8 @@
             self.check_limit(limit)
         self.violations += notices.check_leaving(self)
         self.violations += notices.check_retry_after(self)
+        self.violations += evacuations.check(self)
+        self.violations += coldservers.check(self)
         return self.violations
 
     def check_signer(self, answer: records.Answer) -> None:
@@ -329,6 +333,12 @@
     )
 
 
+@READERS.register("not owned")
+def read_not_owned(checker: Checker, server: str, item: dict) -> None:
+    """Reads that a request's key was not the server's."""
+    checker.not_owned[item["id"], life(server, item)] += 1
+
+
 @READERS.register("foreign body")
 def read_foreign_body(checker: Checker, server: str, item: dict) -> None:
     """Reads that a body was not the caller's."""
--- a/soak/records.py
+++ b/soak/records.py
@@ -2,10 +2,12 @@
 
 import collections
 import dataclasses
+import time
 
 FAULT_EFFECT_SECONDS = 3.0  # Time bounds apply again after this time.
 STORE = "store"  # Target of a fault.
 FREEZE = "pause"  # Kind of a fault, as those below.
+HOLDING_FAULTS = (FREEZE, "delay")
 LINK_FAULTS = ("delay", "reset", "one-way", "back", "silent")
 
 
@@ -148,6 +150,37 @@
     at: float
 
 
+@dataclasses.dataclass(kw_only=True)
+class Evacuation:
+    """Evacuation of a data centre.
+
+    Attributes:
+        data_center: Its name.
+        servers: Ids of its servers.
+        acknowledged_at: When the store had acknowledged the operator's write,
+            on the monotonic clock.
+        ended_at: When the operator began to take it back, on the same clock.
+    """
+
+    data_center: str
+    servers: list[str]
+    acknowledged_at: float
+    ended_at: float = float("inf")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Cold:
+    """Begin of a time in which a server is cold.
+
+    Attributes:
+        server: Its id.
+        at: Time, on the monotonic clock.
+    """
+
+    server: str
+    at: float
+
+
 @dataclasses.dataclass(kw_only=True)
 class Fault:
     """An injected fault.
@@ -177,7 +210,11 @@
         executions: Executions by request id.
         leases: Leases of each sampled key.
         notices: What servers said of themselves, in order.
-        arrivals: Arrivals of requests at servers that named a Retry-After.
+        arrivals: Arrivals of requests at servers.
+        not_owned: Number of arrivals whose key the server did not own, by id of
+            the request and server.
+        evacuations: Evacuations of data centres.
+        colds: When servers turned cold.
         drained: Start time of the current drain of each server.
         contract_changes: Time of each change of the contracts, by version.
         stops: Router and time of each graceful stop.
@@ -196,6 +233,11 @@
         self.leases: dict[int, list[Lease]] = collections.defaultdict(list)
         self.notices: list[Notice] = []
         self.arrivals: list[Arrival] = []
+        self.not_owned: collections.Counter[tuple[str, Life]] = (
+            collections.Counter()
+        )
+        self.evacuations: list[Evacuation] = []
+        self.colds: list[Cold] = []
         self.drained: dict[str, float] = {}
         self.contract_changes: dict[int, float] = {}
         self.stops: list[tuple[str, float]] = []
@@ -220,6 +262,40 @@
             if not (beside_store and fault.target == STORE)
         )
 
+    def note_cold(self, server: str) -> None:
+        """Records that a server turns cold."""
+        self.colds.append(Cold(server=server, at=time.monotonic()))
+
+    def reached(self) -> list[Arrival]:
+        """Returns the arrivals, without those of keys that weren't owned."""
+        not_owned = self.not_owned.copy()
+        counted = []
+        for arrival in self.arrivals:
+            key = arrival.id, arrival.server
+            if not_owned[key]:
+                not_owned[key] -= 1
+            else:
+                counted.append(arrival)
+        return counted
+
+    def is_in_touch(self, router: str, at: float) -> bool:
+        """Returns whether a router ran lately, and reached a sound store."""
+        near = (router, f"{STORE}-{router[1:]}", STORE)
+        return not any(
+            fault.target in near
+            and fault.begin <= at <= fault.end + FAULT_EFFECT_SECONDS
+            for fault in self.faults
+        )
+
+    def was_held_up(self, server: str, at: float) -> bool:
+        """Returns whether what arrived at a server may be older."""
+        return any(
+            fault.target == server
+            and fault.kind in HOLDING_FAULTS
+            and fault.begin <= at <= fault.end + FAULT_EFFECT_SECONDS
+            for fault in self.faults
+        )
+
     def was_frozen(self, process: str, begin: float, end: float) -> bool:
         """Returns whether a process was frozen within a time span."""
         return any(
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -8,12 +8,20 @@
 import time
 
 from soak import callers
+from soak import coldservers
+from soak import evacuations
 from soak import faults
 from soak import injector
 from soak import invariants
 from standins import platform_system
 
 CALLERS_PER_ROUTER = 4
+ZONES = ("z1", "z2", "z3")
+BOUNDS = (
+    f"evacuate_ms={evacuations.APPLY_SECONDS * 1000:.0f}",
+    f"cold_overage={coldservers.OVERAGE}",
+    f"cold_slack={coldservers.SLACK}",
+)
 FAULT_FREE_SECONDS = 2.0
 LATE_EXECUTION_SECONDS = 2.0  # After the last answer.
 MAX_RECOVERY_SECONDS = 15.0  # From the last fault to full service.
@@ -92,6 +100,9 @@
         config=make_config(load),
         slots=load.slots,
         folder=folder,
+        bounds=BOUNDS,
+        zones=ZONES,
+        cold_seconds=coldservers.COLD_SECONDS,
     )
     injection = injector.Injector(
         system=system,
@@ -133,7 +144,10 @@
     if load.long_share:
         timeout_ms = round(load.deadline_seconds * 1000)
         config = platform_system.config_with_timeout(timeout_ms)
-    return platform_system.config_with_uploads(config)
+    config = platform_system.config_with_uploads(config)
+    for pool in config["clusters"]:
+        pool.update(coldservers.TERMS)
+    return config
 
 
 def make_callers(
--- a/soak/serverfaults.py
+++ b/soak/serverfaults.py
@@ -26,7 +26,7 @@
     injection.checker.drained[name] = time.monotonic()
     injection.log.append(f"{time.monotonic():.2f} drain {name}")
     await asyncio.sleep(injection.drain_seconds)
-    await injection.system.write_row("servers", name, None)
+    await injection.system.unregister_server(name)
     await injection.end_process(name, signal.SIGTERM)
     injection.checker.drained.pop(name)
     await injection.restart_server(name)
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -15,7 +15,7 @@
 a `conduct.Conduct`.
 
 With ``--journal`` it writes JSON lines, with times of the monotonic clock: for
-each arrival (once it has told its callers to wait) and execution of a request,
+each arrival and execution of a request, for each one whose key it does not own,
 for each body that is not the caller's, for each notice in an answer (that it
 leaves, or how long it wants no request), and for each lease change at the
 sampled keys.
@@ -84,7 +84,6 @@
         self.faults = {"shed": 0, "unsigned": 0, "truncate": 0}
         self.conduct = conduct.Conduct()
         self.rng = random.Random()
-        self.named_retry_after = False
 
     async def handle(self, request: messages.Request) -> messages.Response:
         """Handles one request, lease grant, lease release or control call."""
@@ -116,8 +115,7 @@
         if request.path == "/release":
             return self.release(json.loads(await request.read()))
         self.arrivals.append((time.monotonic(), self.limit is not None))
-        if self.named_retry_after:
-            self.write_request("arrival", request)
+        self.write_request("arrival", request)
         treat = conduct.draw(self)
         response = await treat(self, request)
         if self.limit is not None:
@@ -146,8 +144,6 @@
         """Writes to the journal what a response says of this server."""
         leaving = messages.find(response.headers, b"server-leaving")
         retry_after = messages.find(response.headers, b"retry-after")
-        if retry_after is not None:
-            self.named_retry_after = True
         if retry_after is not None or leaving is not None:
             self.write_request(
                 "notice",
@@ -233,6 +229,7 @@
         """Begins to execute a request; returns a refusal if it may not."""
         key = request.header(b"shard-key")
         if self.keyed and not self.leases.owns(int(key or -1)):
+            self.write_request("not owned", request)
             return self.refusal(request, 421)
         self.ran.append(request_id(request).decode())
         self.write_request("run", request)
--- a/standins/platform_system.py
+++ b/standins/platform_system.py
@@ -12,6 +12,7 @@
 
 from oleanderhoist.http import client
 from oleanderhoist.http import exchanges
+from standins import coldstarts
 from standins import proxy
 
 START_TIMEOUT_SECONDS = 15.0
@@ -143,6 +144,8 @@
         slots: Slots of each server.
         limits: Limits of the routers' VMs, as their settings name them.
         bounds: Bounds of the platform, as the routers' settings name them.
+        zones: Data centres of routers and servers, by turns.
+        cold_seconds: For how long servers can be cold.
         folder: Folder for settings and logs that is kept; None for a temporary
             one.
 
@@ -154,6 +157,10 @@
         born: Start times by server id, in milliseconds since the epoch.
         sequences: Number of writes of each server's row in its life.
         links: Names of servers' proxies where they aren't their own ids.
+        cold_starts: Which servers are cold.
+        states: States that the servers' entries name.
+        entry_locks: Locks of the servers' entries, so that no write that is
+            late overtakes another.
     """
 
     def __init__(
@@ -169,6 +176,8 @@
         slots: int = SERVER_SLOTS,
         limits: dict | None = None,
         bounds: tuple[str, ...] = (),
+        zones: tuple[str, ...] = ("z",),
+        cold_seconds: float = 0.0,
         folder: pathlib.Path | None = None,
     ):
         self.subnet = subnet or process_subnet()
@@ -184,6 +193,14 @@
         self.slots = slots
         self.limits = limits or {}
         self.bounds = list(bounds)
+        self.zones = zones
+        self.cold_starts = coldstarts.ColdStarts(
+            seconds=cold_seconds, write=self.rewrite_entry
+        )
+        self.states: dict[str, str] = {}
+        self.entry_locks: collections.defaultdict[str, asyncio.Lock] = (
+            collections.defaultdict(asyncio.Lock)
+        )
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = folder or pathlib.Path(self.temporary.name)
         self.folder.mkdir(parents=True, exist_ok=True)
@@ -224,9 +241,16 @@
         await self.wait_until_served()
 
     async def start_server(
-        self, id: str, pool: str, keyed: bool, *, address: str = "127.0.0.1:0"
+        self,
+        id: str,
+        pool: str,
+        keyed: bool,
+        *,
+        address: str = "127.0.0.1:0",
+        cold: bool = False,
     ) -> None:
-        """Starts a server and registers it in the store."""
+        """Starts a server, cold or not, and registers it in the store."""
+        self.states.pop(id, None)
         born = time.time_ns() // 1_000_000
         command = ["standins.instance", "--listen", address, "--id", id]
         command += ["--born", str(born)]
@@ -236,6 +260,8 @@
         self.real[id] = json.loads(line)[0]
         link = self.links.get(id, id)
         self.servers[id] = await self.reachable_address(link, self.real[id])
+        if cold:
+            self.cold_starts.begin(id)
         self.born[id] = born
         self.sequences[id] = 0
         if self.journal:
@@ -269,19 +295,37 @@
         self, id: str, pool: str, state: str = "ready", *, cold_ms: int = 0
     ) -> None:
         """Writes the row of a server to the store."""
+        async with self.entry_locks[id]:
+            self.states[id] = state
+            await self.write_entry(id, pool, cold_ms)
+
+    async def rewrite_entry(self, id: str) -> None:
+        """Writes the row of a server again, if it is there."""
+        async with self.entry_locks[id]:
+            if id in self.states and self.processes[id].returncode is None:
+                await self.write_entry(id, pool_of(id), 0)
+
+    async def write_entry(self, id: str, pool: str, cold_ms: int) -> None:
+        """Writes the row of a server whose state is known."""
         self.sequences[id] += 1
         entry = {
             "service": pool,
             "address": self.servers[id],
-            "zone": "z",
+            "zone": self.zone_of(id),
             "slots": self.slots,
-            "state": state,
-            "cold_remaining_ms": cold_ms,
+            "state": self.states[id],
+            "cold_remaining_ms": cold_ms or self.cold_starts.remaining_ms(id),
             "sequence": self.sequences[id],
             "born": self.born[id],
         }
         await self.write_row("servers", id, entry)
 
+    async def unregister_server(self, id: str) -> None:
+        """Deletes the row of a server from the store."""
+        async with self.entry_locks[id]:
+            self.states.pop(id, None)
+            await self.write_row("servers", id, None)
+
     async def start_router(self, number: int) -> None:
         """Starts a router on its own loopback address."""
         ip = f"{self.subnet}.{number}"
@@ -289,7 +333,7 @@
         settings = {
             "node": f"r{number}",
             "ip": ip,
-            "zone": "z",
+            "zone": self.zone_of(f"r{number}"),
             "listen": {"front": f"{ip}:{FRONT_PORT}", "ready": f"{ip}:18640"},
             "internal_ports": [17620, 17635],
             "limits": self.limits,
@@ -322,6 +366,19 @@
         process.send_signal(signal_number)
         return True
 
+    def zone_of(self, name: str) -> str:
+        """Returns the data centre of a router or server."""
+        return self.zones[int(name[1:]) % len(self.zones)]
+
+    def servers_in(self, zone: str) -> list[str]:
+        """Returns the ids of the servers of a data centre."""
+        return [id for id in self.servers if self.zone_of(id) == zone]
+
+    async def evacuate(self, zone: str, *, evacuated: bool = True) -> None:
+        """Evacuates a data centre as its operator, or takes that back."""
+        value = {} if evacuated else None
+        await self.write_row("op", f"evacuate/{zone}", value)
+
     async def write_row(self, table: str, key: str, value: object) -> None:
         """Writes a row to the store; deletes it if the value is None."""
         await self.call(
@@ -405,6 +462,7 @@
 
     async def stop(self) -> None:
         """Kills all processes of this system."""
+        self.cold_starts.stop()
         for process in self.processes.values():
             if process.returncode is None:
                 process.kill()
