Refuse connections to servers that have ended in the soak

All attempts ended as resets by the server, which say that a server is there (results.is_unanswered), so its coordinator did not see it away. Where no process listens, connections are refused. Change: a proxy refuses connections from the end of its server's process until it starts again, and keeps the port. The check is as it was; links that accept and reset stay among the faults of links (kind `reset`).

--- a/soak/injector.py
+++ b/soak/injector.py
@@ -133,6 +133,7 @@
         """Signals a process to end and waits until it has exited."""
         self.system.signal(name, signal_number)
         await self.system.processes[name].wait()
+        self.system.close_link(name)
         self.checker.end_server(name, time.monotonic())
 
     async def run(
--- a/standins/platform_system.py
+++ b/standins/platform_system.py
@@ -285,6 +285,12 @@
             return address
         return await self.proxies.route(name, address)
 
+    def close_link(self, id: str) -> None:
+        """Refuses connections to a server whose process has ended."""
+        link = self.proxies.by_name.get(self.links.get(id, id))
+        if link is not None:
+            link.close()
+
     def swap_links(self, one: str, other: str) -> None:
         """Makes two servers start at the address of the other."""
         swapped = self.links.get(other, other), self.links.get(one, one)
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import socket
 
 CHUNK_BYTES = 65_536
 
@@ -35,6 +36,9 @@
 
     Args:
         target: ``host:port`` of the server.
+
+    Attributes:
+        reserved: Keeps the port while the proxy does not listen.
     """
 
     def __init__(self, *, target: str):
@@ -42,6 +46,7 @@
         self.faults = Faults()
         self.listener: asyncio.Server | None = None
         self.address = ""
+        self.reserved: socket.socket | None = None
         self.writers: set[asyncio.StreamWriter] = set()
         self.blackholed: set[asyncio.StreamWriter] = set()
         self.tasks: set[asyncio.Task] = set()
@@ -49,10 +54,26 @@
     async def start(self, address: str) -> None:
         """Listens on ``host:port``."""
         host, _, port = address.rpartition(":")
-        self.listener = await asyncio.start_server(self.accept, host, int(port))
+        if self.reserved is None:
+            self.reserved = socket.socket()
+            self.reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            self.reserved.bind((host, int(port)))
+            port = self.reserved.getsockname()[1]
+        self.listener = await asyncio.start_server(
+            self.accept, host, int(port), reuse_port=True
+        )
         bound = self.listener.sockets[0].getsockname()
         self.address = f"{bound[0]}:{bound[1]}"
 
+    def close(self) -> None:
+        """Refuses connections, as an address does where nobody listens."""
+        self.listener.close()
+
+    async def reopen(self) -> None:
+        """Accepts connections at the same address again."""
+        if not self.listener.is_serving():
+            await self.start(self.address)
+
     async def accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -156,6 +177,7 @@
     async def stop(self) -> None:
         """Closes the listener and all connections."""
         self.listener.close()
+        self.reserved.close()
         for task in self.tasks:
             task.cancel()
         for writer in list(self.writers):
@@ -178,6 +200,7 @@
             self.by_name[name] = Proxy(target=target)
             await self.by_name[name].start("127.0.0.1:0")
         self.by_name[name].target = target
+        await self.by_name[name].reopen()
         return self.by_name[name].address
 
     async def stop(self) -> None:
--- a/tests/test_soak_evacuations.py
+++ b/tests/test_soak_evacuations.py
@@ -9,6 +9,7 @@
 from soak import invariants
 from soak import records
 from soak import runner
+from standins import proxy
 
 EVACUATION_SEED = 401
 COLD_SEED = 402
@@ -69,6 +70,22 @@
         self.assertGreater(result.served_share, 0.9)
 
 
+class ProxyTest(unittest.IsolatedAsyncioTestCase):
+    """The address of a server whose process has ended."""
+
+    async def test_nobody_listens_until_it_starts_again(self):
+        proxies = proxy.Proxies()
+        self.addAsyncCleanup(proxies.stop)
+        address = await proxies.route("t1", "127.0.0.1:1")
+        host, _, port = address.rpartition(":")
+        proxies.by_name["t1"].close()
+        with self.assertRaises(ConnectionRefusedError):
+            await asyncio.open_connection(host, int(port))
+        self.assertEqual(address, await proxies.route("t1", "127.0.0.1:1"))
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.close()
+
+
 class CheckTest(unittest.TestCase):
     """Violations that the checks detect."""
 
