--- a/soak/injector.py
+++ b/soak/injector.py
@@ -124,14 +124,16 @@
                 RESTART_DELAY_SECONDS, MAX_SERVER_RESTART_DELAY_SECONDS
             )
         )
+        self.checker.note_cold(name)
         await self.system.start_server(
-            name, platform_system.pool_of(name), name[0] == "t"
+            name, platform_system.pool_of(name), name[0] == "t", cold=True
         )
 
     async def end_process(self, name: str, signal_number: int) -> None:
         """Signals a process to end and waits until it has exited."""
         self.system.signal(name, signal_number)
         await self.system.processes[name].wait()
+        self.system.close_link(name)
         self.checker.end_server(name, time.monotonic())
 
     async def run(
