--- a/oleanderhoist/http/bodystream.py
+++ b/oleanderhoist/http/bodystream.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncGenerator
 from collections.abc import Callable
+import contextlib
 
 
 class BodyStream:
@@ -36,10 +37,14 @@
 
     async def aclose(self) -> None:
         """Ends the stream, read or not."""
-        await self.chunks.aclose()
-        self.abandon()
+        try:
+            await self.chunks.aclose()
+        finally:
+            self.abandon()
 
     def abandon(self) -> None:
         """Lets go of the response without waiting for anything."""
-        while self.end_callbacks:
-            self.end_callbacks.pop()()
+        callbacks, self.end_callbacks = self.end_callbacks, []
+        with contextlib.ExitStack() as stack:
+            for callback in callbacks:
+                stack.callback(callback)
--- a/oleanderhoist/http/client.py
+++ b/oleanderhoist/http/client.py
@@ -206,10 +206,11 @@
                 f"cannot connect to {self.address} in time",
                 maybe_sent=False,
                 timed_out=True,
+                unreachable=timeout >= self.connect_seconds,
             ) from error
         except OSError as error:
             raise exchanges.ExchangeError(
-                str(error), maybe_sent=False
+                str(error), maybe_sent=False, unreachable=True
             ) from error
         self.opened += 1
         protocol = h11.Connection(h11.CLIENT)
--- a/oleanderhoist/http/exchanges.py
+++ b/oleanderhoist/http/exchanges.py
@@ -68,6 +68,8 @@
         response_started: Whether a byte of the response had arrived.
         timed_out: Whether it failed by a timeout.
         kept_connection: Whether its connection had carried an earlier exchange.
+        unreachable: Whether nothing accepted a connection, in all of the time
+            that is allowed for opening one.
     """
 
     def __init__(
@@ -78,12 +80,14 @@
         response_started: bool = False,
         timed_out: bool = False,
         kept_connection: bool = False,
+        unreachable: bool = False,
     ):
         super().__init__(text)
         self.maybe_sent = maybe_sent
         self.response_started = response_started
         self.timed_out = timed_out
         self.kept_connection = kept_connection
+        self.unreachable = unreachable
 
 
 @dataclasses.dataclass(kw_only=True)
--- a/oleanderhoist/node/coordinator.py
+++ b/oleanderhoist/node/coordinator.py
@@ -219,7 +219,7 @@
         server_slots = hosted.queue.servers.get(server)
         if unanswered:
             self.cold_servers.record_failure(hosted.queue, server)
-        elif failed or seconds is not None:
+        elif seconds is not None:
             self.cold_servers.record_answer(hosted.queue, server)
         blocked_until = server_slots.blocked_until if server_slots else 0.0
         hosted.queue.release(
@@ -311,9 +311,9 @@
 
         Its slot request no longer waits.
         """
-        self.drop_earlier_copy(name, requester, id)
         STARTED.inc()
         hosted = self.get(name)
+        hosted.replies.pop((requester, id), None)
         now = self.clock.monotonic()
         hosted.queue.add_started((requester, id), server, now)
         self.advance(hosted, now)
--- a/oleanderhoist/node/forwarder.py
+++ b/oleanderhoist/node/forwarder.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import functools
 
 import prometheus_client
 
@@ -354,13 +353,16 @@
             # A full server stays silent; it is not down.
             if silent and not results.has_response(result):
                 failed = False
-            release = functools.partial(
-                self.slot_client.release,
-                grant,
-                seconds=elapsed if answered else None,
-                failed=failed,
-                unanswered=results.is_unanswered(result, silent=silent),
-            )
+
+            def release() -> None:
+                held = self.clock.monotonic() - started_at
+                self.slot_client.release(
+                    grant,
+                    seconds=held if answered else None,
+                    failed=failed,
+                    unanswered=results.is_unanswered(result, silent=silent),
+                )
+
             results.when_sent(result, release)
             result_label = "gone"
             if answered:
--- a/oleanderhoist/node/results.py
+++ b/oleanderhoist/node/results.py
@@ -218,7 +218,7 @@
             code=codes.NO_SERVER,
             detail=detail,
             await_snapshot=job.head.key is not None,
-            without_response=True,
+            without_response=error.unreachable,
         )
     code = codes.LOST
     if error.timed_out:
--- a/oleanderhoist/policy/admission.py
+++ b/oleanderhoist/policy/admission.py
@@ -20,6 +20,8 @@
 FORGOTTEN_WEIGHT = 0.01  # Of arrivals, whose weights fade.
 MIN_ARRIVALS = 8.0  # Of a kind, before it is compared.
 LEAST_PART = 1 / 3  # Of how often all are served; callers notice a quarter.
+OBJECTIVE_FADING = 0.95  # With each first attempt; contracts may change.
+MAX_STEP_SECONDS = 1.0  # Between two returns; room may come back sooner.
 PRESSURE_SECONDS = 1.0  # For which a refusal shows that there is no room.
 GOLDEN_RATIO = 0.6180339887  # Spreads any number of values evenly.
 FIRST_AGE_SECONDS = 0.001  # A first attempt is not older.
@@ -100,7 +102,9 @@
         if request.age <= FIRST_AGE_SECONDS:
             kind = self.kind_of(request, now)
             kind.arrived.count(now)
-            kind.objective = max(kind.objective, request.objective - now)
+            kind.objective = max(
+                OBJECTIVE_FADING * kind.objective, request.objective - now
+            )
 
     def serve(self, request: slotrequests.SlotRequest, now: float) -> None:
         """Counts a request that is granted a slot."""
@@ -180,7 +184,7 @@
         earliest = min(earliest, latest)
         after = max(earliest, self.next_return - now)
         if after <= latest:
-            self.next_return = now + after + 1 / rate
+            self.next_return = now + after + min(MAX_STEP_SECONDS, 1 / rate)
             return after
         self.refusals += 1
         part = self.refusals * GOLDEN_RATIO % 1.0
--- a/oleanderhoist/policy/answermemory.py
+++ b/oleanderhoist/policy/answermemory.py
@@ -13,6 +13,7 @@
 
 # Of the limit; bodies below it are never given up.
 SMALL_BODY_FRACTION = 1 / 256
+MAX_SMALL_BODY_BYTES = 65_536
 # Of the limit; while more is used, only small bodies are kept whole.
 KEEP_WHOLE_FRACTION = 0.5
 
@@ -78,7 +79,8 @@
 
     def is_small(self, body: Body) -> bool:
         """Returns whether a body is never given up."""
-        return body.size_bytes <= self.limit_bytes * SMALL_BODY_FRACTION
+        small_bytes = self.limit_bytes * SMALL_BODY_FRACTION
+        return body.size_bytes <= min(small_bytes, MAX_SMALL_BODY_BYTES)
 
     def give_up_largest(self) -> None:
         """Gives up the largest unfinished body that is not small."""
--- a/oleanderhoist/policy/slotqueue.py
+++ b/oleanderhoist/policy/slotqueue.py
@@ -326,6 +326,11 @@
         It takes a slot there all the same, for as long as others do. When it
         ends is not told: that would pass the link that made the grant late.
         """
+        for queue in [*self.queues.values(), self.overdue]:
+            for request in queue:
+                if request.key == key:
+                    self.admission.serve(request, now)
+        self.cancel(*key)
         known = self.servers.get(server)
         if known is not None:
             known.grant(key, now, now + known.slot_seconds())
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -152,9 +152,45 @@
         self.assertLess(refused_at, 11.3)
 
 
+class KindsTest(unittest.TestCase):
+    """What is known of a kind of work."""
+
+    # Guards against a kind that seems starved as its routers don't wait.
+    def test_a_request_that_did_not_wait_counts_as_served(self):
+        queue = slotqueue.SlotQueue()
+        queue.update(
+            [
+                serverslots.ServerSlots(
+                    id="s", data_center="a", slots=1, service_seconds=0.1
+                )
+            ]
+        )
+        for id in range(2):
+            queue.submit(request(id, objective=9.0, deadline=9.0), 0.0)
+        self.assertTrue(queue.queued_ahead(0))
+        queue.add_started(("x", 1), "s", 0.1)
+        self.assertFalse(queue.queued_ahead(0))
+        (kind,) = queue.admission.kinds.values()
+        self.assertAlmostEqual(1.0, kind.part(0.1), places=1)
+
+    def test_an_objective_that_operators_lower_is_learned(self):
+        admitted = admission.Admission()
+        for number in range(100):
+            objective = 10.0 if number < 20 else 2.0
+            arrived = request(number, objective=objective, deadline=20.0)
+            admitted.arrive(arrived, 0.0)
+        (kind,) = admitted.kinds.values()
+        self.assertAlmostEqual(2.0, kind.objective, places=1)
+
+
 class ReturnsTest(unittest.TestCase):
     """When refused callers return."""
 
+    def test_a_moment_without_room_is_soon_forgotten(self):
+        waiting = admission.Admission()
+        waiting.return_after(0.1, 1.0, slotqueue.MIN_RATE, 0.0)
+        self.assertAlmostEqual(0.1, waiting.return_after(0.1, 1.0, 10.0, 3.0))
+
     def test_callers_return_as_fast_as_there_is_room(self):
         waiting = admission.Admission()
         returns = [waiting.return_after(0.2, 1.0, 10.0, 5.0) for _ in range(8)]
--- a/tests/test_large_answers.py
+++ b/tests/test_large_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 import unittest
 
 from oleanderhoist import outcomes
@@ -154,6 +155,18 @@
         results.when_sent(None, lambda: released.append(2))
         self.assertEqual([1, 2], released)
 
+    async def test_only_a_whole_wait_shows_that_nobody_accepts(self):
+        silent = socket.socket()
+        self.addCleanup(silent.close)
+        silent.bind(("127.0.0.1", 0))
+        address = client.Address(host="127.0.0.1", port=silent.getsockname()[1])
+        with self.assertRaises(exchanges.ExchangeError) as caught:
+            await client.Client(address=address).request("GET", "/", timeout=1)
+        self.assertTrue(caught.exception.unreachable)
+        with self.assertRaises(exchanges.ExchangeError) as caught:
+            await self.client.request("GET", "/", timeout=0.0)
+        self.assertFalse(caught.exception.unreachable)
+
     # Guards against a connection that nobody closes, as nobody read from it.
     async def test_an_attempt_that_came_too_late_lets_its_server_go(self):
         async def attempt() -> outcomes.Complete:
