Let servers of the soak name their loads

Cause: no stand-in server sent Instance-Load. Change: a server names one of several loads in each answer: a true one, with a slowdown, and bad ones; the fault `told-loads` draws them. This tree does not read the header yet.

--- a/soak/answerfaults.py
+++ b/soak/answerfaults.py
@@ -34,6 +34,20 @@
 )
 MAX_COMPANIONS = 2
 ODD_LEAVING_SHARE = 0.3
+SLOWDOWN_PERCENT = (20, 900)
+MAX_BAD_LOADS = 3  # At once, beside a true one.
+BAD_LOADS = (
+    "",
+    ",,,",
+    "-1,-1,-1,-1",
+    "1,2",
+    "1000000,1000000,3,100",
+    "3,0,0,100",
+    "3,0,3,0",
+    "nan,inf,1e999,nan",
+    "9" * 5000,
+    "\u00e9",
+)
 
 
 async def set_conduct(
@@ -212,6 +226,15 @@
     await misbehave(injection, "odd-answers", **draw_oddities(injection))
 
 
+@injector.FAULTS.register("told-loads")
+async def tell_loads(injection: injector.Injector) -> None:
+    """Lets answers name loads, of which some are bad and some can't be true."""
+    slowdown_percent = injection.rng.randint(*SLOWDOWN_PERCENT)
+    loads = [f"{{running}},{{waiting}},{{slots}},{slowdown_percent}"]
+    loads += injection.rng.sample(BAD_LOADS, MAX_BAD_LOADS)
+    await misbehave(injection, "told-loads", loads=loads)
+
+
 @injector.FAULTS.register("address-used-again")
 async def use_addresses_again(injection: injector.Injector) -> None:
     """Kills two servers and starts each at the address of the other.
--- a/standins/conduct.py
+++ b/standins/conduct.py
@@ -31,6 +31,8 @@
         retry_after: Value of the header in refusals, in seconds.
         copied_share: Share of answers of which a second copy comes late.
         shares: Share of requests that get a treatment, by its name.
+        loads: Values of which its answers name one as its load, each; some
+            with fields for the requests that run and wait.
     """
 
     seed: int = 0
@@ -38,6 +40,7 @@
     retry_after: str = ""
     copied_share: float = 0.0
     shares: dict[str, float] = dataclasses.field(default_factory=dict)
+    loads: list[str] = dataclasses.field(default_factory=list)
 
 
 class Host(typing.Protocol):
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -41,6 +41,7 @@
 from standins import leases
 from standins import unruly
 
+TOLD_SLOTS = 3
 MAX_CONCURRENT = 1_000_000  # Unless a capacity is set.
 SAMPLED_KEYS = range(0, 65_536, 2048)  # Keys whose leases are in the journal.
 
@@ -125,6 +126,8 @@
         if self.limit is not None:
             response.headers.append((b"server-limit", b"%.2f" % self.limit))
         response.headers += self.headers
+        if self.conduct.loads:
+            response.headers.append((b"instance-load", self.told_load()))
         return response
 
     def write_journal(self, **fields: object) -> None:
@@ -192,6 +195,14 @@
         self.write_lease(message, time.monotonic())
         return unruly.Answer(headers=[(b"handover-token", b"abc")])
 
+    def told_load(self) -> bytes:
+        """Returns the load that an answer names."""
+        waiting = max(0, self.accepted - TOLD_SLOTS)
+        text = self.rng.choice(self.conduct.loads)
+        return text.format(
+            running=self.accepted - waiting, waiting=waiting, slots=TOLD_SLOTS
+        ).encode()
+
     def inject(self, fault: str) -> bool:
         """Returns whether to inject a fault now, and counts it."""
         if self.faults[fault] <= 0:
--- a/tests/test_conduct.py
+++ b/tests/test_conduct.py
@@ -56,6 +56,15 @@
             _, headers, _ = await self.receive()
             self.assertEqual("1", headers["server-leaving"])
 
+    async def test_answers_name_loads(self):
+        self.behave(loads=["{running},{waiting},{slots},250", "bad"], seed=1)
+        told = set()
+        for number in range(20):
+            self.send(f"a{number}")
+            _, headers, _ = await self.receive()
+            told.add(headers["instance-load"])
+        self.assertEqual({"0,0,3,250", "bad"}, told)
+
     async def test_a_connection_too_many_is_reset_and_counted(self):
         self.server.max_connections = 1
         self.server.on_reset = self.instance.note_reset
