--- a/oleanderhoist/events.py
+++ b/oleanderhoist/events.py
@@ -228,7 +228,7 @@
     408,
     "entry.cold_time_unreadable",
     "A server's row in the store does not say in a valid way for how long it "
-    "stays cold; it counts as cold: the begin of the value.",
+    "stays cold; it counts as cold: the beginning of the value.",
     "oleanderhoist.node.directory",
 )
 CALL_ENDED = define(
--- a/oleanderhoist/node/coldservers.py
+++ b/oleanderhoist/node/coldservers.py
@@ -25,7 +25,7 @@
 from oleanderhoist.policy import serverslots
 from oleanderhoist.policy import slotqueue
 
-# For what only time brings about, as the end of a presumption.
+# For changes that no message announces, as the end of a presumption.
 CHECK_INTERVAL_SECONDS = 0.1
 
 COLD = prometheus_client.Gauge(
--- a/oleanderhoist/policy/admission.py
+++ b/oleanderhoist/policy/admission.py
@@ -23,7 +23,7 @@
 OBJECTIVE_FADING = 0.95  # With each first attempt; contracts may change.
 MAX_STEP_SECONDS = 1.0  # Between two returns; room may come back sooner.
 PRESSURE_SECONDS = 1.0  # For which a refusal shows that there is no room.
-GOLDEN_RATIO = 0.6180339887  # Spreads any number of values evenly.
+GOLDEN_FRACTION = 0.6180339887  # Spreads any number of values evenly.
 FIRST_AGE_SECONDS = 0.001  # A first attempt is not older.
 FRESH_PART = 0.9  # Of the objective; remains to a request that just arrived.
 
@@ -81,11 +81,11 @@
         self.refusals = 0
 
     def kind_of(self, request: slotrequests.SlotRequest, now: float) -> Kind:
-        """Returns the kind of a request; by rank if no kind is given.
+        """Returns the kind of a request.
 
         A new one replaces those that no longer arrive.
         """
-        name = request.kind or f"rank {request.rank}"
+        name = name_of(request)
         kind = self.kinds.get(name)
         if kind is None:
             self.kinds = {
@@ -110,7 +110,7 @@
         """Counts a request that is granted a slot."""
         self.kind_of(request, now).served.count(now)
 
-    def is_behind(
+    def is_starved(
         self, request: slotrequests.SlotRequest, waiting: int, now: float
     ) -> bool:
         """Returns whether a request's kind is served too seldom.
@@ -143,7 +143,7 @@
         pressure = self.pressures.get(request.rank)
         if pressure is None or pressure.is_over(now):
             return float("inf")
-        others = (pressure.kinds - {request.kind}) & self.kinds.keys()
+        others = (pressure.kinds - {name_of(request)}) & self.kinds.keys()
         return min(
             (self.kinds[kind].objective for kind in others),
             default=float("inf"),
@@ -155,7 +155,7 @@
         One that was tried at a server before, or that waited, has less time
         left than first attempts have, and says nothing of them.
         """
-        kind = self.kinds.get(request.kind)
+        kind = self.kinds.get(name_of(request))
         if kind is None or request.age > FIRST_AGE_SECONDS:
             return
         if request.objective - now < FRESH_PART * kind.objective:
@@ -165,7 +165,7 @@
             pressure = Pressure(refused_at=now)
             self.pressures[request.rank] = pressure
         pressure.refused_at = now
-        pressure.kinds.add(request.kind)
+        pressure.kinds.add(name_of(request))
 
     def return_after(
         self, earliest: float, latest: float, rate: float, now: float
@@ -187,5 +187,10 @@
             self.next_return = now + after + min(MAX_STEP_SECONDS, 1 / rate)
             return after
         self.refusals += 1
-        part = self.refusals * GOLDEN_RATIO % 1.0
+        part = self.refusals * GOLDEN_FRACTION % 1.0
         return earliest + part * (latest - earliest)
+
+
+def name_of(request: slotrequests.SlotRequest) -> str:
+    """Returns the kind of a request; by rank if an earlier build named none."""
+    return request.kind or f"rank {request.rank}"
--- a/oleanderhoist/policy/linkpace.py
+++ b/oleanderhoist/policy/linkpace.py
@@ -10,9 +10,9 @@
 
 import dataclasses
 
-PIECE_BYTES = 16_384  # Written at once; 23 ms of a link of 5.5 Mbit/s.
+PIECE_BYTES = 16_384  # Written at once.
 LARGE_FRACTION = 0.7  # Of the link, which large answers may use.
-# A wider link passes a piece so soon that nothing waits.
+# 40 Mbit/s; a wider link passes a piece so soon that nothing waits.
 MAX_PACED_BYTES_PER_SECOND = 5_000_000.0
 
 
--- a/oleanderhoist/policy/slotqueue.py
+++ b/oleanderhoist/policy/slotqueue.py
@@ -39,7 +39,7 @@
 MIN_RATE_FRACTION = 0.05  # Of the service rate; assumed for every rank.
 MIN_RATE = 1e-3  # Requests per second; assumed if no server is usable.
 RECLAIM_DELAY_SECONDS = 0.5
-BEHIND_RANK = -1  # Queue of kinds that are served too seldom.
+STARVED_RANK = -1  # Queue of kinds that are served too seldom.
 BURST_RETURN_FRACTION = 0.7  # Of the latest return; earlier, all is full.
 
 
@@ -184,25 +184,35 @@
     def queue_rank(
         self, request: slotrequests.SlotRequest, wait: float, now: float
     ) -> int | None:
-        """Returns the rank with which a request is queued on time, or None.
+        """Returns the rank with which a request is queued, or None.
+
+        One of a starved kind is queued ahead of all ranks if it can meet its
+        deadline. Others must meet their objective, and wait no longer than
+        the refused kinds of their rank could.
 
         Args:
             request: The request.
             wait: Its expected wait, in seconds.
             now: Current time, in seconds.
         """
-        behind = self.queued_ahead(BEHIND_RANK)
-        if self.admission.is_behind(request, behind, now):
-            first = (behind + 1) / max(MIN_RATE, self.service_rate(now))
-            if now + first + self.service_seconds <= request.deadline:
-                return BEHIND_RANK
-        reserve = OBJECTIVE_MARGIN * self.service_seconds
-        others = self.admission.least_objective(request, now) - reserve
-        bearable = max(others, self.service_seconds)
-        if wait <= min(bearable, request.objective - now - reserve):
+        if self.is_queued_as_starved(request, now):
+            return STARVED_RANK
+        margin = OBJECTIVE_MARGIN * self.service_seconds
+        least = self.admission.least_objective(request, now)
+        max_wait = max(least - margin, self.service_seconds)
+        if wait <= min(max_wait, request.objective - now - margin):
             return request.rank
         return None
 
+    def is_queued_as_starved(
+        self, request: slotrequests.SlotRequest, now: float
+    ) -> bool:
+        """Returns whether a request goes ahead of all ranks."""
+        ahead = self.queued_ahead(STARVED_RANK)
+        wait = (ahead + 1) / max(MIN_RATE, self.service_rate(now))
+        in_time = now + wait + self.service_seconds <= request.deadline
+        return in_time and self.admission.is_starved(request, ahead, now)
+
     def assume_service(
         self, request: slotrequests.SlotRequest, now: float
     ) -> None:
@@ -452,7 +462,7 @@
         for queue in [*self.queues.values(), self.overdue]:
             while queue and now + required > queue[0].deadline:
                 refused.append(self.refuse(queue.popleft(), 0.0, now))
-        refused.extend(self.refuse_hopeless(now))
+        refused.extend(self.refuse_unreachable(now))
         for server in self.servers.values():
             server.end_lapsed_limit(now)
             for key, running in list(server.running.items()):
@@ -460,7 +470,7 @@
                     del server.running[key]
         return refused
 
-    def refuse_hopeless(self, now: float) -> list[slotrequests.Verdict]:
+    def refuse_unreachable(self, now: float) -> list[slotrequests.Verdict]:
         """Refuses overdue requests that are not reached in time any more.
 
         What requests on time leave may have become less since they came, and
