--- a/oleanderhoist/node/contractcodec.py
+++ b/oleanderhoist/node/contractcodec.py
@@ -20,6 +20,7 @@
             index=index,
             count=len(pieces),
             data=piece,
+            version=versioned.contracts.version,
         )
         for index, piece in enumerate(pieces)
     ]
--- a/oleanderhoist/node/contractwatch.py
+++ b/oleanderhoist/node/contractwatch.py
@@ -8,6 +8,7 @@
 from oleanderhoist import ports
 from oleanderhoist.node import evacuationnews
 from oleanderhoist.node import state
+from oleanderhoist.policy import storeeras
 
 FIRST_READ_RETRY_SECONDS = 0.3
 # Short, so that a wait whose answer is lost ends well within the time in which
@@ -31,7 +32,8 @@
         evacuation_news: Applies the evacuations.
         read_revision: Revision of the store at the latest read. Waits resume
             from it and not from the revision that an earlier wait returned:
-            that one may include a change that the wait did not name.
+            that one may include a change that the wait did not name. It is
+            lower than an earlier one after the store came back from a copy.
     """
 
     def __init__(
@@ -48,7 +50,7 @@
             state=state, clock=clock
         )
         self.lock = asyncio.Lock()
-        self.read_revision = 0
+        self.read_revision = storeeras.Revision()
 
     async def read(self) -> bool:
         """Reads the contracts; returns whether the store answered."""
@@ -58,7 +60,7 @@
                 result = await self.platform.read_contracts()
             except ports.StoreError:
                 return False
-        self.read_revision = max(self.read_revision, result.seen_revision)
+        self.read_revision = result.seen_revision
         if result.error is not None:
             self.state.reject_contracts(result.error)
         if result.versioned is not None:
@@ -72,9 +74,9 @@
         self.state.contracts_confirmation.confirm(at)
         self.state.evacuations_confirmation.confirm(at)
 
-    async def read_until(self, revision: int) -> None:
-        """Reads until the store answers or a revision was seen."""
-        while self.state.contracts_revision < revision:
+    async def read_until(self, named: ports.ContractsName) -> None:
+        """Reads until the store answers or named contracts were adopted."""
+        while not self.state.has_contracts(named):
             if await self.read():
                 return
             await asyncio.sleep(RETRY_SECONDS)
--- a/oleanderhoist/node/election.py
+++ b/oleanderhoist/node/election.py
@@ -8,6 +8,7 @@
 from oleanderhoist import ports
 from oleanderhoist.node import leaderstore
 from oleanderhoist.policy import leaderlease
+from oleanderhoist.policy import storeeras
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -16,12 +17,12 @@
 
     Attributes:
         predecessor: The leadership record to replace.
-        replaced_revision: Revision of that record; 0 if there is none.
+        replaced_revision: Revision of that record.
         max_lease_seconds: Longest lease that servers accept, in seconds.
     """
 
     predecessor: leaderstore.LeadershipRecord
-    replaced_revision: int
+    replaced_revision: storeeras.Revision
     max_lease_seconds: float
 
     @property
@@ -82,12 +83,11 @@
         if self.candidacy is None:
             return
         try:
-            rows = await self.platform.read_rows()
-            row = rows.get(leaderstore.LEADER_KEY)
-            revision = row.revision if row else 0
+            stored = await self.platform.read_rows()
+            revision = stored.revision_of(leaderstore.LEADER_KEY)
             if revision == self.candidacy.replaced_revision:
                 return
-            record = leaderstore.leadership_of(rows)
+            record = leaderstore.leadership_of(stored.rows)
             own = (self.candidacy.epoch, self.own_address)
             if (record.epoch, record.address) == own:
                 vacant = self.vacant_record(self.candidacy)
@@ -100,7 +100,9 @@
         self.candidacy = None
 
     async def write(
-        self, record: leaderstore.LeadershipRecord, replaced_revision: int
+        self,
+        record: leaderstore.LeadershipRecord,
+        replaced_revision: storeeras.Revision,
     ) -> ports.Written | ports.Conflict:
         """Writes the leadership record if its revision is as expected.
 
--- a/oleanderhoist/node/evacuationnews.py
+++ b/oleanderhoist/node/evacuationnews.py
@@ -49,7 +49,9 @@
         names = sorted(
             result.evacuated, key=lambda name: (name not in present, name)
         )
-        self.learn(names[:MAX_DATA_CENTERS], result.seen_revision, "store")
+        self.learn(
+            names[:MAX_DATA_CENTERS], result.seen_revision.number, "store"
+        )
 
     def hear(self, peer: str, message: wire.Heartbeat) -> None:
         """Learns of what the leader names, unless its build can't."""
--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -202,16 +202,17 @@
             return
         self.record_read_at = now
         try:
-            rows = await self.platform.read_rows()
+            stored = await self.platform.read_rows()
         except ports.StoreError:
             self.record_watch = candidacy.RecordWatch()
             self.store_reader.back_off()
             return
         self.store_reader.backoff_factor = 1.0
         now = self.clock.monotonic()
-        record = leaderstore.leadership_of(rows)
-        row = rows.get(leaderstore.LEADER_KEY)
-        self.record_watch.observe(row.revision if row else 0, now)
+        record = leaderstore.leadership_of(stored.rows)
+        self.record_watch.observe(
+            stored.revision_of(leaderstore.LEADER_KEY), now
+        )
         self.follow_recorded_leader(record)
         is_vacant = (
             not record.address or record.address == self.own_member.address
@@ -225,37 +226,37 @@
         )
         if has_leader and not self.leader_resigned:
             return
-        await self.acquire_leadership(rows, record)
+        await self.acquire_leadership(stored, record)
 
     async def acquire_leadership(
         self,
-        rows: dict[str, ports.Row],
+        stored: ports.OwnRows,
         predecessor: leaderstore.LeadershipRecord,
     ) -> None:
         """Tries to acquire the leadership, unless this router stops."""
         if self.stopping:
             return
-        row = rows.get(leaderstore.LEADER_KEY)
         candidacy = election.Candidacy(
             predecessor=predecessor,
-            replaced_revision=row.revision if row else 0,
+            replaced_revision=stored.revision_of(leaderstore.LEADER_KEY),
             max_lease_seconds=self.max_lease_seconds,
         )
         try:
             if not await self.election.stand(candidacy) or self.stopping:
                 return
             sent_at = self.clock.boottime()
-            rows = await self.platform.read_rows()
+            stored = await self.platform.read_rows()
         except ports.StoreError as error:
             log.write(events.LEADERSHIP_FAILED, reason=str(error))
             return
-        is_won = leaderstore.leadership_of(rows).epoch == candidacy.epoch
+        record = leaderstore.leadership_of(stored.rows)
+        is_won = record.epoch == candidacy.epoch
         if is_won and not self.stopping:
             leader_lease = self.election.leader_lease(candidacy, sent_at)
-            await self.lead(rows, leader_lease)
+            await self.lead(stored, leader_lease)
 
     async def lead(
-        self, rows: dict[str, ports.Row], leader_lease: leaderlease.LeaderLease
+        self, stored: ports.OwnRows, leader_lease: leaderlease.LeaderLease
     ) -> None:
         """Leads until deposed or resigned."""
         log.write(
@@ -273,7 +274,7 @@
             clock=self.clock,
             lag=self.lag,
             own_member=self.own_member,
-            rows=rows,
+            stored=stored,
             leader_lease=leader_lease,
             contract_watch=self.contract_watch,
             store_last_failure_at=self.store_reader.last_failure_at,
@@ -344,6 +345,7 @@
             leaving=self.stopping,
             contracts_revision=self.state.contracts_revision,
             departed=self.departure_news.named(),
+            contracts_version=self.state.contracts_version,
         )
 
     async def send_member_reports(self) -> None:
@@ -384,11 +386,10 @@
         ):
             self.leader_available = True
             log.write(events.LEADER_HEARD, leader=peer, epoch=message.epoch)
-        known = max(self.state.contracts_revision, self.state.rejected_revision)
-        if message.contracts_revision > known:
-            self.updates.start_contracts_fetch(
-                self.leader_address, message.contracts_revision
-            )
+        named = freshness.named_contracts(message)
+        is_rejected = self.state.rejected_revision is not None
+        if not is_rejected and not self.state.has_contracts(named):
+            self.updates.start_contracts_fetch(self.leader_address, named)
 
     def on_contracts_fragment(
         self, peer: str, message: wire.ContractsFragment
--- a/oleanderhoist/node/freshness.py
+++ b/oleanderhoist/node/freshness.py
@@ -4,6 +4,7 @@
 import math
 
 from oleanderhoist import clock
+from oleanderhoist import ports
 from oleanderhoist import program
 from oleanderhoist.node import state
 from oleanderhoist.node import wire
@@ -26,12 +27,12 @@
         age: Age of what the leader knew, in seconds.
         known_at: When the leader knew it to be current, on the clock that
             counts suspended time.
-        contracts_revision: Revision of the leader's contracts.
+        contracts: The leader's contracts; None before the first heartbeat.
     """
 
     age: float = 0.0
     known_at: float = -math.inf
-    contracts_revision: int = 0
+    contracts: ports.ContractsName | None = None
 
 
 class Freshness:
@@ -101,7 +102,8 @@
         """Returns whether this router must read its contracts itself.
 
         A delay of its own timers is no excuse: changes apply to it, too. It
-        also must if its leader is of a build that names no evacuations.
+        also must if its leader is of a build that names no evacuations, or no
+        version of its contracts.
         """
         if self.state.contracts is None:
             return False
@@ -123,7 +125,7 @@
         self.announced = Announcement(
             age=age,
             known_at=self.clock.boottime() - age,
-            contracts_revision=message.contracts_revision,
+            contracts=named_contracts(message),
         )
         if message.evacuated is not None:
             self.state.evacuations_confirmation.confirm(self.announced.known_at)
@@ -133,6 +135,22 @@
         self.confirm_contracts()
 
     def confirm_contracts(self) -> None:
-        """Confirms the contracts if the leader announced no newer ones."""
-        if self.state.contracts_revision >= self.announced.contracts_revision:
+        """Confirms the contracts if the leader announced no newer ones.
+
+        A leader of an earlier build may announce a number that stands for older
+        ones than the store has.
+        """
+        named = self.announced.contracts
+        if named is None or named.version is None:
+            return
+        if self.state.has_contracts(named):
             self.state.contracts_confirmation.confirm(self.announced.known_at)
+
+
+def named_contracts(
+    message: wire.Heartbeat | wire.MemberReport,
+) -> ports.ContractsName:
+    """Returns which contracts the sender of a message has."""
+    return ports.ContractsName(
+        version=message.contracts_version, revision=message.contracts_revision
+    )
--- a/oleanderhoist/node/leader.py
+++ b/oleanderhoist/node/leader.py
@@ -55,8 +55,8 @@
         clock: Time source.
         lag: Delay of this router's own timers.
         own_member: This router as a member.
-        rows: The routers' own rows in the store, read after the leadership was
-            acquired.
+        stored: The routers' own rows in the store, read after the leadership
+            was acquired.
         leader_lease: Leader lease of this epoch.
         contract_watch: Follows the contracts.
         store_last_failure_at: When a store call of this router last failed,
@@ -74,7 +74,7 @@
         clock: clock.Clock,
         lag: program.LoopLag,
         own_member: cluster.Member,
-        rows: dict[str, ports.Row],
+        stored: ports.OwnRows,
         leader_lease: leaderlease.LeaderLease,
         contract_watch: contractwatch.ContractWatch,
         store_last_failure_at: float,
@@ -94,12 +94,13 @@
         self.leader_store = leaderstore.LeaderStore(
             platform=platform,
             clock=clock,
-            rows=rows,
+            stored=stored,
             leader_lease=leader_lease,
             address=datagrams.address,
         )
         self.membership = membership.Membership(
-            members=state.snapshot.members or leaderstore.roster_of(rows),
+            members=state.snapshot.members
+            or leaderstore.roster_of(stored.rows),
             own_member=own_member,
             clock=clock,
             lag=lag,
@@ -280,8 +281,11 @@
             epoch=self.leader_lease.epoch,
             version=self.version,
             contracts_revision=self.state.contracts_revision,
+            contracts_version=self.state.contracts_version,
             age_ms=round(age * 1000),
-            record=self.leader_store.rows[leaderstore.LEADER_KEY].revision,
+            record=self.leader_store.rows[
+                leaderstore.LEADER_KEY
+            ].revision.number,
             resigned=self.leader_lease.resigned,
             evacuated=sorted(self.state.evacuations.known_since),
             evacuated_revision=self.state.evacuations.revision,
@@ -402,9 +406,15 @@
         self.departure_news.compare(peer, message.departed)
         if self.missed_update(message):
             self.publisher.send_snapshot(peer)
-        if message.contracts_revision < self.state.contracts_revision:
+        if self.lacks_contracts(message):
             self.publisher.send_contracts(peer)
 
+    def lacks_contracts(self, message: wire.MemberReport) -> bool:
+        """Returns whether a member has older contracts than this router."""
+        if message.contracts_version is None:
+            return message.contracts_revision < self.state.contracts_revision
+        return message.contracts_version < self.state.contracts_version
+
     def missed_update(self, message: wire.MemberReport) -> bool:
         """Returns whether a member has missed an update.
 
--- a/oleanderhoist/node/leaderstore.py
+++ b/oleanderhoist/node/leaderstore.py
@@ -21,6 +21,7 @@
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import keys
 from oleanderhoist.policy import leaderlease
+from oleanderhoist.policy import storeeras
 
 LEADER_KEY = "leader"
 MAP_PREFIX = "map/"
@@ -115,6 +116,7 @@
 
     Attributes:
         rows: The rows as last read or written.
+        era: Era of the store in which they were read.
         leader_lease: The leader lease; every answer confirms it.
     """
 
@@ -123,13 +125,14 @@
         *,
         platform: ports.Platform,
         clock: clock.Clock,
-        rows: dict[str, ports.Row],
+        stored: ports.OwnRows,
         leader_lease: leaderlease.LeaderLease,
         address: str,
     ):
         self.platform = platform
         self.clock = clock
-        self.rows = rows
+        self.rows = stored.rows
+        self.era = stored.revision.era
         self.leader_lease = leader_lease
         self.address = address
         self.lock = asyncio.Lock()
@@ -257,9 +260,12 @@
             ports.StoreError: The store definitely did not apply the write.
         """
         sent_at = self.clock.boottime()
-        expected = {LEADER_KEY: self.rows[LEADER_KEY].revision}
-        current_row = self.rows.get(key)
-        expected[key] = current_row.revision if current_row else 0
+        stored = ports.OwnRows(
+            rows=self.rows, revision=storeeras.Revision(era=self.era)
+        )
+        expected = {
+            name: stored.revision_of(name) for name in (LEADER_KEY, key)
+        }
         try:
             result = await self.platform.write_rows({key: value}, expected)
         except ports.StoreError as error:
@@ -283,15 +289,16 @@
         while True:
             sent_at = self.clock.boottime()
             try:
-                rows = await self.platform.read_rows()
+                stored = await self.platform.read_rows()
                 break
             except ports.StoreError:
                 await asyncio.sleep(RETRY_SECONDS)
-        record = leadership_of(rows)
+        record = leadership_of(stored.rows)
         if record.epoch != self.leader_lease.epoch:
             raise DeposedError(
                 f"leadership record has epoch {record.epoch}, "
                 f"address {record.address}"
             )
-        self.rows = rows
+        self.rows = stored.rows
+        self.era = stored.revision.era
         self.leader_lease.confirmed_at = sent_at
--- a/oleanderhoist/node/state.py
+++ b/oleanderhoist/node/state.py
@@ -16,6 +16,8 @@
 from oleanderhoist.policy import evacuations
 from oleanderhoist.policy import pauses
 
+NO_VERSION = -1
+
 LEAVING = prometheus_client.Gauge(
     "oleander_leaving_servers",
     "Listed servers that said in an answer that they leave, as known here",
@@ -38,8 +40,11 @@
         pauses: Servers that want no requests from this router for a while.
         evacuations: Data centres whose servers must get no requests.
         contracts: Active contracts; None before the first.
-        contracts_revision: Revision of the newest contracts that were adopted.
-        rejected_revision: Revision of the newest contracts that were rejected.
+        contracts_revision: Number of the newest contracts that were adopted,
+            for routers of earlier builds, which compare it: it rises with every
+            version, also after the store has come back from a copy.
+        rejected_revision: Number of the revision of the contracts that the
+            latest read rejected; None if it rejected none.
         contracts_confirmation: When the contracts were last known to be the
             newest.
         snapshot_confirmation: When the snapshot was last known to be current.
@@ -56,7 +61,7 @@
         self.evacuations = evacuations.Evacuations(seconds=evacuation_seconds)
         self.contracts: contractset.ContractSet | None = None
         self.contracts_revision = 0
-        self.rejected_revision = 0
+        self.rejected_revision: int | None = None
         self.contracts_confirmation = confirmation.Confirmation()
         self.snapshot_confirmation = confirmation.Confirmation()
         self.evacuations_confirmation = confirmation.Confirmation()
@@ -154,14 +159,13 @@
             versioned: The contracts.
             source: Origin of the contracts, for the log.
         """
-        newer = versioned.revision > self.contracts_revision
-        self.contracts_revision = max(
-            self.contracts_revision, versioned.revision
-        )
+        self.rejected_revision = None
+        number = max(self.contracts_revision, versioned.revision)
         if (
             not self.contracts
             or versioned.contracts.version > self.contracts.version
         ):
+            number = max(number, self.contracts_revision + 1)
             self.contracts = versioned.contracts
             log.write(
                 events.TERMS_IN_FORCE,
@@ -172,11 +176,12 @@
             )
             if versioned.unknown:
                 log.write(events.TERMS_UNKNOWN, values=versioned.unknown)
-        if newer:
+        if number > self.contracts_revision:
+            self.contracts_revision = number
             self.notify_contract_listeners()
 
     def notify_contract_listeners(self) -> None:
-        """Notifies waiting tasks and listeners of a newer revision."""
+        """Notifies waiting tasks and listeners of newer contracts."""
         self.contracts_changed.set()
         self.contracts_changed = asyncio.Event()
         for listener in self.contract_listeners:
@@ -190,13 +195,26 @@
             contracts=self.contracts, revision=self.contracts_revision
         )
 
-    async def wait_for_contracts(self, revision: int, seconds: float) -> bool:
-        """Waits until a revision was adopted; returns whether it was."""
+    @property
+    def contracts_version(self) -> int:
+        """Version of the active contracts; `NO_VERSION` without any."""
+        return self.contracts.version if self.contracts else NO_VERSION
+
+    def has_contracts(self, named: ports.ContractsName) -> bool:
+        """Returns whether this router has named contracts, or newer ones."""
+        if named.version is None:
+            return self.contracts_revision >= named.revision
+        return self.contracts_version >= named.version
+
+    async def wait_for_contracts(
+        self, named: ports.ContractsName, seconds: float
+    ) -> bool:
+        """Waits until named contracts were adopted; returns whether so."""
         try:
             async with deadline.CatchUpTimeout(
                 asyncio.get_running_loop().time() + seconds
             ):
-                while self.contracts_revision < revision:
+                while not self.has_contracts(named):
                     await self.contracts_changed.wait()
         except TimeoutError:
             return False
@@ -204,8 +222,7 @@
 
     def reject_contracts(self, error: ports.TermsError) -> None:
         """Logs contracts that cannot be activated, once per revision."""
-        newest = max(self.contracts_revision, self.rejected_revision)
-        if error.revision <= newest:
+        if error.revision == self.rejected_revision:
             return
         self.rejected_revision = error.revision
         log.write(
--- a/oleanderhoist/node/storereader.py
+++ b/oleanderhoist/node/storereader.py
@@ -105,19 +105,19 @@
             return
         self.backoff_factor = 1.0
         try:
-            rows = await self.platform.read_rows()
+            stored = await self.platform.read_rows()
         except ports.StoreError as error:
             server_directory.record_failure(error)
             return
         self.state.snapshot_confirmation.confirm(
             server_directory.confirmation.at
         )
-        record = leaderstore.leadership_of(rows)
+        record = leaderstore.leadership_of(stored.rows)
         self.on_record(record)
         current = self.state.snapshot
         if current.name != before.name or record.epoch < before.epoch:
             return
-        self.adopt(before, server_directory.servers, rows)
+        self.adopt(before, server_directory.servers, stored.rows)
 
     def adopt(
         self,
--- a/oleanderhoist/node/updates.py
+++ b/oleanderhoist/node/updates.py
@@ -6,6 +6,7 @@
 from oleanderhoist import clock
 from oleanderhoist import events
 from oleanderhoist import log
+from oleanderhoist import ports
 from oleanderhoist.node import contractcodec
 from oleanderhoist.node import contractwatch
 from oleanderhoist.node import fragments
@@ -100,11 +101,17 @@
         self, peer: str, message: wire.ContractsFragment
     ) -> None:
         """Handles a fragment; adopts the contracts once they are complete."""
-        if message.revision <= self.state.contracts_revision:
+        named = ports.ContractsName(
+            version=message.version, revision=message.revision
+        )
+        if self.state.has_contracts(named):
             return
         try:
             data = self.contracts_reassembler.add(
-                (message.revision,), message.index, message.count, message.data
+                (message.version or 0, message.revision),
+                message.index,
+                message.count,
+                message.data,
             )
             if data is None:
                 return
@@ -114,21 +121,25 @@
             return
         self.state.adopt_contracts(versioned, peer)
 
-    def start_contracts_fetch(self, leader: str, revision: int) -> None:
+    def start_contracts_fetch(
+        self, leader: str, named: ports.ContractsName
+    ) -> None:
         """Starts to fetch newer contracts, unless that is running."""
         if self.contracts_task is None or self.contracts_task.done():
             self.contracts_task = asyncio.create_task(
-                self.fetch_contracts(leader, revision)
+                self.fetch_contracts(leader, named)
             )
 
-    async def fetch_contracts(self, leader: str, revision: int) -> None:
+    async def fetch_contracts(
+        self, leader: str, named: ports.ContractsName
+    ) -> None:
         """Fetches contracts from the leader, or else from the store."""
         if await self.state.wait_for_contracts(
-            revision, CONTRACTS_ARRIVAL_SECONDS
+            named, CONTRACTS_ARRIVAL_SECONDS
         ):
             return
         self.send_report(leader)
         if not await self.state.wait_for_contracts(
-            revision, CONTRACTS_REPLY_SECONDS
+            named, CONTRACTS_REPLY_SECONDS
         ):
-            await self.contract_watch.read_until(revision)
+            await self.contract_watch.read_until(named)
--- a/oleanderhoist/node/wire.py
+++ b/oleanderhoist/node/wire.py
@@ -20,9 +20,10 @@
         keys: Keys requested since the last member report, by pool.
         service_ms: Measured service time by server, in milliseconds.
         leaving: Whether it is stopping.
-        contracts_revision: Revision of its contracts.
+        contracts_revision: Number of its contracts, for earlier versions.
         departed: Ids and start times of the listed servers that have said that
             they leave; None from earlier versions.
+        contracts_version: Version of its contracts; None from earlier versions.
     """
 
     data_center: str
@@ -34,6 +35,7 @@
     leaving: bool = False
     contracts_revision: int = 0
     departed: list[tuple[str, int]] | None = None
+    contracts_version: int | None = None
 
 
 class Heartbeat(Message, tag="Beat"):
@@ -42,13 +44,15 @@
     Attributes:
         epoch: Its epoch.
         version: Version of its snapshot.
-        contracts_revision: Revision of the newest contracts it knows of.
+        contracts_revision: Number of its contracts, for earlier versions.
         age_ms: Time since it last knew that its directory and its contracts
             were current, in milliseconds.
         record: Revision of its leadership record.
         resigned: Whether it resigns.
         evacuated: Evacuated data centres; None from earlier versions.
-        evacuated_revision: Revision of the store at which they were read.
+        evacuated_revision: Number of the revision of the store at which they
+            were read.
+        contracts_version: Version of its contracts; None from earlier versions.
     """
 
     epoch: int
@@ -59,6 +63,7 @@
     resigned: bool = False
     evacuated: list[str] | None = None
     evacuated_revision: int = 0
+    contracts_version: int | None = None
 
 
 class SnapshotFragment(Message, tag="Part"):
@@ -72,12 +77,21 @@
 
 
 class ContractsFragment(Message, tag="TermsPart"):
-    """A fragment of encoded contracts."""
+    """A fragment of encoded contracts.
+
+    Attributes:
+        revision: Number of the contracts, for earlier versions.
+        index: Position of the fragment.
+        count: Number of fragments.
+        data: The fragment.
+        version: Version of the contracts; None from earlier versions.
+    """
 
     revision: int
     index: int
     count: int
     data: bytes
+    version: int | None = None
 
 
 class MemberItem(msgspec.Struct, array_like=True, frozen=True):
--- a/oleanderhoist/platform/adapter.py
+++ b/oleanderhoist/platform/adapter.py
@@ -13,6 +13,7 @@
 from oleanderhoist.platform import store
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import storeclock
+from oleanderhoist.policy import storeeras
 
 READY_PATH = "/readiness"
 
@@ -29,20 +30,28 @@
 
     def __init__(self, *, settings: settings.RouterSettings):
         self.store_clock = storeclock.StoreClock()
+        self.store_eras = storeeras.StoreEras()
         self.store = store.Store(
             address=settings.store,
             clock=clock.Clock(),
             store_clock=self.store_clock,
+            store_eras=self.store_eras,
         )
+        self.latest_row: ports.Row | None = None
         self.latest_contracts: ports.VersionedContracts | None = None
 
-    async def read_rows(self) -> dict[str, ports.Row]:
-        """Returns the system's own rows by key."""
+    async def read_rows(self) -> ports.OwnRows:
+        """Returns the system's own rows."""
         snapshot = await self.store.rows(store.OWN_TABLE)
-        return {row.key: row for row in snapshot.rows}
+        return ports.OwnRows(
+            rows={row.key: row for row in snapshot.rows},
+            revision=snapshot.revision,
+        )
 
     async def write_rows(
-        self, values: dict[str, bytes], expected: dict[str, int]
+        self,
+        values: dict[str, bytes],
+        expected: dict[str, storeeras.Revision],
     ) -> ports.Written | ports.Conflict:
         """Writes the system's own rows if `expected` revisions are current."""
         return await self.store.write(store.OWN_TABLE, values, expected)
@@ -77,12 +86,14 @@
         Raises:
             ports.TermsError: They cannot be applied.
         """
-        latest = self.latest_contracts
-        if latest is None or latest.revision != row.revision:
-            latest = self.latest_contracts = contracts.decode(row)
-        return latest
-
-    async def watch_contracts(self, after: int, seconds: float) -> bool:
+        if self.latest_contracts is None or self.latest_row != row:
+            self.latest_contracts = contracts.decode(row)
+            self.latest_row = row
+        return self.latest_contracts
+
+    async def watch_contracts(
+        self, after: storeeras.Revision, seconds: float
+    ) -> bool:
         """Waits until the contracts may have changed."""
         return await self.store.wait_for_change(contracts.TABLE, after, seconds)
 
--- a/oleanderhoist/platform/contracts.py
+++ b/oleanderhoist/platform/contracts.py
@@ -127,10 +127,12 @@
     try:
         document = documents.decode(row.value, Configuration, strict=False)
     except documents.DocumentError as error:
-        raise ports.TermsError(str(error), revision=row.revision) from error
+        raise ports.TermsError(
+            str(error), revision=row.revision.number
+        ) from error
     return ports.VersionedContracts(
         contracts=convert(document),
-        revision=row.revision,
+        revision=row.revision.number,
         unknown=unknown_types(document),
     )
 
--- a/oleanderhoist/platform/headers.py
+++ b/oleanderhoist/platform/headers.py
@@ -10,3 +10,4 @@
 SERVER_LIMIT = b"server-limit"  # Requests per second.
 SERVER_LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
+STORE_ERA = b"store-era"  # Rises when the store comes back from a copy.
--- a/oleanderhoist/platform/store.py
+++ b/oleanderhoist/platform/store.py
@@ -14,7 +14,9 @@
 from oleanderhoist.http import exchanges
 from oleanderhoist.http import messages
 from oleanderhoist.platform import documents
+from oleanderhoist.platform import headers
 from oleanderhoist.policy import storeclock
+from oleanderhoist.policy import storeeras
 
 OWN_TABLE = "oleander"
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -22,6 +24,7 @@
 FEED_ANSWER_SECONDS = 0.6  # For the answer, once the wait is over.
 MAX_PAGES = 20
 MAX_REVISION = 1 << 62
+MAX_ERA_DIGITS = 18
 
 
 class Payload(msgspec.Struct, kw_only=True):
@@ -51,7 +54,7 @@
     """
 
     rows: list[ports.Row]
-    revision: int
+    revision: storeeras.Revision
 
 
 class Store:
@@ -61,6 +64,7 @@
         address: Address of the store.
         clock: Time source.
         store_clock: Records the store's time.
+        store_eras: Records the store's eras.
     """
 
     def __init__(
@@ -69,12 +73,14 @@
         address: client.Address,
         clock: clock.Clock,
         store_clock: storeclock.StoreClock,
+        store_eras: storeeras.StoreEras,
     ):
         self.client = client.Client(
             address=address, connect_seconds=CONNECT_TIMEOUT_SECONDS
         )
         self.clock = clock
         self.store_clock = store_clock
+        self.store_eras = store_eras
 
     async def call(
         self,
@@ -87,18 +93,20 @@
         """Performs one call.
 
         Raises:
-            ports.StoreError: There was no response, or an error status.
+            ports.StoreError: There was no response, or an error status, or the
+                store has come back from a copy since it answered.
         """
-        headers = [(b"content-type", b"application/json")] if body else []
+        content = [(b"content-type", b"application/json")] if body else []
         sent_at = self.clock.boottime()
         try:
             response = await self.client.request(
-                method, path, timeout=timeout, headers=headers, body=body
+                method, path, timeout=timeout, headers=content, body=body
             )
         except exchanges.ExchangeError as error:
             raise ports.StoreError(
                 str(error), maybe_applied=error.maybe_sent and method != "GET"
             ) from error
+        self.check_era(response, maybe_applied=method != "GET")
         if response.status not in (200, 410, 412):
             # 429 and 503 mean that the call was not performed.
             maybe_applied = response.status not in (429, 503)
@@ -108,6 +116,26 @@
         self.record_time(response, sent_at)
         return response
 
+    def check_era(
+        self, response: messages.Response, *, maybe_applied: bool
+    ) -> None:
+        """Records the era of the store that a response names.
+
+        Raises:
+            ports.StoreError: It is an earlier one than that of another answer.
+        """
+        era = era_of(response)
+        if era is None:
+            return
+        if not self.store_eras.observe(era, self.clock.monotonic()):
+            raise ports.StoreError(
+                f"answer of the earlier era {era}", maybe_applied=maybe_applied
+            )
+
+    def revision(self, number: int) -> storeeras.Revision:
+        """Returns a revision that was named in the latest answer."""
+        return storeeras.Revision(era=self.store_eras.newest, number=number)
+
     def record_time(self, response: messages.Response, sent_at: float) -> None:
         """Records the store's time if the response has it."""
         if response.status != 200:
@@ -127,7 +155,8 @@
         """
         collected: list[ports.Row] = []
         start_key = ""
-        revision = MAX_REVISION
+        number = MAX_REVISION
+        era = None
         for _ in range(MAX_PAGES):
             query = {"table": table, "part": ""}
             if start_key:
@@ -135,27 +164,46 @@
             payload = decode(
                 await self.call("GET", request_target("rows-get", query))
             )
-            page = [to_row(item) for item in payload.rows]
+            if era is not None and era != self.store_eras.newest:
+                raise ports.StoreError(
+                    "the store came back from a copy between two pages",
+                    maybe_applied=False,
+                )
+            era = self.store_eras.newest
+            page = [to_row(item, era) for item in payload.rows]
             valid = [row for row in page if row is not None]
             collected.extend(valid)
-            revision = min(revision, payload.revision)
+            number = min(number, payload.revision)
             if not payload.has_more or not valid:
                 break
             start_key = valid[-1].key + "\0"
-        return TableRows(rows=collected, revision=revision)
+        return TableRows(rows=collected, revision=self.revision(number))
 
     async def write(
-        self, table: str, values: dict[str, bytes], expected: dict[str, int]
+        self,
+        table: str,
+        values: dict[str, bytes],
+        expected: dict[str, storeeras.Revision],
     ) -> ports.Written | ports.Conflict:
         """Writes rows of a table if the `expected` revisions are current.
 
+        The store compares the numbers only. After its return from a copy, they
+        may be those of other writes.
+
         Raises:
             ports.StoreError: There was no valid response.
         """
+        if self.is_outdated(expected):
+            return ports.Conflict()
         body = {
             # Each listed row must have the given revision.
             "expected_rev": [
-                {"table": table, "part": "", "key": key, "revision": revision}
+                {
+                    "table": table,
+                    "part": "",
+                    "key": key,
+                    "revision": revision.number,
+                }
                 for key, revision in expected.items()
             ],
             "puts": [
@@ -174,19 +222,30 @@
         )
         if response.status == 412:
             return ports.Conflict()
-        return ports.Written(revision=decode(response).revision)
+        if self.is_outdated(expected):
+            raise ports.StoreError(
+                "the store came back from a copy", maybe_applied=True
+            )
+        return ports.Written(revision=self.revision(decode(response).revision))
+
+    def is_outdated(self, expected: dict[str, storeeras.Revision]) -> bool:
+        """Returns whether any of some revisions is of an earlier era."""
+        newest = self.store_eras.newest
+        return any(one.era != newest for one in expected.values())
 
     async def wait_for_change(
-        self, table: str, after: int, seconds: float
+        self, table: str, after: storeeras.Revision, seconds: float
     ) -> bool:
         """Waits for a change of a table; returns whether there may be one.
 
         Raises:
             ports.StoreError: The store did not answer.
         """
+        if after.era != self.store_eras.newest:
+            return True
         query = {
             "table": table,
-            "after": str(after),
+            "after": str(after.number),
             "wait_ms": str(round(seconds * 1000)),
         }
         response = await self.call(
@@ -194,7 +253,7 @@
             request_target("rows-feed", query),
             timeout=seconds + FEED_ANSWER_SECONDS,
         )
-        if response.status == 410:
+        if response.status == 410 or after.era != self.store_eras.newest:
             # The store no longer has the changes after this revision.
             return True
         return bool(decode(response).rows)
@@ -219,7 +278,15 @@
         ) from error
 
 
-def to_row(item: object) -> ports.Row | None:
+def era_of(response: messages.Response) -> int | None:
+    """Returns the era of the store that a response names; None if it can't."""
+    text = messages.find(response.headers, headers.STORE_ERA) or ""
+    if not (text.isascii() and text.isdigit()) or len(text) > MAX_ERA_DIGITS:
+        return None
+    return int(text)
+
+
+def to_row(item: object, era: int) -> ports.Row | None:
     """Converts a row; returns None if it is malformed."""
     if not isinstance(item, dict) or not isinstance(item.get("key"), str):
         return None
@@ -230,4 +297,8 @@
         return None
     if not 0 <= revision <= MAX_REVISION:
         return None
-    return ports.Row(key=item["key"], value=value, revision=revision)
+    return ports.Row(
+        key=item["key"],
+        value=value,
+        revision=storeeras.Revision(era=era, number=revision),
+    )
--- a/oleanderhoist/policy/candidacy.py
+++ b/oleanderhoist/policy/candidacy.py
@@ -12,6 +12,7 @@
 import math
 
 from oleanderhoist.policy import hashing
+from oleanderhoist.policy import storeeras
 
 # Before the timeout, since the record must be read twice.
 RECORD_CHECK_SECONDS = 0.45
@@ -38,10 +39,10 @@
         since: When that revision was first read.
     """
 
-    revision: int | None = None
+    revision: storeeras.Revision | None = None
     since: float = 0.0
 
-    def observe(self, revision: int, now: float) -> None:
+    def observe(self, revision: storeeras.Revision, now: float) -> None:
         """Records a revision that was read."""
         if revision != self.revision:
             self.revision = revision
--- a/oleanderhoist/ports.py
+++ b/oleanderhoist/ports.py
@@ -15,6 +15,7 @@
 from oleanderhoist.policy import registry
 from oleanderhoist.policy import serverload
 from oleanderhoist.policy import storeclock
+from oleanderhoist.policy import storeeras
 
 
 class StoreError(Exception):
@@ -33,7 +34,7 @@
     """Contracts cannot be applied.
 
     Attributes:
-        revision: Revision of the rejected contracts.
+        revision: Number of the revision of the rejected contracts.
     """
 
     def __init__(self, text: str, *, revision: int):
@@ -47,7 +48,27 @@
 
     key: str
     value: bytes
-    revision: int
+    revision: storeeras.Revision
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class OwnRows:
+    """The routers' own rows, as read.
+
+    Attributes:
+        rows: The rows by key.
+        revision: Revision of the store when they were read.
+    """
+
+    rows: dict[str, Row]
+    revision: storeeras.Revision
+
+    def revision_of(self, key: str) -> storeeras.Revision:
+        """Returns the revision of a row; that of no row if there is none."""
+        row = self.rows.get(key)
+        if row is None:
+            return storeeras.Revision(era=self.revision.era)
+        return row.revision
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -58,7 +79,7 @@
         revision: Revision of the written rows.
     """
 
-    revision: int
+    revision: storeeras.Revision
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -87,8 +108,9 @@
     """Contracts and a revision of their row in the store.
 
     Attributes:
-        contracts: The contracts.
-        revision: Revision of the contracts' row.
+        contracts: The contracts; their version tells which are newer.
+        revision: Number of the revision of the contracts' row, by which
+            routers of earlier builds tell which are newer.
         unknown: What in them is not known and was taken in the safest way,
             for the log.
     """
@@ -98,6 +120,19 @@
     unknown: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ContractsName:
+    """Which contracts a router says that it has.
+
+    Attributes:
+        version: Their version; None from a router of an earlier build.
+        revision: Their number, by which earlier builds compare them.
+    """
+
+    version: int | None
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ContractsRead:
     """The result of reading the contracts.
@@ -112,7 +147,7 @@
 
     versioned: VersionedContracts | None
     error: TermsError | None
-    seen_revision: int
+    seen_revision: storeeras.Revision
     evacuated: frozenset[str] = frozenset()
     unusable: dict[str, str] = dataclasses.field(default_factory=dict)
 
@@ -258,27 +293,31 @@
     Attributes:
         ready_path: Path of the load balancer's readiness check.
         store_clock: Bounds of the store's time.
+        store_eras: Eras of the store that this process has seen.
     """
 
     ready_path: str
     store_clock: storeclock.StoreClock
+    store_eras: storeeras.StoreEras
 
-    async def read_rows(self) -> dict[str, Row]:
-        """Returns the routers' own rows by key.
+    async def read_rows(self) -> OwnRows:
+        """Returns the routers' own rows.
 
         Raises:
             StoreError: The store gave no valid response.
         """
 
     async def write_rows(
-        self, values: dict[str, bytes], expected: dict[str, int]
+        self,
+        values: dict[str, bytes],
+        expected: dict[str, storeeras.Revision],
     ) -> Written | Conflict:
         """Writes the routers' own rows if rows have the expected revisions.
 
         Args:
             values: New values by key.
-            expected: Expected revisions by key; 0 for a row that must not
-                exist.
+            expected: Expected revisions by key; of number 0 for a row that
+                must not exist.
 
         Raises:
             StoreError: The store gave no valid response.
@@ -298,7 +337,9 @@
             StoreError: The store gave no valid response.
         """
 
-    async def watch_contracts(self, after: int, seconds: float) -> bool:
+    async def watch_contracts(
+        self, after: storeeras.Revision, seconds: float
+    ) -> bool:
         """Waits for a change; returns whether there may have been one.
 
         Args:
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -4,7 +4,8 @@
 changes. Faults are set by ``PUT /faults``: ``down`` (whether calls get 503),
 ``lose`` (number of transactions that take effect but lose their response) and
 ``compacted`` (whether feeds get 410). ``PUT /seed`` writes the rows of the
-operator and of servers.
+operator and of servers. ``PUT /copy`` makes a copy, and ``PUT /restore`` comes
+back from it: what routers wrote since is gone, other rows are written again.
 """
 
 import asyncio
@@ -30,8 +31,17 @@
         self.changed = asyncio.Event()
         self.faults: dict = {"down": False, "lose": 0, "compacted": False}
         self.calls = 0
+        self.era = 1
+        self.copy: tuple[dict, int] = ({}, 0)
+        self.external: dict[tuple[str, str], dict] = {}
 
     async def handle(self, request: messages.Request) -> messages.Response:
+        """Handles one call; each response names the era."""
+        response = await self.dispatch(request)
+        response.headers.append((b"store-era", b"%d" % self.era))
+        return response
+
+    async def dispatch(self, request: messages.Request) -> messages.Response:
         """Handles one call."""
         body = await request.read()
         query = dict(urllib.parse.parse_qsl(request.target.partition("?")[2]))
@@ -40,6 +50,11 @@
             return messages.json_response(self.faults)
         if request.path == "/seed":
             return self.seed(json.loads(body))
+        if request.path == "/copy":
+            self.copy = dict(self.rows), self.revision
+            return self.respond()
+        if request.path == "/restore":
+            return self.restore()
         self.calls += 1
         if self.faults["down"]:
             return base.text_response(503, "down")
@@ -67,9 +82,19 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def restore(self) -> messages.Response:
+        """Comes back from the copy, in a new era."""
+        rows, self.revision = self.copy
+        self.rows = dict(rows)
+        self.era += 1
+        for item in list(self.external.values()):
+            self.seed(item)
+        return self.respond()
+
     def seed(self, item: dict) -> messages.Response:
         """Writes or deletes a row of the operator or of a server."""
         row_key = (item["table"], item["key"])
+        self.external[row_key] = item
         if item.get("value") is None:
             self.rows.pop(row_key, None)
             self.revision += 1
@@ -120,6 +145,8 @@
         if self.faults["compacted"]:
             return base.text_response(410, "history is gone")
         after = int(query["after"])
+        if after > self.revision:
+            return base.text_response(410, "no such revision")
         end = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
             rows = [
--- a/tests/ownership_world.py
+++ b/tests/ownership_world.py
@@ -1,11 +1,9 @@
 """A simulated store, servers and routers, with faults drawn from a seed.
 
 The routers run the real `Follower`, `Leader`, `Rebalancer` and `LeaseManager`.
-The servers check the ownership guarantees when a grant takes effect.
 """
 
 import asyncio
-import dataclasses
 import random
 
 from oleanderhoist import ports
@@ -17,14 +15,14 @@
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import contractset
 from oleanderhoist.policy import storeclock
+from oleanderhoist.policy import storeeras
+from tests import ownership_backends
 from tests import virtual
 
 POOL = "keyed"
 MAX_LEASE_SECONDS = 10.0
 PROPAGATION_SECONDS = 2.0
 KEY_BLOCK = 8192  # One key of each block is checked.
-SERVER_CLOCK_FACTOR = 1.02  # Clocks run slow, within CLOCK_DRIFT_FACTOR.
-GRANT_TIMEOUT_SECONDS = 0.4  # As in platform.leasechannel.
 DATAGRAM_SECONDS = 0.001
 LIMITS = contractset.MessageLimits(
     head_bytes=1, body_bytes=1, head_seconds=1, idle_seconds=1
@@ -37,135 +35,6 @@
 )
 
 
-@dataclasses.dataclass(kw_only=True)
-class Lease:
-    """A server's lease on one key."""
-
-    fence: int = 0
-    expires_at: float = 0.0
-
-
-class FakeServer:
-    """A server that owns keys and checks the ownership guarantees."""
-
-    def __init__(self, *, world: "World", id: str):
-        self.world = world
-        self.id = id
-        self.incarnation = 0
-        self.up = True
-        self.leases: dict[int, Lease] = {}
-
-    def restart(self) -> None:
-        """Starts a new process without leases and fencing tokens."""
-        self.incarnation += 1
-        self.leases.clear()
-
-    def grant(
-        self, lease_grant: ports.LeaseGrant, arrived_at: float, incarnation: int
-    ) -> bool:
-        """Applies a grant and checks that no other server owns the keys."""
-        if incarnation != self.incarnation or not self.up:
-            return False
-        key_samples = self.world.sampled_keys(
-            lease_grant.start, lease_grant.end
-        )
-        if any(
-            self.leases.get(k, Lease()).fence > lease_grant.fence
-            for k in key_samples
-        ):
-            return False
-        now = self.world.loop.now
-        for key in key_samples:
-            lease = self.leases.setdefault(key, Lease())
-            lease.fence = lease_grant.fence
-            lease.expires_at = (
-                arrived_at + lease_grant.lease_seconds * SERVER_CLOCK_FACTOR
-            )
-            if lease.expires_at > now:
-                self.world.check_exclusive(self, key, lease_grant.fence)
-        return True
-
-    def release(self, start: int, end: int) -> str:
-        """Ends the leases on keys."""
-        for key in self.world.sampled_keys(start, end):
-            if key in self.leases:
-                self.leases[key].expires_at = 0.0
-        return "token"
-
-
-class FakeLeaseChannel:
-    """A router's lease channel to a server."""
-
-    def __init__(self, *, world: "World", router: str, backend: FakeServer):
-        self.world = world
-        self.router = router
-        self.backend = backend
-        self.generation = 0
-        self.incarnation: int | None = None
-
-    async def connect(self, *, allow_new: bool) -> int:
-        """Ensures a connection."""
-        await self.world.delay_message()
-        self.require_reachable()
-        if self.incarnation != self.backend.incarnation and not allow_new:
-            raise ports.OrderError("no connection")
-        if self.incarnation != self.backend.incarnation:
-            self.incarnation = self.backend.incarnation
-            self.generation += 1
-        return self.generation
-
-    def require_reachable(self) -> None:
-        """Checks that the server is reachable.
-
-        Raises:
-            ports.OrderError: The server is unreachable.
-        """
-        blocked = (self.router, self.backend.id) in self.world.blocked_links
-        if blocked or not self.backend.up:
-            self.incarnation = None
-            raise ports.OrderError("unreachable")
-
-    async def grant(self, lease_grant: ports.LeaseGrant) -> bool:
-        """Sends a grant; it may apply late, or its reply may be lost."""
-        await self.world.delay_message()
-        self.require_reachable()
-        if self.incarnation != self.backend.incarnation:
-            self.incarnation = None
-            raise ports.OrderError("connection reset")
-        arrived_at = self.world.loop.now
-        if self.world.draw_fault("grant_late"):
-            incarnation = self.backend.incarnation
-            self.world.loop.call_later(
-                self.world.rng.uniform(1, 6),
-                lambda: self.backend.grant(
-                    lease_grant, arrived_at, incarnation
-                ),
-            )
-            self.incarnation = None
-            await asyncio.sleep(GRANT_TIMEOUT_SECONDS)
-            raise ports.OrderError("no answer in time")
-        granted = self.backend.grant(
-            lease_grant, arrived_at, self.backend.incarnation
-        )
-        if self.world.draw_fault("reply_lost"):
-            self.incarnation = None
-            raise ports.OrderError("reply lost")
-        return granted
-
-    async def release(self, start: int, end: int, fence: int) -> str:
-        """Releases keys; the reply may be lost."""
-        await self.world.delay_message()
-        self.require_reachable()
-        token = self.backend.release(start, end)
-        await asyncio.sleep(self.world.rng.uniform(0.01, 0.3))
-        if self.world.draw_fault("reply_lost"):
-            raise ports.OrderError("reply lost")
-        return token
-
-    def close(self) -> None:
-        """Does nothing."""
-
-
 class FakePlatform:
     """The platform as one router sees it."""
 
@@ -175,6 +44,7 @@
         self.world = world
         self.router = router
         self.store_clock = storeclock.StoreClock()
+        self.store_eras = storeeras.StoreEras()
 
     async def call_store(self) -> None:
         """Simulates a call to the store.
@@ -191,19 +61,30 @@
         ):
             raise ports.StoreError("unavailable", maybe_applied=False)
         now_ms = int(self.world.loop.now * 1000)
+        self.observe_era()
         await self.world.delay_message()
         self.store_clock.observe(now_ms, sent_at, self.world.loop.now)
 
-    async def read_rows(self) -> dict[str, ports.Row]:
+    def observe_era(self) -> None:
+        """Records the era that an answer names."""
+        self.store_eras.observe(self.world.era, self.world.loop.now)
+
+    async def read_rows(self) -> ports.OwnRows:
         """Returns all rows."""
         await self.call_store()
-        return dict(self.world.rows)
+        self.observe_era()
+        return ports.OwnRows(
+            rows=dict(self.world.rows), revision=self.world.newest_revision()
+        )
 
     async def write_rows(
-        self, values: dict[str, bytes], expected: dict[str, int]
+        self,
+        values: dict[str, bytes],
+        expected: dict[str, storeeras.Revision],
     ) -> ports.Written | ports.Conflict:
         """Writes rows; the write may be late, or its reply may be lost."""
         await self.call_store()
+        self.observe_era()
         if self.world.draw_fault("write_late"):
             self.world.loop.call_later(
                 self.world.rng.uniform(*self.world.late_write_seconds),
@@ -236,7 +117,9 @@
             evacuated=self.world.evacuated,
         )
 
-    async def watch_contracts(self, after: int, seconds: float) -> bool:
+    async def watch_contracts(
+        self, after: storeeras.Revision, seconds: float
+    ) -> bool:
         """Waits for a new revision; its response may be lost or deaf."""
         await self.call_store()
         deadline = self.world.loop.now + seconds
@@ -249,17 +132,19 @@
             await asyncio.sleep(0.02)
         return self.hears_change(after)
 
-    def hears_change(self, after: int) -> bool:
+    def hears_change(self, after: storeeras.Revision) -> bool:
         """Returns whether a wait for a change names a newer revision."""
         return (
             self.world.operator_revision() > after
             and self.router not in self.world.deaf_feeds
         )
 
-    def lease_channel(self, server: cluster.Server) -> FakeLeaseChannel:
+    def lease_channel(
+        self, server: cluster.Server
+    ) -> ownership_backends.FakeLeaseChannel:
         """Returns a channel to a server."""
         backend = self.world.backends[server.id]
-        return FakeLeaseChannel(
+        return ownership_backends.FakeLeaseChannel(
             world=self.world, router=self.router, backend=backend
         )
 
@@ -337,6 +222,7 @@
         self.clock = virtual.Clock(loop=self.loop)
         self.rows: dict[str, ports.Row] = {}
         self.revision = 0
+        self.era = 1
         self.store_down = False
         self.blocked_links: set[tuple[str, str]] = set()
         self.fault_rates: dict[str, float] = {}
@@ -356,7 +242,8 @@
         self.evacuated: frozenset[str] = frozenset()
         self.evacuated_revision = 0
         self.backends = {
-            f"s{n}": FakeServer(world=self, id=f"s{n}") for n in range(servers)
+            f"s{n}": ownership_backends.FakeServer(world=self, id=f"s{n}")
+            for n in range(servers)
         }
         self.listed_servers = {
             id: self.server_entry(id) for id in self.backends
@@ -372,14 +259,15 @@
             id=id, pool=POOL, address=f"{id}:1", data_center="a", slots=2
         )
 
-    def operator_revision(self) -> int:
+    def operator_revision(self) -> storeeras.Revision:
         """Returns the revision of the operator's latest write."""
-        return max(self.contracts_document.revision, self.evacuated_revision)
+        number = max(self.contracts_document.revision, self.evacuated_revision)
+        return storeeras.Revision(era=self.era, number=number)
 
     def evacuate(self, *data_centers: str) -> None:
         """Evacuates these data centres, and takes back all others."""
         self.evacuated = frozenset(data_centers)
-        self.evacuated_revision = self.operator_revision() + 1
+        self.evacuated_revision = self.operator_revision().number + 1
 
     def draw_fault(self, fault: str) -> bool:
         """Draws whether a fault happens now."""
@@ -399,14 +287,14 @@
         return [key for key in samples if start <= key <= end]
 
     def check_exclusive(
-        self, backend: FakeServer, key: int, fence: int
+        self, backend: ownership_backends.FakeServer, key: int, fence: int
     ) -> None:
         """Records a key with two owners, or a fence that does not increase."""
         self.grant_count += 1
         for other in self.backends.values():
             if other is backend or not other.up:
                 continue
-            lease = other.leases.get(key, Lease())
+            lease = other.leases.get(key, ownership_backends.Lease())
             if lease.expires_at > self.loop.now:
                 self.violations.append(
                     f"{self.loop.now:.3f}: {backend.id} and {other.id} hold "
@@ -418,19 +306,24 @@
                 )
 
     def write(
-        self, values: dict[str, bytes], expected: dict[str, int]
+        self,
+        values: dict[str, bytes],
+        expected: dict[str, storeeras.Revision],
     ) -> ports.Written | ports.Conflict:
-        """Writes rows if their expected revisions match."""
+        """Writes rows if the numbers of their expected revisions match."""
         for key, revision in expected.items():
             row = self.rows.get(key)
-            if (row.revision if row else 0) != revision:
+            if (row.revision.number if row else 0) != revision.number:
                 return ports.Conflict()
         self.revision += 1
+        revision = self.newest_revision()
         for key, value in values.items():
-            self.rows[key] = ports.Row(
-                key=key, value=value, revision=self.revision
-            )
-        return ports.Written(revision=self.revision)
+            self.rows[key] = ports.Row(key=key, value=value, revision=revision)
+        return ports.Written(revision=revision)
+
+    def newest_revision(self) -> storeeras.Revision:
+        """Returns the store's revision."""
+        return storeeras.Revision(era=self.era, number=self.revision)
 
     def deliver(self, sender: str, address: str, data: bytes) -> None:
         """Delivers a datagram to a running router."""
@@ -476,7 +369,7 @@
         """Records owned keys and servers that the leader cannot reach."""
         for backend in self.backends.values():
             for key in self.sampled_keys(0, 65_535):
-                lease = backend.leases.get(key, Lease())
+                lease = backend.leases.get(key, ownership_backends.Lease())
                 if backend.up and lease.expires_at > self.loop.now:
                     self.served_keys.add(key)
         leaders = [
--- a/tests/test_contract_age.py
+++ b/tests/test_contract_age.py
@@ -3,16 +3,22 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import math
 import unittest
 
+import msgspec
+
 from oleanderhoist import clock
 from oleanderhoist import ports
+from oleanderhoist import program
 from oleanderhoist.http import client
 from oleanderhoist.node import follower
+from oleanderhoist.node import freshness
 from oleanderhoist.node import state
 from oleanderhoist.node import wire
 from oleanderhoist.platform import store
 from oleanderhoist.policy import storeclock
+from oleanderhoist.policy import storeeras
 from tests import ownership_world
 from tests import scripted
 from tests import starvation
@@ -185,11 +191,14 @@
             address=client.Address.parse(peer.address),
             clock=clock.Clock(),
             store_clock=storeclock.StoreClock(),
+            store_eras=storeeras.StoreEras(),
         )
         self.addCleanup(caller.client.drop_idle)
         stopwatch = starvation.Stopwatch()
         with self.assertRaises(ports.StoreError):
-            await caller.wait_for_change("t", 0, FEED_WAIT_SECONDS)
+            await caller.wait_for_change(
+                "t", storeeras.Revision(), FEED_WAIT_SECONDS
+            )
         self.assertLess(
             stopwatch.elapsed(), FEED_WAIT_SECONDS + FEED_ANSWER_SECONDS
         )
@@ -211,6 +220,42 @@
         self.assertEqual(1, announced.revision)
 
 
+class EarlierBuildTest(unittest.TestCase):
+    """Routers of the build that compares contracts by their revision."""
+
+    def test_it_misses_a_version_that_came_after_a_drill(self):
+        """Guards against a number that falls with the store's revisions."""
+        router_state = state.State()
+        numbers = []
+        for version, revision in ((1, 300), (2, 120), (3, 121)):
+            contracts = dataclasses.replace(
+                ownership_world.CONTRACTS, version=version
+            )
+            document = ports.VersionedContracts(
+                contracts=contracts, revision=revision
+            )
+            router_state.adopt_contracts(document, "store")
+            numbers.append(router_state.contracts_revision)
+        self.assertEqual([300, 301, 302], numbers)
+
+    def test_its_heartbeat_vouches_for_contracts(self):
+        """Guards against a leader that announces a number of before a drill."""
+        one = freshness.Freshness(
+            state=state.State(),
+            clock=clock.Clock(),
+            lag=program.LoopLag(clock=clock.Clock()),
+            own_address="a:1",
+            propagation_seconds=ownership_world.PROPAGATION_SECONDS,
+        )
+        heartbeat = wire.Heartbeat(
+            epoch=1, version=1, contracts_revision=0, age_ms=0, record=1
+        )
+        one.hear(heartbeat)
+        self.assertEqual(-math.inf, one.state.contracts_confirmation.at)
+        one.hear(msgspec.structs.replace(heartbeat, contracts_version=-1))
+        self.assertLess(-math.inf, one.state.contracts_confirmation.at)
+
+
 class OlderContractsTest(unittest.TestCase):
     """A router does not go back to an older version."""
 
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -18,12 +18,15 @@
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import evacuations
 from oleanderhoist.policy import keys
+from oleanderhoist.policy import storeeras
 from tests import ownership_world
 from tests import test_forwarder
 
 SECONDS = 5.0
 HALF_SECONDS = SECONDS / 2
 BATCH_SECONDS = 0.2
+ROW_REVISION = storeeras.Revision(number=3)
+TABLE_REVISION = storeeras.Revision(number=8)
 
 
 def server(id: str, *, pool: str, data_center: str) -> cluster.Server:
@@ -150,7 +153,7 @@
         result = ports.ContractsRead(
             versioned=None,
             error=None,
-            seen_revision=revision,
+            seen_revision=storeeras.Revision(number=revision),
             evacuated=frozenset(names),
             unusable=unusable,
         )
@@ -228,14 +231,18 @@
             )
         )
         found = [
-            ports.Row(key=f"evacuate/{name}", value=value, revision=3)
+            ports.Row(
+                key=f"evacuate/{name}", value=value, revision=ROW_REVISION
+            )
             for name, value in rows.items()
         ]
-        other = ports.Row(key="evacuation", value=b"{}", revision=3)
+        other = ports.Row(key="evacuation", value=b"{}", revision=ROW_REVISION)
 
         async def read_rows(table: str) -> store.TableRows:
             self.assertEqual(contracts.TABLE, table)
-            return store.TableRows(rows=[*found, other], revision=8)
+            return store.TableRows(
+                rows=[*found, other], revision=TABLE_REVISION
+            )
 
         platform.store.rows = read_rows
         return await platform.read_contracts()
@@ -245,7 +252,7 @@
             a=b"{}", b=b'{"more": 1}', c=b"\xff{", d=b"", e=b"[" * 9000
         )
         self.assertEqual(frozenset("abcde"), result.evacuated)
-        self.assertEqual(8, result.seen_revision)
+        self.assertEqual(TABLE_REVISION, result.seen_revision)
         self.assertEqual(
             {"evacuate/c", "evacuate/d", "evacuate/e"}, set(result.unusable)
         )
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -13,6 +13,7 @@
 from oleanderhoist.platform import protocol
 from oleanderhoist.platform import store
 from oleanderhoist.policy import cluster
+from oleanderhoist.policy import storeeras
 from tests import scripted
 
 GOOD = {
@@ -54,7 +55,9 @@
 
 def row(key: str, value: bytes) -> ports.Row:
     """Returns a row of the directory."""
-    return ports.Row(key=key, value=value, revision=1)
+    return ports.Row(
+        key=key, value=value, revision=storeeras.Revision(number=1)
+    )
 
 
 class DirectoryEntryTest(unittest.TestCase):
@@ -78,8 +81,8 @@
 
     def test_a_row_with_an_endless_revision_hides_the_others(self):
         item = {"key": "k", "value": "", "revision": float("inf")}
-        self.assertIsNone(store.to_row(item))
-        self.assertIsNone(store.to_row({**item, "revision": 2**70}))
+        self.assertIsNone(store.to_row(item, 0))
+        self.assertIsNone(store.to_row({**item, "revision": 2**70}, 0))
 
 
 class RequestHeadTest(unittest.TestCase):
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -26,6 +26,7 @@
         leaving=True,
         contracts_revision=6,
         departed=[("s", 7)],
+        contracts_version=8,
     ),
     datagrams.Heartbeat(
         epoch=1,
@@ -36,9 +37,12 @@
         resigned=True,
         evacuated=["z"],
         evacuated_revision=6,
+        contracts_version=7,
     ),
     datagrams.SnapshotFragment(epoch=1, version=2, index=3, count=4, data=b"d"),
-    datagrams.ContractsFragment(revision=1, index=2, count=3, data=b"d"),
+    datagrams.ContractsFragment(
+        revision=1, index=2, count=3, data=b"d", version=4
+    ),
     datagrams.Delta(
         base_epoch=1,
         base_version=2,
@@ -95,14 +99,14 @@
     datagrams.ServerSilent(queue="q", server="s"),
 ]
 DATAGRAM_BYTES = """
-9aa548656c6c6fa161cb3fe0000000000000020381a17092040581a173cb3ff8000000000000c3
-069192a17307
+9ba548656c6c6fa161cb3fe0000000000000020381a17092040581a173cb3ff8000000000000c3
+069192a1730708
 
-99a4426561740102030405c391a17a06
+9aa4426561740102030405c391a17a0607
 
 96a45061727401020304c40164
 
-95a95465726d7350617274010203c40164
+96a95465726d7350617274010203c4016404
 
 9aa544656c7461010203049193a16da161cb3fe000000000000091a16e9198a173a170a3683a31
 a1610506c3c391a17481a17091930708a173
@@ -141,6 +145,38 @@
         "99a548656c6c6fa161cb3fe0000000000000020381a17092040581a173cb3ff800000000"
         "0000c306",
     ),
+    (
+        datagrams.MemberReport(
+            data_center="a",
+            cores=0.5,
+            epoch=2,
+            version=3,
+            keys={"p": [4, 5]},
+            service_ms={"s": 1.5},
+            leaving=True,
+            contracts_revision=6,
+            departed=[("s", 7)],
+        ),
+        "9aa548656c6c6fa161cb3fe0000000000000020381a17092040581a173cb3ff800000000"
+        "0000c3069192a17307",
+    ),
+    (
+        datagrams.Heartbeat(
+            epoch=1,
+            version=2,
+            contracts_revision=3,
+            age_ms=4,
+            record=5,
+            resigned=True,
+            evacuated=["z"],
+            evacuated_revision=6,
+        ),
+        "99a4426561740102030405c391a17a06",
+    ),
+    (
+        datagrams.ContractsFragment(revision=1, index=2, count=3, data=b"d"),
+        "95a95465726d7350617274010203c40164",
+    ),
     (datagrams.SlotGranted(id=1, server="s"), "93a4536c6f7401a173"),
     (
         datagrams.SlotGranted(id=1, server="s", service_ms=2, silent_ms=3),
@@ -369,7 +405,11 @@
         fields = datagrams.MemberReport.__annotations__
         earlier = msgspec.defstruct(
             "MemberReport",
-            [item for item in fields.items() if item[0] != "departed"],
+            [
+                item
+                for item in fields.items()
+                if item[0] not in ("departed", "contracts_version")
+            ],
             tag="Hello",
             array_like=True,
         )
@@ -420,7 +460,13 @@
 
     def test_earlier_versions_ignore_later_fields_of_other_datagrams(self):
         later = {
-            datagrams.Heartbeat: ["evacuated", "evacuated_revision"],
+            datagrams.MemberReport: ["contracts_version"],
+            datagrams.Heartbeat: [
+                "evacuated",
+                "evacuated_revision",
+                "contracts_version",
+            ],
+            datagrams.ContractsFragment: ["version"],
             datagrams.ReleaseSlot: ["load", "unanswered"],
             datagrams.AcquireSlot: ["ended", "kind", "age_ms"],
             datagrams.CancelAcquire: ["started"],
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -16,6 +16,7 @@
 from oleanderhoist.platform import contracts
 from oleanderhoist.platform import directory
 from oleanderhoist.platform import settings as platform_settings
+from oleanderhoist.policy import storeeras
 from standins import platform_system
 
 WIRE_NAMES = re.compile(
@@ -29,7 +30,8 @@
 def row(value: object, key: str = "config") -> ports.Row:
     """Returns a row with a JSON value."""
     encoded = value if isinstance(value, bytes) else json.dumps(value).encode()
-    return ports.Row(key=key, value=encoded, revision=5)
+    revision = storeeras.Revision(number=5)
+    return ports.Row(key=key, value=encoded, revision=revision)
 
 
 def config_with(**action: object) -> dict:
--- a/tests/test_store_answers.py
+++ b/tests/test_store_answers.py
@@ -7,6 +7,7 @@
 from oleanderhoist.http import client
 from oleanderhoist.platform import store
 from oleanderhoist.policy import storeclock
+from oleanderhoist.policy import storeeras
 from tests import scripted
 from tests import test_garbage
 
@@ -40,6 +41,7 @@
             address=client.Address.parse(peer.address),
             clock=clock.Clock(),
             store_clock=storeclock.StoreClock(),
+            store_eras=storeeras.StoreEras(),
         )
         self.addCleanup(caller.client.drop_idle)
         return caller
@@ -49,7 +51,9 @@
             caller = await self.connect(body)
             for call in (
                 lambda caller: caller.rows("t"),
-                lambda caller: caller.wait_for_change("t", 0, 0.1),
+                lambda caller: caller.wait_for_change(
+                    "t", storeeras.Revision(), 0.1
+                ),
                 lambda caller: caller.write("t", {}, {}),
             ):
                 with self.assertRaises(ports.StoreError, msg=body[:30]):
--- a/tests/test_store_calls.py
+++ b/tests/test_store_calls.py
@@ -176,7 +176,9 @@
             )
             follower = self.world.followers[lacking]
             report = msgspec.structs.replace(
-                follower.member_report(), contracts_revision=0
+                follower.member_report(),
+                contracts_revision=0,
+                contracts_version=0,
             )
             leaderships[0].on_member_report(lacking, report)
             self.assertEqual([lacking], receivers)
@@ -271,7 +273,10 @@
         return leaderstore.LeaderStore(
             platform=platform,
             clock=self.world.clock,
-            rows=dict(self.world.rows),
+            stored=ports.OwnRows(
+                rows=dict(self.world.rows),
+                revision=self.world.newest_revision(),
+            ),
             leader_lease=leader_lease,
             address="n",
         )
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -9,6 +9,7 @@
 from oleanderhoist.http import client
 from oleanderhoist.platform import store
 from oleanderhoist.policy import storeclock
+from oleanderhoist.policy import storeeras
 from tests import recording
 
 STORE_MS = 10**12
@@ -44,20 +45,26 @@
             address=client.Address(host="127.0.0.1", port=port),
             clock=clock.Clock(),
             store_clock=self.store_clock,
+            store_eras=storeeras.StoreEras(),
         )
         self.addCleanup(self.store.client.close)
         self.answers: list[tuple[int, dict]] = []
+        self.era: int | str = 0
 
     async def respond(self, request: recording.Received) -> bytes:
         """Returns the next answer."""
         status, body = self.answers.pop(0)
         data = json.dumps(body)
-        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n"
-        return (head + data).encode()
+        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n"
+        if self.era:
+            head += f"Store-Era: {self.era}\r\n"
+        head += "\r\n"
+        return (head + data).encode("latin-1")
 
     async def write(self) -> ports.Written | ports.Conflict:
         """Writes a row."""
-        return await self.store.write("t", {"k": b"new"}, {"k": 3})
+        expected = {"k": storeeras.Revision(era=int(self.era), number=3)}
+        return await self.store.write("t", {"k": b"new"}, expected)
 
     async def test_a_refused_write_counts_as_perhaps_done(self):
         for status, maybe_applied in ((429, False), (503, False), (500, True)):
@@ -69,7 +76,8 @@
     async def test_a_write_is_unconditional_or_its_conflict_unseen(self):
         self.answers = [(412, page("k")), (200, page(revision=9))]
         self.assertEqual(ports.Conflict(), await self.write())
-        self.assertEqual(ports.Written(revision=9), await self.write())
+        written = ports.Written(revision=storeeras.Revision(number=9))
+        self.assertEqual(written, await self.write())
         call = json.loads(self.backend.received[0].body)
         expected = {"table": "t", "part": "", "key": "k", "revision": 3}
         self.assertEqual([expected], call["expected_rev"])
@@ -84,7 +92,7 @@
         result = await self.store.rows("t")
         self.assertEqual(["a", "b", "c"], [row.key for row in result.rows])
         # A later wait must not miss a change between the two pages.
-        self.assertEqual(7, result.revision)
+        self.assertEqual(storeeras.Revision(number=7), result.revision)
         first, second = self.backend.received
         self.assertNotIn(b"from=", first.line)
         self.assertIn(b"from=b%00", second.line)
@@ -97,10 +105,54 @@
         ):
             self.answers = [answer]
             self.assertEqual(
-                changed, await self.store.wait_for_change("t", 5, 0.1)
+                changed,
+                await self.store.wait_for_change(
+                    "t", storeeras.Revision(number=5), 0.1
+                ),
             )
             self.assertIn(b"after=5", self.backend.received[-1].line)
 
+    async def test_a_feed_hides_changes_since_the_store_came_back(self):
+        """Guards against waiting from a revision that is given out again."""
+        self.answers = [(200, page(revision=9)), (200, page(revision=9))]
+        seen = (await self.store.rows("t")).revision
+        self.era = 1
+        self.assertTrue(await self.store.wait_for_change("t", seen, 0.1))
+        self.assertTrue(await self.store.wait_for_change("t", seen, 0.1))
+        self.assertEqual([], self.answers)
+
+    async def test_a_write_under_conditions_of_an_earlier_era_is_believed(self):
+        """Guards against conditions that hold by chance after a return."""
+        self.era = 4
+        self.answers = [(200, page(revision=9))]
+        with self.assertRaises(ports.StoreError) as caught:
+            await self.store.write(
+                "t", {"k": b"new"}, {"k": storeeras.Revision(number=3)}
+            )
+        self.assertTrue(caught.exception.maybe_applied)
+        self.era = 5
+        self.answers = [(200, page(revision=9))]
+        await self.store.rows("t")
+        self.era = 4
+        self.assertEqual(ports.Conflict(), await self.write())
+        self.assertEqual([], self.answers)
+
+    async def test_an_answer_of_an_earlier_era_is_believed(self):
+        """Guards against news from before the store came back."""
+        self.answers = [(200, page("a")), (200, page("b"))]
+        self.era = 3
+        await self.store.rows("t")
+        self.era = 2
+        with self.assertRaises(ports.StoreError):
+            await self.store.rows("t")
+
+    async def test_an_era_that_cannot_be_read_ends_the_call(self):
+        for era in ("x", "-1", "\u00b2", "9" * 40):
+            self.era = era
+            self.answers = [(200, page("a"))]
+            result = await self.store.rows("t")
+            self.assertEqual(0, result.revision.era)
+
     async def test_the_time_of_the_store_is_not_read(self):
         self.answers = [(200, page(now_ms=STORE_MS))]
         await self.store.rows("t")
