Write the leader's rows anew when the store came back from a copy

After a drill and a restart of the leader, two servers held the keys that had moved since the copy for about 2 s, and both began requests on them.

Cause: the leader took for granted that its acknowledged maps were still stored, and its successor granted to the owners of the copy at once. Evidence: the row of the map before the SIGTERM is that of the copy. On the same paths: epochs were compared without addresses and were given out a second time, a resignation of the copy was believed, followers took over the map of the copy.

Change: the record names the era and whether the stored owners are its leader's. A leader that finds a new era writes its record and all maps anew in one transaction, under its own epoch, and moves no keys for 2 s. A successor believes stored owners only of the present era; else it waits until all earlier leases have expired. The decisions are pure (policy/succession.py). The duties for key owners move from node/leader.py to node/keyowners.py. The soak has a drill (--drills).

--- a/oleanderhoist/events.py
+++ b/oleanderhoist/events.py
@@ -408,6 +408,20 @@
     "A write whose response was lost was found in the store.",
     "oleanderhoist.node.leaderstore",
 )
+STORE_RESTORED = define(
+    446,
+    "store.restored",
+    "The store came back from an older copy; the leader wrote its record and "
+    "the owners of all keys anew: the eras, its epoch and the pools.",
+    "oleanderhoist.node.leaderstore",
+)
+OWNERS_AWAITED = define(
+    447,
+    "owners.awaited",
+    "The store came back from an older copy, and nothing proves who owns which "
+    "keys: a new leader waits so many `seconds` until all leases have expired.",
+    "oleanderhoist.node.keyowners",
+)
 DATAGRAM_MALFORMED = define(
     450,
     "datagram.malformed",
--- a/oleanderhoist/node/election.py
+++ b/oleanderhoist/node/election.py
@@ -18,17 +18,34 @@
     Attributes:
         predecessor: The leadership record to replace.
         replaced_revision: Revision of that record.
+        epoch: Epoch of the leadership that this router stands for.
+        is_current: Whether the record and the key maps beside it are those of
+            the latest leader.
         max_lease_seconds: Longest lease that servers accept, in seconds.
     """
 
     predecessor: leaderstore.LeadershipRecord
     replaced_revision: storeeras.Revision
+    epoch: int
+    is_current: bool
     max_lease_seconds: float
 
-    @property
-    def epoch(self) -> int:
-        """Epoch of the leadership that this router stands for."""
-        return self.predecessor.epoch + 1
+    def record(
+        self, address: str, *, lapse_ms: int = 0
+    ) -> leaderstore.LeadershipRecord:
+        """Returns the leadership record to write.
+
+        Args:
+            address: Address of the leader; empty to give the leadership up.
+            lapse_ms: When all earlier leases have expired, in the store's time.
+        """
+        return leaderstore.LeadershipRecord(
+            epoch=self.epoch,
+            address=address,
+            lapse_ms=lapse_ms,
+            era=self.replaced_revision.era,
+            owners_known=self.is_current,
+        )
 
 
 class Election:
@@ -58,9 +75,7 @@
         Raises:
             ports.StoreError: There was no valid response.
         """
-        record = leaderstore.LeadershipRecord(
-            epoch=candidacy.epoch, address=self.own_address
-        )
+        record = candidacy.record(self.own_address)
         self.candidacy = candidacy
         try:
             result = await self.write(record, candidacy.replaced_revision)
@@ -74,6 +89,15 @@
             return False
         return True
 
+    def is_won(self, candidacy: Candidacy, stored: ports.OwnRows) -> bool:
+        """Returns whether rows that were read since show this one as leader."""
+        record = leaderstore.leadership_of(stored.rows)
+        return (record.epoch, record.address, stored.revision.era) == (
+            candidacy.epoch,
+            self.own_address,
+            candidacy.replaced_revision.era,
+        )
+
     async def withdraw(self) -> None:
         """Vacates the record of the candidacy, so that another may lead.
 
@@ -125,7 +149,7 @@
             began_at=now,
             max_lease_seconds=candidacy.max_lease_seconds,
         )
-        if candidacy.predecessor.lapse_ms:
+        if candidacy.is_current and candidacy.predecessor.lapse_ms:
             wait_seconds = self.platform.store_clock.seconds_until(
                 candidacy.predecessor.lapse_ms, now
             )
@@ -137,9 +161,8 @@
     ) -> leaderstore.LeadershipRecord:
         """Returns the record of a leader that resigned before any grant."""
         leader_lease = self.leader_lease(candidacy, self.clock.boottime())
-        return leaderstore.LeadershipRecord(
-            epoch=candidacy.epoch,
-            address="",
+        return candidacy.record(
+            "",
             lapse_ms=self.platform.store_clock.upper_bound(
                 leader_lease.predecessor_grants_expire_at()
             ),
--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -26,6 +26,8 @@
 from oleanderhoist.policy import candidacy
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import leaderlease
+from oleanderhoist.policy import storeeras
+from oleanderhoist.policy import succession
 
 TICK_SECONDS = 0.1
 MEMBER_REPORT_INTERVAL_SECONDS = 0.5
@@ -210,13 +212,11 @@
         self.store_reader.backoff_factor = 1.0
         now = self.clock.monotonic()
         record = leaderstore.leadership_of(stored.rows)
-        self.record_watch.observe(
-            stored.revision_of(leaderstore.LEADER_KEY), now
-        )
+        self.record_watch.observe(self.recorded_state(stored, record), now)
         self.follow_recorded_leader(record)
-        is_vacant = (
-            not record.address or record.address == self.own_member.address
-        )
+        is_vacant = record.address in ("", self.own_member.address)
+        if not succession.is_current(record.facts(), self.known_at(stored)):
+            is_vacant = False  # The latest leader may be about to restore it.
         if not is_vacant and self.record_watch.unchanged(now) < (
             candidacy.RECORD_UNCHANGED_SECONDS
         ):
@@ -228,6 +228,26 @@
             return
         await self.acquire_leadership(stored, record)
 
+    def known_at(self, stored: ports.OwnRows) -> succession.Knowledge:
+        """Returns what this router knows when it has read the rows."""
+        era = stored.revision.era
+        first = self.platform.store_eras.first
+        return succession.Knowledge(
+            epoch=self.epoch, first_era=era if first is None else first, era=era
+        )
+
+    def recorded_state(
+        self, stored: ports.OwnRows, record: leaderstore.LeadershipRecord
+    ) -> storeeras.Revision | tuple[int, str]:
+        """Returns what must change if the recorded leader is in force.
+
+        One that was replaced goes on to renew its record, if the store came
+        back from a copy and knows nothing of the later leader.
+        """
+        if record.epoch < self.epoch:
+            return record.epoch, record.address
+        return stored.revision_of(leaderstore.LEADER_KEY)
+
     async def acquire_leadership(
         self,
         stored: ports.OwnRows,
@@ -236,9 +256,12 @@
         """Tries to acquire the leadership, unless this router stops."""
         if self.stopping:
             return
+        facts, known = predecessor.facts(), self.known_at(stored)
         candidacy = election.Candidacy(
             predecessor=predecessor,
             replaced_revision=stored.revision_of(leaderstore.LEADER_KEY),
+            epoch=succession.next_epoch(facts, known),
+            is_current=succession.is_current(facts, known),
             max_lease_seconds=self.max_lease_seconds,
         )
         try:
@@ -249,14 +272,15 @@
         except ports.StoreError as error:
             log.write(events.LEADERSHIP_FAILED, reason=str(error))
             return
-        record = leaderstore.leadership_of(stored.rows)
-        is_won = record.epoch == candidacy.epoch
-        if is_won and not self.stopping:
+        if self.election.is_won(candidacy, stored) and not self.stopping:
             leader_lease = self.election.leader_lease(candidacy, sent_at)
-            await self.lead(stored, leader_lease)
+            await self.lead(stored, leader_lease, candidacy.is_current)
 
     async def lead(
-        self, stored: ports.OwnRows, leader_lease: leaderlease.LeaderLease
+        self,
+        stored: ports.OwnRows,
+        leader_lease: leaderlease.LeaderLease,
+        owners_known: bool,
     ) -> None:
         """Leads until deposed or resigned."""
         log.write(
@@ -275,6 +299,7 @@
             lag=self.lag,
             own_member=self.own_member,
             stored=stored,
+            owners_known=owners_known,
             leader_lease=leader_lease,
             contract_watch=self.contract_watch,
             store_last_failure_at=self.store_reader.last_failure_at,
--- a/oleanderhoist/node/leader.py
+++ b/oleanderhoist/node/leader.py
@@ -17,15 +17,14 @@
 from oleanderhoist.node import datagrams
 from oleanderhoist.node import departurenews
 from oleanderhoist.node import directory
+from oleanderhoist.node import keyowners
 from oleanderhoist.node import leaderstore
 from oleanderhoist.node import leasemanager
 from oleanderhoist.node import membership
 from oleanderhoist.node import publisher
-from oleanderhoist.node import rebalancer
 from oleanderhoist.node import state
 from oleanderhoist.node import wire
 from oleanderhoist.policy import cluster
-from oleanderhoist.policy import keys
 from oleanderhoist.policy import leaderlease
 
 RECORD_RENEWAL_INTERVAL_SECONDS = 0.5
@@ -57,6 +56,7 @@
         own_member: This router as a member.
         stored: The routers' own rows in the store, read after the leadership
             was acquired.
+        owners_known: Whether the stored key maps may be believed.
         leader_lease: Leader lease of this epoch.
         contract_watch: Follows the contracts.
         store_last_failure_at: When a store call of this router last failed,
@@ -75,6 +75,7 @@
         lag: program.LoopLag,
         own_member: cluster.Member,
         stored: ports.OwnRows,
+        owners_known: bool,
         leader_lease: leaderlease.LeaderLease,
         contract_watch: contractwatch.ContractWatch,
         store_last_failure_at: float,
@@ -97,6 +98,7 @@
             stored=stored,
             leader_lease=leader_lease,
             address=datagrams.address,
+            owners_known=owners_known,
         )
         self.membership = membership.Membership(
             members=state.snapshot.members
@@ -115,7 +117,6 @@
             servers=state.snapshot.servers,
             last_failure_at=store_last_failure_at,
         )
-        self.rebalancers: dict[str, rebalancer.Rebalancer] = {}
         self.version = 0
         self.announced_version = 0
         self.previous_announced_version = 0
@@ -123,6 +124,20 @@
         self.members_joined = asyncio.Event()
         self.deposed = asyncio.Event()
         self.task_group: asyncio.TaskGroup | None = None
+        self.key_owners = keyowners.KeyOwners(
+            platform=platform,
+            leader_store=self.leader_store,
+            fences=self.fences,
+            leader_lease=leader_lease,
+            clock=clock,
+            publish=self.snapshot_dirty.set,
+            spawn=self.spawn,
+            evacuations=state.evacuations,
+            servers_of=self.servers_of,
+        )
+        if not owners_known:
+            self.key_owners.inherit(state.snapshot.maps)
+        self.rebalancers = self.key_owners.rebalancers
 
     async def run(self) -> None:
         """Leads until deposed or resigned.
@@ -136,9 +151,7 @@
         try:
             async with asyncio.TaskGroup() as group:
                 self.task_group = group
-                recorded = leaderstore.maps_of(self.leader_store.rows)
-                for pool, key_map in recorded.items():
-                    self.add_rebalancer(pool, key_map)
+                self.key_owners.start()
                 self.snapshot_dirty.set()
                 self.state.contract_listeners.append(
                     self.publisher.send_contracts_to_all
@@ -158,9 +171,7 @@
                 self.publisher.send_contracts_to_all
             )
             self.state.departure_listeners.remove(self.on_departures)
-            for pool_rebalancer in self.rebalancers.values():
-                for manager in pool_rebalancer.lease_managers.values():
-                    manager.close()
+            self.key_owners.close()
 
     async def read_first(self) -> None:
         """Reads what the first heartbeat vouches for, if the store answers."""
@@ -182,24 +193,6 @@
             program.supervise(name, run, fatal=(leaderstore.DeposedError,))
         )
 
-    def add_rebalancer(self, pool: str, key_map: keys.KeyMap | None) -> None:
-        """Starts to assign the keys of a pool."""
-        pool_rebalancer = rebalancer.Rebalancer(
-            pool=pool,
-            key_map=key_map,
-            platform=self.platform,
-            leader_store=self.leader_store,
-            fences=self.fences,
-            leader_lease=self.leader_lease,
-            clock=self.clock,
-            publish=self.snapshot_dirty.set,
-            spawn=self.spawn,
-            evacuations=self.state.evacuations,
-        )
-        self.rebalancers[pool] = pool_rebalancer
-        pool_rebalancer.update(self.servers_of(pool))
-        self.spawn(pool_rebalancer.run())
-
     def servers(self) -> dict[str, cluster.Server]:
         """Returns the listed servers; those that say so are leaving."""
         return self.state.departures.mark(self.directory.servers)
@@ -245,13 +238,13 @@
                 self.directory.record_failure(error)
 
     async def wait_until_deposed(self) -> None:
-        """Ends the leadership after a heartbeat of a later leader.
+        """Ends the leadership after a message that names a later leader.
 
         Raises:
             leaderstore.DeposedError: Another router leads.
         """
         await self.deposed.wait()
-        raise leaderstore.DeposedError("received a heartbeat of a later epoch")
+        raise leaderstore.DeposedError("received a message of a later epoch")
 
     async def send_heartbeats(self) -> None:
         """Sends heartbeats to all members at regular intervals."""
@@ -297,11 +290,7 @@
         Raises:
             ResignedError: Another router may reach more servers.
         """
-        managers = [
-            manager
-            for pool_rebalancer in self.rebalancers.values()
-            for manager in pool_rebalancer.lease_managers.values()
-        ]
+        managers = self.key_owners.lease_managers()
         failing = sum(m.is_unreachable() for m in managers)
         if (
             len(managers) < MIN_SERVERS_TO_RESIGN
@@ -338,9 +327,8 @@
         """Updates the rebalancers with the current servers and keyed pools."""
         contracts = self.state.contracts
         if contracts is not None:
-            for pool in contracts.pools.values():
-                if pool.keyed and pool.name not in self.rebalancers:
-                    self.add_rebalancer(pool.name, None)
+            keyed = {one.name for one in contracts.pools.values() if one.keyed}
+            self.key_owners.add_new_pools(keyed)
         self.update_servers()
 
     def update_servers(self) -> None:
@@ -369,10 +357,7 @@
                 leader=self.datagrams.address,
                 members=dict(self.members),
                 servers=self.servers(),
-                maps={
-                    pool: pool_rebalancer.published_map()
-                    for pool, pool_rebalancer in self.rebalancers.items()
-                },
+                maps=self.key_owners.published_maps(),
             )
             try:
                 self.publisher.publish(snapshot)
@@ -391,6 +376,8 @@
 
     def on_member_report(self, peer: str, message: wire.MemberReport) -> None:
         """Handles a member report."""
+        if message.epoch > self.leader_lease.epoch:
+            self.deposed.set()  # The member has followed a later leader.
         if message.leaving:
             if self.membership.remove(peer):
                 self.snapshot_dirty.set()
@@ -439,11 +426,10 @@
 
     def all_leases_expire_ms(self) -> int:
         """Returns when all leases have expired, in the store's time."""
-        expires_at = self.leader_lease.inflight_grants_expire_at(
-            self.clock.boottime()
+        expires_at = max(
+            self.leader_lease.inflight_grants_expire_at(self.clock.boottime()),
+            self.key_owners.leases_expire_at(),
         )
-        for pool_rebalancer in self.rebalancers.values():
-            expires_at = max(expires_at, pool_rebalancer.leases_expire_at())
         return self.platform.store_clock.upper_bound(expires_at)
 
     async def resign(self) -> None:
--- a/oleanderhoist/node/leaderstore.py
+++ b/oleanderhoist/node/leaderstore.py
@@ -3,7 +3,8 @@
 Every write is conditional on the leadership record, so a deposed leader cannot
 change anything. If the answer to a write is lost, the leader reads the rows
 back, and repeats the write under the same conditions if it was not applied,
-before anything relies on it.
+before anything relies on it. If the store came back from an older copy, it
+writes its record and all key maps anew before anything else.
 """
 
 import asyncio
@@ -11,6 +12,7 @@
 import json
 
 import msgspec
+import prometheus_client
 
 from oleanderhoist import clock
 from oleanderhoist import events
@@ -22,6 +24,7 @@
 from oleanderhoist.policy import keys
 from oleanderhoist.policy import leaderlease
 from oleanderhoist.policy import storeeras
+from oleanderhoist.policy import succession
 
 LEADER_KEY = "leader"
 MAP_PREFIX = "map/"
@@ -29,6 +32,12 @@
 RETRY_SECONDS = 0.15
 MAP_BATCH_SECONDS = 0.02  # Moves that end within this time share one write.
 
+RESTORES = prometheus_client.Counter(
+    "oleander_store_restores",
+    "Times that this router, as leader, wrote its rows anew after the store "
+    "came back from an older copy",
+)
+
 
 class LeadershipRecord(msgspec.Struct, frozen=True, kw_only=True):
     """The leadership record.
@@ -39,12 +48,26 @@
         beat: Differs in every write.
         lapse_ms: After a resignation, when all leases granted by this and
             earlier leaders have expired, in the store's milliseconds.
+        era: Era of the store in which it was written; unset by earlier builds.
+        owners_known: Whether the stored key maps are those of this leader;
+            unset by earlier builds.
     """
 
     epoch: int
     address: str
     beat: int = 0
     lapse_ms: int = 0
+    era: int | msgspec.UnsetType = msgspec.UNSET
+    owners_known: bool | msgspec.UnsetType = msgspec.UNSET
+
+    def facts(self) -> succession.Record:
+        """Returns what it says of who led and who knew the owners."""
+        return succession.Record(
+            epoch=self.epoch,
+            address=self.address,
+            era=None if self.era is msgspec.UNSET else self.era,
+            owners_known=self.owners_known is not False,
+        )
 
 
 class DeposedError(Exception):
@@ -114,10 +137,16 @@
 class LeaderStore:
     """Writes a leader's rows.
 
+    Args:
+        stored: The rows, read after the leadership was acquired.
+        owners_known: Whether the stored key maps may be believed.
+
     Attributes:
         rows: The rows as last read or written.
-        era: Era of the store in which they were read.
+        era: Era of the store in which they were read or written.
         leader_lease: The leader lease; every answer confirms it.
+        owners_known: Whether the stored key maps are those of this leader.
+        key_maps: Returns the key maps of this leader by pool.
     """
 
     def __init__(
@@ -128,9 +157,12 @@
         stored: ports.OwnRows,
         leader_lease: leaderlease.LeaderLease,
         address: str,
+        owners_known: bool = True,
     ):
         self.platform = platform
         self.clock = clock
+        self.owners_known = owners_known
+        self.key_maps: Callable[[], dict[str, keys.KeyMap]] = dict
         self.rows = stored.rows
         self.era = stored.revision.era
         self.leader_lease = leader_lease
@@ -152,15 +184,28 @@
         """
         if self.leader_lease.resigned and lapse_ms is None:
             return
+        await self.write(
+            LEADER_KEY, lambda: self.encode_record(self.era, lapse_ms)
+        )
+
+    def encode_record(self, era: int, lapse_ms: int | None = None) -> bytes:
+        """Encodes this leader's record; each result is unique.
+
+        Args:
+            era: Era of the store.
+            lapse_ms: As of `renew`.
+        """
         self.write_count += 1
-        record = LeadershipRecord(
-            epoch=self.leader_lease.epoch,
-            address=self.address if lapse_ms is None else "",
-            beat=self.write_count,
-            lapse_ms=lapse_ms or 0,
+        return encode_leadership(
+            LeadershipRecord(
+                epoch=self.leader_lease.epoch,
+                address=self.address if lapse_ms is None else "",
+                beat=self.write_count,
+                lapse_ms=lapse_ms or 0,
+                era=era,
+                owners_known=self.owners_known,
+            )
         )
-        value = encode_leadership(record)
-        await self.write(LEADER_KEY, lambda: value)
 
     async def write_roster(self, members: dict[str, cluster.Member]) -> None:
         """Writes the roster if it has changed.
@@ -234,6 +279,31 @@
         nonce = [self.leader_lease.epoch, self.write_count]
         return json.dumps({"ranges": ranges, "nonce": nonce}).encode()
 
+    async def vouch(self) -> None:
+        """Stores the key maps of this leader, for successors to believe.
+
+        Raises:
+            DeposedError: Another router leads.
+        """
+        async with self.lock:
+            self.owners_known = True
+            while True:
+                try:
+                    if await self.try_write_rows(self.own_rows(self.era)):
+                        return
+                except ports.StoreError:
+                    await asyncio.sleep(RETRY_SECONDS)
+                    continue
+                await self.read_back()
+
+    def own_rows(self, era: int) -> dict[str, bytes]:
+        """Returns this leader's record and key maps, encoded for an era."""
+        maps = {
+            MAP_PREFIX + pool: self.encode_map(key_map)
+            for pool, key_map in self.key_maps().items()
+        }
+        return {LEADER_KEY: self.encode_record(era), **maps}
+
     async def write(self, key: str, make_value: Callable[[], bytes]) -> None:
         """Writes one row if the leadership record is unchanged.
 
@@ -254,51 +324,119 @@
                     return
 
     async def try_write(self, key: str, value: bytes) -> bool:
-        """Writes once; returns whether the write was confirmed.
+        """Writes one row once; returns whether the write was confirmed.
+
+        Raises:
+            ports.StoreError: The store definitely did not apply the write.
+        """
+        return await self.try_write_rows({key: value})
+
+    async def try_write_rows(
+        self,
+        values: dict[str, bytes],
+        stored: ports.OwnRows | None = None,
+    ) -> bool:
+        """Writes rows once; returns whether the write was confirmed.
+
+        Args:
+            values: The new values by key.
+            stored: The rows to replace; None for those that were last read.
 
         Raises:
             ports.StoreError: The store definitely did not apply the write.
         """
         sent_at = self.clock.boottime()
-        stored = ports.OwnRows(
-            rows=self.rows, revision=storeeras.Revision(era=self.era)
-        )
+        if stored is None:
+            revision = storeeras.Revision(era=self.era)
+            stored = ports.OwnRows(rows=self.rows, revision=revision)
         expected = {
-            name: stored.revision_of(name) for name in (LEADER_KEY, key)
+            key: stored.revision_of(key) for key in (LEADER_KEY, *values)
         }
         try:
-            result = await self.platform.write_rows({key: value}, expected)
+            result = await self.platform.write_rows(values, expected)
         except ports.StoreError as error:
             if not error.maybe_applied:
                 raise
             return False
         if isinstance(result, ports.Conflict):
             return False
-        self.rows[key] = ports.Row(
-            key=key, value=value, revision=result.revision
-        )
+        written = {
+            key: ports.Row(key=key, value=value, revision=result.revision)
+            for key, value in values.items()
+        }
+        self.rows = {**stored.rows, **written}
+        self.era = result.revision.era
         self.leader_lease.confirmed_at = sent_at
         return True
 
     async def read_back(self) -> None:
         """Reads the rows, with retries until the store answers.
 
+        Writes this leader's rows anew if the store came back from a copy.
+
         Raises:
             DeposedError: Another router leads.
         """
-        while True:
-            sent_at = self.clock.boottime()
-            try:
-                stored = await self.platform.read_rows()
-                break
-            except ports.StoreError:
-                await asyncio.sleep(RETRY_SECONDS)
+        while not await self.try_read_back():
+            await asyncio.sleep(RETRY_SECONDS)
+
+    async def try_read_back(self) -> bool:
+        """Reads the rows once; returns whether they are this leader's.
+
+        Raises:
+            DeposedError: Another router leads.
+        """
+        sent_at = self.clock.boottime()
+        try:
+            stored = await self.platform.read_rows()
+        except ports.StoreError:
+            return False
         record = leadership_of(stored.rows)
-        if record.epoch != self.leader_lease.epoch:
+        verdict = succession.judge(
+            record.facts(), stored.revision.era, self.claim()
+        )
+        if verdict is succession.Verdict.STEP_DOWN:
             raise DeposedError(
                 f"leadership record has epoch {record.epoch}, "
-                f"address {record.address}"
+                f"address {record.address}, in era {stored.revision.era}"
             )
+        if verdict is succession.Verdict.RESTORE:
+            return await self.restore(stored)
         self.rows = stored.rows
         self.era = stored.revision.era
         self.leader_lease.confirmed_at = sent_at
+        return True
+
+    def claim(self) -> succession.Claim:
+        """Returns what this leader holds against the record."""
+        may_restore = self.leader_lease.may_restore(self.clock.boottime())
+        return succession.Claim(
+            epoch=self.leader_lease.epoch,
+            address=self.address,
+            era=self.era,
+            may_restore=self.owners_known and may_restore,
+        )
+
+    async def restore(self, stored: ports.OwnRows) -> bool:
+        """Writes this leader's rows anew; returns whether they are stored.
+
+        Args:
+            stored: The rows of the copy from which the store came back.
+        """
+        before = self.era
+        era = stored.revision.era
+        try:
+            if not await self.try_write_rows(self.own_rows(era), stored):
+                return False
+        except ports.StoreError:
+            return False
+        self.leader_lease.record_restore(self.clock.boottime())
+        RESTORES.inc()
+        log.write(
+            events.STORE_RESTORED,
+            before=before,
+            era=era,
+            epoch=self.leader_lease.epoch,
+            pools=sorted(self.key_maps()),
+        )
+        return True
--- a/oleanderhoist/node/storereader.py
+++ b/oleanderhoist/node/storereader.py
@@ -13,6 +13,7 @@
 from oleanderhoist.node import state
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import keys
+from oleanderhoist.policy import succession
 
 READ_INTERVAL_SECONDS = 0.9
 BACKOFF_GROWTH = 1.5
@@ -88,6 +89,18 @@
             MAX_BACKOFF_FACTOR, self.backoff_factor * BACKOFF_GROWTH
         )
 
+    def is_current(self, stored: ports.OwnRows) -> bool:
+        """Returns whether rows are those of the latest leader known."""
+        era = stored.revision.era
+        first = self.platform.store_eras.first
+        known = succession.Knowledge(
+            epoch=self.state.snapshot.epoch,
+            first_era=era if first is None else first,
+            era=era,
+        )
+        record = leaderstore.leadership_of(stored.rows)
+        return succession.is_current(record.facts(), known)
+
     async def read(self) -> None:
         """Reads contracts, servers and owners from the store."""
         await self.contract_watch.read()
@@ -115,30 +128,35 @@
         record = leaderstore.leadership_of(stored.rows)
         self.on_record(record)
         current = self.state.snapshot
-        if current.name != before.name or record.epoch < before.epoch:
+        if current.name != before.name:
             return
-        self.adopt(before, server_directory.servers, stored.rows)
+        self.adopt(before, server_directory.servers, stored)
 
     def adopt(
         self,
         before: cluster.Snapshot,
         servers: dict[str, cluster.Server],
-        rows: dict[str, ports.Row],
+        stored: ports.OwnRows,
     ) -> None:
         """Adopts servers and owners that differ from the current snapshot.
 
+        Owners are adopted from the latest leader only; the store may have come
+        back from an older copy.
+
         Equal content keeps its version, so that the next delta applies to it,
         and different content never has the same version.
         A restarted router takes the members from the roster, so that few of
         the routers that restart together try to lead.
         """
-        maps = leaderstore.maps_of(rows)
+        maps = before.maps
+        if not maps or self.is_current(stored):
+            maps = leaderstore.maps_of(stored.rows)
         if servers == before.servers and same_owners(maps, before.maps):
             return
         snapshot = cluster.Snapshot(
             epoch=before.epoch,
             leader=before.leader,
-            members=before.members or leaderstore.roster_of(rows),
+            members=before.members or leaderstore.roster_of(stored.rows),
             servers=servers,
             maps=maps,
         )
--- a/oleanderhoist/platform/store.py
+++ b/oleanderhoist/platform/store.py
@@ -142,7 +142,12 @@
             return
         now_ms = decode(response).now_ms
         if isinstance(now_ms, int):
-            self.store_clock.observe(now_ms, sent_at, self.clock.boottime())
+            self.store_clock.observe(
+                now_ms,
+                sent_at,
+                self.clock.boottime(),
+                era=self.store_eras.newest,
+            )
 
     async def rows(self, table: str) -> TableRows:
         """Returns the valid rows of the first MAX_PAGES pages of a table.
--- a/oleanderhoist/policy/candidacy.py
+++ b/oleanderhoist/policy/candidacy.py
@@ -35,22 +35,26 @@
     """Tracks for how long the leadership record has not changed.
 
     Attributes:
-        revision: Revision that was read last; None before the first read.
-        since: When that revision was first read.
+        state: What was read last: the record's revision or, of a leader that
+            is known to have been replaced, its epoch and address; None before
+            the first read.
+        since: When that was first read.
     """
 
-    revision: storeeras.Revision | None = None
+    state: storeeras.Revision | tuple[int, str] | None = None
     since: float = 0.0
 
-    def observe(self, revision: storeeras.Revision, now: float) -> None:
-        """Records a revision that was read."""
-        if revision != self.revision:
-            self.revision = revision
+    def observe(
+        self, state: storeeras.Revision | tuple[int, str], now: float
+    ) -> None:
+        """Records what was read."""
+        if state != self.state:
+            self.state = state
             self.since = now
 
     def unchanged(self, now: float) -> float:
         """Returns for how long the record has been unchanged, in seconds."""
-        return now - self.since if self.revision is not None else 0.0
+        return now - self.since if self.state is not None else 0.0
 
 
 def candidate_position(
--- a/oleanderhoist/policy/leaderlease.py
+++ b/oleanderhoist/policy/leaderlease.py
@@ -9,6 +9,7 @@
 """
 
 import dataclasses
+import math
 
 LEASE_SECONDS = 2.5
 RENEW_SECONDS = 0.6
@@ -17,6 +18,9 @@
 MAX_CONFIRMATION_AGE_TO_CONNECT_SECONDS = 0.6
 OUTAGE_LEASE_SECONDS = 7.0
 LEADER_LEASE_SECONDS = 4.0
+# For routers to replace this one if they know of a later leader, of whom the
+# store has lost all traces.
+RESTORE_SETTLE_SECONDS = 2.0
 CLOCK_DRIFT_FACTOR = 1.03
 LEASE_MARGIN_SECONDS = 0.25
 GRANT_TRANSIT_SECONDS = 0.5  # Longest time that a grant is in flight.
@@ -37,6 +41,8 @@
         recorded_grants_expire_at: When all grants of earlier leaders have
             expired, on the same clock, as the predecessor recorded when it
             resigned; None if it recorded nothing.
+        restored_at: When the leader last wrote its rows anew, after the store
+            came back from a copy, on the same clock.
     """
 
     epoch: int
@@ -45,6 +51,7 @@
     max_lease_seconds: float
     resigned: bool = False
     recorded_grants_expire_at: float | None = None
+    restored_at: float = -math.inf
 
     def may_grant(self, now: float) -> bool:
         """Returns whether grants may be sent."""
@@ -57,8 +64,25 @@
         return (
             not self.resigned
             and now - self.confirmed_at < MAX_CONFIRMATION_AGE_TO_MOVE_SECONDS
+            and now - self.restored_at >= RESTORE_SETTLE_SECONDS
         )
 
+    def may_restore(self, now: float) -> bool:
+        """Returns whether this leader may write its rows anew.
+
+        The store came back from a copy and can't tell whether there was a later
+        leader. One that was elected since the last confirmation can't yet have
+        moved keys but those that their owner gave up, which then refuses the
+        lower fencing tokens of this leader.
+        """
+        return now - self.confirmed_at < (
+            LEADER_LEASE_SECONDS + self.outage_lease_seconds()
+        )
+
+    def record_restore(self, now: float) -> None:
+        """Records that this leader wrote its rows anew."""
+        self.restored_at = now
+
     def may_open_connection(self, now: float) -> bool:
         """Returns whether grants may be sent over a new connection.
 
--- a/oleanderhoist/policy/storeclock.py
+++ b/oleanderhoist/policy/storeclock.py
@@ -17,15 +17,23 @@
         millis: The store's time in its latest response, in milliseconds.
         sent_at: When the request of that response was sent, in seconds.
         received_at: When that response arrived, in seconds.
+        era: Era of the store at that response.
     """
 
     millis: int = 0
     sent_at: float = 0.0
     received_at: float = 0.0
+    era: int = 0
 
-    def observe(self, millis: int, sent_at: float, received_at: float) -> None:
-        """Records the store's time in a response."""
-        if millis >= self.millis:
+    def observe(
+        self, millis: int, sent_at: float, received_at: float, *, era: int = 0
+    ) -> None:
+        """Records the store's time in a response.
+
+        A store that came back from a copy may have gone back in time, too.
+        """
+        if era > self.era or millis >= self.millis:
+            self.era = era
             self.millis = millis
             self.sent_at = sent_at
             self.received_at = received_at
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -29,7 +29,12 @@
     "--faults",
     "names",
     default="",
-    help="Comma-separated faults to draw from; empty for all.",
+    help="Comma-separated faults to draw from; empty for all but drills.",
+)
+@click.option(
+    "--drills",
+    is_flag=True,
+    help="Draw also that the store comes back from an older copy.",
 )
 @click.option(
     "--long",
@@ -56,13 +61,15 @@
     servers: int,
     pause: float,
     names: str,
+    drills: bool,
     long_share: float,
     connections: int,
     logs: pathlib.Path | None,
     verbose: bool,
 ) -> None:
     """Runs the soak test; exits with an error on a violated invariant."""
-    drawn = names.split(",") if names else faults.FAULTS.names()
+    drawn = names.split(",") if names else faults.default_names()
+    drawn += faults.NAMED_ONLY if drills else ()
     unknown = [name for name in drawn if name not in faults.FAULTS.names()]
     if unknown:
         known = ", ".join(faults.FAULTS.names())
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,6 +8,8 @@
 from soak import serverfaults
 
 FAULTS = injector.FAULTS
+# Drawn only if they are named: kept seeds draw from the others.
+NAMED_ONLY = ("store-restored",)
 # They register the faults.
 MODULES = (
     answerfaults,
@@ -16,3 +18,8 @@
     processfaults,
     serverfaults,
 )
+
+
+def default_names() -> list[str]:
+    """Returns the faults that are drawn unless some are named."""
+    return [name for name in FAULTS.names() if name not in NAMED_ONLY]
--- a/soak/platformfaults.py
+++ b/soak/platformfaults.py
@@ -12,6 +12,9 @@
 MAX_LINK_DELAY_SECONDS = 0.8
 LOST_RESPONSES = 5
 MAX_VERSION_STEP = 5
+RESTORES = (1, 1, 2)
+MIN_AWAY_SECONDS = 0.05
+MAX_AWAY_SECONDS = 1.5
 
 
 @injector.FAULTS.register("change-contracts")
@@ -49,6 +52,18 @@
         )
 
 
+@injector.FAULTS.register("store-restored")
+async def store_restored(injection: injector.Injector) -> None:
+    """Makes the store come back from an older copy, once or twice."""
+    await injection.system.copy_store()
+    await asyncio.sleep(injection.duration())
+    async with injection.span("restored", records.STORE):
+        for _ in range(injection.rng.choice(RESTORES)):
+            await injection.system.restore_store(
+                injection.rng.uniform(MIN_AWAY_SECONDS, MAX_AWAY_SECONDS)
+            )
+
+
 @injector.FAULTS.register("store-freezes")
 async def store_freezes(injection: injector.Injector) -> None:
     """Freezes the process of the store."""
--- a/standins/platform_system.py
+++ b/standins/platform_system.py
@@ -389,6 +389,17 @@
         value = {} if evacuated else None
         await self.write_row("op", f"evacuate/{zone}", value)
 
+    async def copy_store(self) -> None:
+        """Makes a copy of the store, from which it can come back."""
+        await self.call(self.store, "PUT", "/copy")
+
+    async def restore_store(self, away_seconds: float) -> None:
+        """Takes the store away; it comes back from the copy."""
+        await self.call(self.store, "PUT", "/faults", {"down": True})
+        await asyncio.sleep(away_seconds)
+        await self.call(self.store, "PUT", "/restore")
+        await self.call(self.store, "PUT", "/faults", {"down": False})
+
     async def write_row(self, table: str, key: str, value: object) -> None:
         """Writes a row to the store; deletes it if the value is None."""
         await self.call(
--- a/tests/ownership_world.py
+++ b/tests/ownership_world.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import dataclasses
 import random
 
 from oleanderhoist import ports
@@ -223,6 +224,7 @@
         self.rows: dict[str, ports.Row] = {}
         self.revision = 0
         self.era = 1
+        self.copy: tuple[dict[str, ports.Row], int] = ({}, 0)
         self.store_down = False
         self.blocked_links: set[tuple[str, str]] = set()
         self.fault_rates: dict[str, float] = {}
@@ -321,6 +323,33 @@
             self.rows[key] = ports.Row(key=key, value=value, revision=revision)
         return ports.Written(revision=revision)
 
+    def leases(self) -> list[ownership_backends.Lease]:
+        """Returns the latest lease of each checked key at each server."""
+        return [
+            lease
+            for backend in self.backends.values()
+            for lease in backend.leases.values()
+        ]
+
+    def save_copy(self) -> None:
+        """Makes a copy of the store."""
+        self.copy = dict(self.rows), self.revision
+
+    def restore_copy(self) -> None:
+        """Makes the store come back from the copy, in a new era.
+
+        What the routers have written since is gone.
+        """
+        rows, self.revision = self.copy
+        self.era += 1
+        self.rows = {
+            key: dataclasses.replace(
+                row,
+                revision=dataclasses.replace(row.revision, era=self.era),
+            )
+            for key, row in rows.items()
+        }
+
     def newest_revision(self) -> storeeras.Revision:
         """Returns the store's revision."""
         return storeeras.Revision(era=self.era, number=self.revision)
