Keep what was known of servers when the store came back from a copy

For about 2 s after a drill the leader would use a server that has drained since the copy, and drop one that has started since.

Cause: the entries of the copy were taken for news, and missing ones were kept only after a failed call. A drill between two calls fails none.

Change: a change of the era counts like a failed call, and the leader retains departures then, as it does when it begins to lead. Why it works: both are what a router already does whenever the directory may have lost rows.

--- a/oleanderhoist/node/directory.py
+++ b/oleanderhoist/node/directory.py
@@ -70,7 +70,9 @@
         merged = cluster.merge_listing(
             self.servers,
             listing.servers,
-            last_failure_at=self.last_failure_at,
+            last_failure_at=max(
+                self.last_failure_at, self.platform.store_eras.changed_at
+            ),
             now=now,
         )
         changed = merged != self.servers
--- a/oleanderhoist/node/leader.py
+++ b/oleanderhoist/node/leader.py
@@ -313,8 +313,13 @@
 
     async def follow_directory(self) -> None:
         """Follows the directory and the contracts' pools."""
+        era = self.platform.store_eras.newest
         while True:
             changed = await self.directory.read()
+            if self.platform.store_eras.newest != era:
+                # The copy may list servers as ready that leave.
+                era = self.platform.store_eras.newest
+                self.state.retain_departures()
             self.state.snapshot_confirmation.confirm(
                 self.directory.confirmation.at
             )
--- a/oleanderhoist/policy/cluster.py
+++ b/oleanderhoist/policy/cluster.py
@@ -198,14 +198,16 @@
 ) -> dict[str, Server]:
     """Returns the known servers after a read of the directory.
 
-    The directory may lose rows during an outage; they reappear soon after
-    it recovers. Until then a server that is not listed is kept. An entry
-    that does not name its start is that of the process that was known.
+    The directory may lose rows during an outage, or when the store comes back
+    from an older copy; they reappear soon after. Until then a server that is
+    not listed is kept. An entry that does not name its start is that of the
+    process that was known.
 
     Args:
         before: Servers known before, by id.
         listed: Servers that the directory lists, by id.
-        last_failure_at: When a call to the store last failed, as recorded.
+        last_failure_at: When a call to the store last failed, as recorded, or
+            the store was first seen to have come back from a copy.
         now: Current time, in seconds.
     """
     started = {
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -18,6 +18,7 @@
 from oleanderhoist.policy import keys
 from oleanderhoist.policy import leaderlease
 from oleanderhoist.policy import leaseexpiries
+from oleanderhoist.policy import storeeras
 from tests import virtual
 
 
@@ -72,6 +73,7 @@
 
     def __init__(self):
         self.ids = ["a", "b"]
+        self.store_eras = storeeras.StoreEras()
         self.unavailable = False
 
     async def read_servers(self) -> ports.ServerListing:
@@ -132,6 +134,18 @@
         self.loop.now += 1.0
         self.assertEqual({"a"}, self.read(server_directory))
 
+    def test_entries_that_a_copy_lacks_are_gone_at_once(self):
+        """Guards against servers that started after the copy and are lost."""
+        server_directory = self.make()
+        self.platform.store_eras.observe(1, self.clock.monotonic())
+        self.loop.now += 5.0
+        self.platform.store_eras.observe(2, self.clock.monotonic())
+        self.platform.ids = ["a"]
+        self.loop.now += 1.9
+        self.assertEqual({"a", "b"}, self.read(server_directory))
+        self.loop.now += 1.0
+        self.assertEqual({"a"}, self.read(server_directory))
+
 
 class ReplacedServerPlatform:
     """A platform and channel whose server address was reused."""
--- a/tests/test_restored_owners.py
+++ b/tests/test_restored_owners.py
@@ -1,6 +1,7 @@
 """Exclusive ownership of keys when the store comes back from an older copy."""
 
 import asyncio
+import dataclasses
 import unittest
 from unittest import mock
 
@@ -16,6 +17,7 @@
 COPY_AGES_SECONDS = (0.5, 12.0)
 AWAY_SECONDS = (0.05, 3.0)
 ELECTION_SECONDS = 6.0
+REWRITE_SECONDS = 1.5  # Until a server has written its entry again.
 
 
 class DrillInjector(test_ownership.FaultInjector):
@@ -163,5 +165,34 @@
                 self.assertTrue(any(violates(seed) for seed in RULE_SEEDS))
 
 
+class RestoredEntriesTest(unittest.TestCase):
+    """What the directory of a copy says of servers."""
+
+    def test_a_leaving_server_is_used_again_as_the_copy_lists_it(self):
+        """Guards against requests to a server that has drained since."""
+        world = ownership_world.World(seed=4)
+        entry = world.listed_servers["s1"]
+
+        async def scenario() -> list[str]:
+            for address in world.addresses:
+                world.start(address)
+            await asyncio.sleep(ELECTION_SECONDS)
+            world.save_copy()
+            world.listed_servers["s1"] = dataclasses.replace(
+                entry, leaving=True
+            )
+            await asyncio.sleep(ELECTION_SECONDS)
+            world.restore_copy()
+            world.listed_servers["s1"] = entry
+            await asyncio.sleep(REWRITE_SECONDS)
+            return [
+                address
+                for address, one in world.followers.items()
+                if one.state.snapshot.usable_server("s1") is not None
+            ]
+
+        self.assertEqual([], virtual.run(scenario(), world.loop))
+
+
 if __name__ == "__main__":
     unittest.main()
