Order reads of the evacuations by the era of the store

After a drill with a copy 15 s old, requests reached an evacuated data centre up to 11 s after its acknowledgement.

Cause: the read at the higher revision wins, and after a drill all revisions are lower until the lost ones have been given out again. Evidence: in the test the leader reads the row and adopts nothing. Ruled out: the feed.

Change: era and number are compared, in heartbeats too, by one trailing field that earlier builds ignore. As the copy may lack an evacuation until the operator has written it again, none ends within 2.4 s of a new era. What a leader of the earlier build names counts as older than own reads. Why it works: era and number order reads as they were made.

Measured: test_an_evacuation_after_a_drill_waits_for_lost_revisions failed on the parent and passes.

--- a/oleanderhoist/node/evacuationnews.py
+++ b/oleanderhoist/node/evacuationnews.py
@@ -15,6 +15,7 @@
 from oleanderhoist.node import state
 from oleanderhoist.node import wire
 from oleanderhoist.policy import evacuations
+from oleanderhoist.policy import storeeras
 
 TICK_SECONDS = 0.1
 # The leader names them all in a datagram.
@@ -49,16 +50,24 @@
         names = sorted(
             result.evacuated, key=lambda name: (name not in present, name)
         )
-        self.learn(
-            names[:MAX_DATA_CENTERS], result.seen_revision.number, "store"
-        )
+        self.learn(names[:MAX_DATA_CENTERS], result.seen_revision, "store")
 
     def hear(self, peer: str, message: wire.Heartbeat) -> None:
-        """Learns of what the leader names, unless its build can't."""
+        """Learns of what the leader names, unless its build can't.
+
+        What a leader of a build that names no era has read counts as older than
+        what this router has read itself.
+        """
         if message.evacuated is not None:
-            self.learn(message.evacuated, message.evacuated_revision, peer)
+            revision = storeeras.Revision(
+                era=message.evacuated_era or 0,
+                number=message.evacuated_revision,
+            )
+            self.learn(message.evacuated, revision, peer)
 
-    def learn(self, names: list[str], revision: int, source: str) -> None:
+    def learn(
+        self, names: list[str], revision: storeeras.Revision, source: str
+    ) -> None:
         """Adopts what was read of the store, unless a later read is known.
 
         Args:
@@ -81,7 +90,10 @@
         self.state.apply_overlays()
 
     def log_change(
-        self, change: evacuations.Change, revision: int, source: str
+        self,
+        change: evacuations.Change,
+        revision: storeeras.Revision,
+        source: str,
     ) -> None:
         """Logs which evacuations have begun or ended."""
         present = self.present()
@@ -90,7 +102,8 @@
                 events.EVACUATION_CHANGED,
                 data_center=name,
                 evacuated=name in change.begun,
-                revision=revision,
+                era=revision.era,
+                revision=revision.number,
                 source=source,
             )
         if present:
--- a/oleanderhoist/node/freshness.py
+++ b/oleanderhoist/node/freshness.py
@@ -102,8 +102,8 @@
         """Returns whether this router must read its contracts itself.
 
         A delay of its own timers is no excuse: changes apply to it, too. It
-        also must if its leader is of a build that names no evacuations, or no
-        version of its contracts.
+        also must if its leader is of a build that names no evacuations, or
+        neither an era nor a version of its contracts.
         """
         if self.state.contracts is None:
             return False
@@ -127,7 +127,7 @@
             known_at=self.clock.boottime() - age,
             contracts=named_contracts(message),
         )
-        if message.evacuated is not None:
+        if message.evacuated is not None and message.evacuated_era is not None:
             self.state.evacuations_confirmation.confirm(self.announced.known_at)
         if self.state.snapshot.name >= (message.epoch, message.version):
             # Else the newer one is on its way, or was lost.
--- a/oleanderhoist/node/leader.py
+++ b/oleanderhoist/node/leader.py
@@ -281,7 +281,8 @@
             ].revision.number,
             resigned=self.leader_lease.resigned,
             evacuated=sorted(self.state.evacuations.known_since),
-            evacuated_revision=self.state.evacuations.revision,
+            evacuated_revision=self.state.evacuations.revision.number,
+            evacuated_era=self.state.evacuations.revision.era,
         )
 
     def check_reachability(self) -> None:
--- a/oleanderhoist/node/wire.py
+++ b/oleanderhoist/node/wire.py
@@ -53,6 +53,7 @@
         evacuated_revision: Number of the revision of the store at which they
             were read.
         contracts_version: Version of its contracts; None from earlier versions.
+        evacuated_era: Era of that revision; None from earlier versions.
     """
 
     epoch: int
@@ -64,6 +65,7 @@
     evacuated: list[str] | None = None
     evacuated_revision: int = 0
     contracts_version: int | None = None
+    evacuated_era: int | None = None
 
 
 class SnapshotFragment(Message, tag="Part"):
--- a/oleanderhoist/policy/evacuations.py
+++ b/oleanderhoist/policy/evacuations.py
@@ -5,10 +5,13 @@
 owners there by handover before requests have to stop.
 
 Each read of the store names all evacuated data centres, and the one at the
-higher revision wins. A keyed owner may be used a while longer, since no other
-server can run the request until its keys have moved. That time ends at half of
-the bound after this router learned of the evacuation, and earlier if the
-operator may have written it long before.
+higher revision wins. A store that came back from an older copy may lack some
+until the operator has written them again, so none ends at once then.
+
+A keyed owner may be used a while longer, since no other server can run the
+request until its keys have moved. That time ends at half of the bound after
+this router learned of the evacuation, and earlier if the operator may have
+written it long before.
 """
 
 from collections.abc import Iterable
@@ -16,12 +19,18 @@
 import math
 
 from oleanderhoist.policy import cluster
+from oleanderhoist.policy import storeeras
 
 DEFAULT_SECONDS = 5.0
 OWNER_FRACTION = 0.5  # Of the bound, in which keyed owners may be used.
 MOVE_FRACTION = 0.3  # Of the bound, in which the moves of all keys begin.
 SENDING_SECONDS = 0.5  # For what was sent last to arrive.
 ENDED_SECONDS = 60.0  # For which the end of an evacuation is kept.
+# For the operator's rows to be written again after a return of the store.
+REWRITE_SECONDS = 2.4
+
+
+NEVER_READ = storeeras.Revision()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -45,6 +54,8 @@
 
     Attributes:
         revision: Revision of the store at which they were read.
+        restored_at: When the store was first seen to have come back from a
+            copy, for the last time, on the monotonic clock.
         known_since: The evacuated data centres, and since when each is known
             here, in seconds on the monotonic clock.
         owners_until: Until when keyed owners there may be used.
@@ -55,7 +66,8 @@
 
     def __init__(self, *, seconds: float = DEFAULT_SECONDS):
         self.seconds = seconds
-        self.revision = 0
+        self.revision = NEVER_READ
+        self.restored_at = -math.inf
         self.known_since: dict[str, float] = {}
         self.owners_until: dict[str, float] = {}
         self.vacating: frozenset[str] = frozenset()
@@ -64,7 +76,7 @@
     def adopt(
         self,
         data_centers: Iterable[str],
-        revision: int,
+        revision: storeeras.Revision,
         *,
         now: float,
         unseen_seconds: float,
@@ -83,8 +95,12 @@
         """
         if revision <= self.revision:
             return None
+        if self.revision is not NEVER_READ and revision.era > self.revision.era:
+            self.restored_at = now
         self.revision = revision
         read = frozenset(data_centers)
+        if now - self.restored_at < REWRITE_SECONDS:
+            read = read.union(self.known_since)
         change = Change(
             begun=read.difference(self.known_since),
             ended=frozenset(self.known_since).difference(read),
--- a/tests/test_evacuation_routers.py
+++ b/tests/test_evacuation_routers.py
@@ -21,6 +21,7 @@
 ROUTERS = 4
 SEEDS = range(6)
 START_SECONDS = 5.2  # Until the first leader has assigned all keys.
+LOST_REVISION = 900  # Of the store, before it comes back from a copy.
 EVACUATION_SECONDS = evacuations.DEFAULT_SECONDS
 LEARNED_SECONDS = 1.0  # With a leader that reads the store.
 MOVED_SECONDS = EVACUATION_SECONDS / 2
@@ -360,6 +361,39 @@
 
         self.play(scenario)
 
+    def test_an_evacuation_after_a_drill_waits_for_lost_revisions(self):
+        """Guards against a revision of before the store came back."""
+
+        async def scenario() -> None:
+            self.world.save_copy()
+            self.world.evacuated_revision = LOST_REVISION
+            await asyncio.sleep(1.0)
+            self.world.restore_copy()
+            self.world.evacuated_revision = 0
+            await asyncio.sleep(1.0)
+            self.world.evacuate(EMPTIED)
+            await asyncio.sleep(EVACUATION_SECONDS)
+            await self.unused(4.0, EMPTIED)
+
+        self.play(scenario)
+
+    def test_a_leader_of_an_earlier_build_names_no_era(self):
+        """Guards against its old revisions: routers read for themselves."""
+
+        async def scenario() -> None:
+            self.rewrite_heartbeats(
+                evacuated=[],
+                evacuated_revision=900,
+                evacuated_era=None,
+                contracts_version=None,
+            )
+            await asyncio.sleep(1.0)
+            self.world.evacuate(EMPTIED)
+            await asyncio.sleep(EVACUATION_SECONDS)
+            await self.unused(4.0, EMPTIED)
+
+        self.play(scenario)
+
     def test_a_new_router_gets_contracts_before_it_may_know(self):
         async def scenario() -> None:
             self.world.evacuate(EMPTIED)
