Tell the end that this process made from the peer's

When memory for answers is short, callers of an answer without a length got a part of it as a complete 200 with its signature.

Cause: asyncio feeds a reader the same end of file for a connection that this process has aborted as for one that the peer has closed, and h11 completes a body without framing with it. Evidence: with a length or chunks the same abort fails. Ruled out: the servers, which wrote whole bodies, and the encoding to callers, which ends with the last chunk because the stream ended without error.

Change: the protocol of all streams tells the reader; reads then fail. Searched for the class at every place that closes a connection: held bodies without a length were complete as well when a program ended. Held bodies with a length that are given up now say so in place of blaming the server. Why it works: no reader can get an end of file that the peer didn't send.

--- a/oleanderhoist/http/exchanges.py
+++ b/oleanderhoist/http/exchanges.py
@@ -248,13 +248,27 @@
                 ):
                     response.stream = self.to_stream(response, bytes(data))
                     return
-            # A body without a length ends with its connection.
-            if body not in MEMORY.bodies:
-                raise self.failure("no memory for the rest of the body")
+        except OSError as error:
+            self.check_memory(body, error)
+            raise
+        else:
+            self.check_memory(body)
         finally:
             MEMORY.remove(body)
         response.body = bytes(data)
 
+    def check_memory(
+        self, body: answermemory.Body, error: Exception | None = None
+    ) -> None:
+        """Checks that a body was not given up.
+
+        Raises:
+            ExchangeError: It was, by the end of its connection or before.
+        """
+        if body not in MEMORY.bodies:
+            text = "no memory for the rest of the body"
+            raise self.failure(text) from error
+
     def to_stream(
         self, response: messages.Response, start: bytes
     ) -> bodystream.BodyStream:
--- a/oleanderhoist/http/streams.py
+++ b/oleanderhoist/http/streams.py
@@ -1,4 +1,9 @@
-"""Stream readers that count unread bytes and detect disconnects."""
+"""Stream readers that count unread bytes and detect disconnects.
+
+asyncio reports the end of the stream also for a connection that this process
+has closed or aborted. A body that ends with its connection would then look
+complete, so readers get an error in that case.
+"""
 
 import asyncio
 from collections.abc import Callable
@@ -19,7 +24,8 @@
 
     Attributes:
         unread: Number of bytes received but not yet read.
-        disconnected: Whether the peer has closed or the connection broke.
+        disconnected: Whether the peer or this process has closed, or the
+            connection broke.
         on_disconnect: Callback for that event; None without one.
         on_data: Callback for the arrival of bytes; None without one.
         on_unread: Callback for a change of the unread bytes; None without one.
@@ -57,8 +63,17 @@
         super().set_exception(exc)
         self.handle_disconnect()
 
+    def end_here(self) -> None:
+        """Receives that this process has closed the connection."""
+        if not self.disconnected:
+            self.set_exception(
+                ConnectionAbortedError("this process closed the connection")
+            )
+
     def handle_disconnect(self) -> None:
-        """Marks the peer as disconnected and calls the callback."""
+        """Marks the connection as ended and calls the callback, once."""
+        if self.disconnected:
+            return
         self.disconnected = True
         if self.on_disconnect is not None:
             self.on_disconnect()
@@ -72,16 +87,44 @@
         return data
 
 
-def make_protocol(
-    on_accept: Callable | None = None,
-) -> asyncio.StreamReaderProtocol:
+class Protocol(asyncio.StreamReaderProtocol):
+    """A stream protocol that tells the peer's end from that of this process.
+
+    Args:
+        reader: Reader of the connection's bytes.
+        on_accept: Called with the reader and writer of an accepted connection.
+        loop: The running event loop.
+    """
+
+    def __init__(
+        self,
+        *,
+        reader: Reader,
+        on_accept: Callable | None = None,
+        loop: asyncio.AbstractEventLoop,
+    ):
+        super().__init__(reader, on_accept, loop=loop)
+        self.reader = weakref.ref(reader)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Receives that the connection is closed.
+
+        Without an error and without the peer's end, this process closed it.
+        """
+        reader = self.reader()
+        if exc is None and reader is not None:
+            reader.end_here()
+        super().connection_lost(exc)
+
+
+def make_protocol(on_accept: Callable | None = None) -> Protocol:
     """Returns a stream protocol with a `Reader`.
 
     Args:
         on_accept: Called with the reader and writer of an accepted connection.
     """
     loop = asyncio.get_running_loop()
-    return asyncio.StreamReaderProtocol(Reader(loop=loop), on_accept, loop=loop)
+    return Protocol(reader=Reader(loop=loop), on_accept=on_accept, loop=loop)
 
 
 async def connect(host: str, port: int) -> tuple[Reader, asyncio.StreamWriter]:
@@ -92,7 +135,7 @@
     """
     loop = asyncio.get_running_loop()
     reader = Reader(loop=loop)
-    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+    protocol = Protocol(reader=reader, loop=loop)
     transport, _ = await loop.create_connection(lambda: protocol, host, port)
     with contextlib.suppress(OSError):
         bound_unread(transport.get_extra_info("socket"))
