Try to resign until the store has it, while the router still accepts requests

A leader that is stopped while the store is away, and the store then comes back from a copy, left its successor without proof of who owns which keys: keyed pools had no owner for 11.5 s after planned work.

Cause: a resignation was tried once, and within 1 s. Ruled out: the successor's wait, which is needed when nothing is proved.

Change: a stopping router tries again until 0.2 s before it accepts no more requests (2.4 s after the signal with grace_s of 6). The notice to the others goes out after the first try, as before; other resignations are tried once. Why it works: the try that gets through finds the new era, writes the owners anew and then vacates the record.

Measured: test_a_successor_waits_as_the_resignation_came_too_early failed on the parent (keys without an owner) and passes. The stand-in leadership of test_router_stop takes the new argument; its bounds are as before.

--- a/oleanderhoist/node/core.py
+++ b/oleanderhoist/node/core.py
@@ -27,7 +27,8 @@
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import linkpace
 
-RESIGN_TIMEOUT_SECONDS = 1.0
+# Before requests are no longer accepted, which a resignation must not delay.
+RESIGN_MARGIN_SECONDS = 0.2
 # For this long, a stopping router fails its readiness probe and still accepts
 # requests.
 UNREADY_ACCEPT_SECONDS = 2.6
@@ -234,7 +235,11 @@
         self.frontend.server.settings.close_after_response = True
         self.forwarder.stop(slots_due=slots_due, answers_due=answers_due)
         accept_end = min(began + UNREADY_ACCEPT_SECONDS, slots_due)
-        await asyncio.gather(self.resign(), asyncio.sleep(accept_end - began))
+        accept_seconds = accept_end - began
+        await asyncio.gather(
+            self.resign(accept_seconds - RESIGN_MARGIN_SECONDS),
+            asyncio.sleep(accept_seconds),
+        )
         await self.frontend.server.stop(
             max(0.0, answers_due + WRITE_SECONDS - loop.time())
         )
@@ -243,10 +248,14 @@
         await self.health.server.stop(0.0)
         await self.metrics.server.stop(0.0)
 
-    async def resign(self) -> None:
-        """Gives up leading, or reports to the leader that the router stops."""
+    async def resign(self, seconds: float) -> None:
+        """Gives up leading, or reports to the leader that the router stops.
+
+        Args:
+            seconds: Longest time to try, in seconds.
+        """
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(RESIGN_TIMEOUT_SECONDS):
+            async with asyncio.timeout(seconds):
                 await self.follower.stop()
 
 
--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -329,7 +329,7 @@
         """Resigns as leader, or reports to the leader that it stops."""
         self.stopping = True
         if self.leadership is not None:
-            await self.leadership.resign()
+            await self.leadership.resign(insist=True)
         elif self.leader_address:
             self.send_report(self.leader_address)
 
--- a/oleanderhoist/node/leader.py
+++ b/oleanderhoist/node/leader.py
@@ -438,11 +438,28 @@
         )
         return self.platform.store_clock.upper_bound(expires_at)
 
-    async def resign(self) -> None:
-        """Resigns, so that a successor takes over at once."""
+    async def resign(self, *, insist: bool = False) -> None:
+        """Resigns, so that a successor takes over at once.
+
+        Args:
+            insist: Whether to try until the store has the resignation. A
+                successor has to wait without it if the store comes back from
+                an older copy.
+        """
         self.leader_lease.resigned = True
+        is_settled = await self.try_resign()
+        self.publisher.send_all(wire.encode(self.make_heartbeat()))
+        while insist and not is_settled:
+            await asyncio.sleep(leaderstore.RETRY_SECONDS)
+            is_settled = await self.try_resign()
+
+    async def try_resign(self) -> bool:
+        """Writes the resignation; returns whether no other try is needed."""
         try:
             await self.leader_store.renew(lapse_ms=self.all_leases_expire_ms())
-        except (ports.StoreError, leaderstore.DeposedError) as error:
+        except leaderstore.DeposedError as error:
             log.write(events.LEADERSHIP_FAILED, reason=f"resigning: {error}")
-        self.publisher.send_all(wire.encode(self.make_heartbeat()))
+        except ports.StoreError as error:
+            log.write(events.LEADERSHIP_FAILED, reason=f"resigning: {error}")
+            return False
+        return True
--- a/tests/test_restored_owners.py
+++ b/tests/test_restored_owners.py
@@ -17,6 +17,7 @@
 COPY_AGES_SECONDS = (0.5, 12.0)
 AWAY_SECONDS = (0.05, 3.0)
 ELECTION_SECONDS = 6.0
+AWAY_WHILE_STOPPED_SECONDS = 1.5
 REWRITE_SECONDS = 1.5  # Until a server has written its entry again.
 
 
@@ -165,6 +166,36 @@
                 self.assertTrue(any(violates(seed) for seed in RULE_SEEDS))
 
 
+class StopTest(unittest.TestCase):
+    """A leader that is stopped while the store is away."""
+
+    def test_a_successor_waits_as_the_resignation_came_too_early(self):
+        """Guards against keys without an owner after planned work."""
+        world = ownership_world.World(seed=6)
+        injector = DrillInjector(world=world)
+
+        async def scenario() -> None:
+            for address in world.addresses:
+                world.start(address)
+            await asyncio.sleep(ELECTION_SECONDS)
+            world.save_copy()
+            await asyncio.sleep(ELECTION_SECONDS)
+            world.store_down = True
+            leader = injector.leaders()[0]
+            stop = asyncio.create_task(world.followers[leader].stop())
+            await asyncio.sleep(AWAY_WHILE_STOPPED_SECONDS)
+            world.restore_copy()
+            world.store_down = False
+            await stop
+            world.kill(leader)
+            await asyncio.sleep(ELECTION_SECONDS)
+            world.record_state()
+
+        virtual.run(scenario(), world.loop)
+        self.assertEqual([], world.violations)
+        self.assertEqual(set(world.sampled_keys(0, 65_535)), world.served_keys)
+
+
 class RestoredEntriesTest(unittest.TestCase):
     """What the directory of a copy says of servers."""
 
--- a/tests/test_router_stop.py
+++ b/tests/test_router_stop.py
@@ -108,7 +108,7 @@
     def __init__(self, *, seconds: float):
         self.seconds = seconds
 
-    async def resign(self) -> None:
+    async def resign(self, *, insist: bool) -> None:
         """Resigns."""
         await asyncio.sleep(self.seconds)
 
