--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -230,10 +230,8 @@
 
     def known_at(self, stored: ports.OwnRows) -> succession.Knowledge:
         """Returns what this router knows when it has read the rows."""
-        era = stored.revision.era
-        first = self.platform.store_eras.first
-        return succession.Knowledge(
-            epoch=self.epoch, first_era=era if first is None else first, era=era
+        return succession.Knowledge.at_read(
+            self.platform.store_eras, epoch=self.epoch, era=stored.revision.era
         )
 
     def recorded_state(
--- a/oleanderhoist/node/storereader.py
+++ b/oleanderhoist/node/storereader.py
@@ -91,12 +91,10 @@
 
     def is_current(self, stored: ports.OwnRows) -> bool:
         """Returns whether rows are those of the latest leader known."""
-        era = stored.revision.era
-        first = self.platform.store_eras.first
-        known = succession.Knowledge(
+        known = succession.Knowledge.at_read(
+            self.platform.store_eras,
             epoch=self.state.snapshot.epoch,
-            first_era=era if first is None else first,
-            era=era,
+            era=stored.revision.era,
         )
         record = leaderstore.leadership_of(stored.rows)
         return succession.is_current(record.facts(), known)
--- a/oleanderhoist/policy/evacuations.py
+++ b/oleanderhoist/policy/evacuations.py
@@ -95,7 +95,7 @@
         """
         if revision <= self.revision:
             return None
-        if self.revision is not NEVER_READ and revision.era > self.revision.era:
+        if self.revision != NEVER_READ and revision.era > self.revision.era:
             self.restored_at = now
         self.revision = revision
         read = frozenset(data_centers)
--- a/oleanderhoist/policy/storeeras.py
+++ b/oleanderhoist/policy/storeeras.py
@@ -38,11 +38,6 @@
         self.newest = 0
         self.changed_at = -math.inf
 
-    @property
-    def has_changed(self) -> bool:
-        """Whether the store has come back from a copy since the first one."""
-        return self.first is not None and self.newest > self.first
-
     def observe(self, era: int, now: float) -> bool:
         """Records the era that an answer names.
 
--- a/oleanderhoist/policy/succession.py
+++ b/oleanderhoist/policy/succession.py
@@ -9,6 +9,8 @@
 import dataclasses
 import enum
 
+from oleanderhoist.policy import storeeras
+
 # More than elections fit between a copy and the return of the store from it.
 EPOCHS_PER_ERA = 1 << 10
 MAX_ERAS_SKIPPED = 1 << 10  # Fencing tokens have an upper limit.
@@ -47,6 +49,20 @@
     first_era: int
     era: int
 
+    @classmethod
+    def at_read(
+        cls, eras: storeeras.StoreEras, *, epoch: int, era: int
+    ) -> "Knowledge":
+        """Returns what a router knows once it has read the record.
+
+        Args:
+            eras: The eras that it has seen.
+            epoch: Highest epoch of a leader that it has heard of.
+            era: Era of the store in which the record was read.
+        """
+        first_era = era if eras.first is None else eras.first
+        return cls(epoch=epoch, first_era=first_era, era=era)
+
 
 def is_current(record: Record, known: Knowledge) -> bool:
     """Returns whether a successor may believe the stored owners.
