Let a leader that waits for earlier leases wait on if the store returns again

Callers of keyed pools were refused for 11.5 s after the last drill, whoever waited before.

Cause: a leader that didn't know the owners yet stepped down at another return, and its successor began to wait from the start. Ruled out: lost elections (the first one's record was in force for 2 s).

Change: it writes its record anew, without key maps, and waits on. Why it is safe: it does so only within 11 s of its last confirmation, and any leader that was elected since would still wait itself, as that record says that the owners aren't known.

--- a/oleanderhoist/node/leaderstore.py
+++ b/oleanderhoist/node/leaderstore.py
@@ -297,12 +297,16 @@
                 await self.read_back()
 
     def own_rows(self, era: int) -> dict[str, bytes]:
-        """Returns this leader's record and key maps, encoded for an era."""
-        maps = {
+        """Returns this leader's rows, encoded for an era.
+
+        These are its record and, if it knows the owners, the key maps.
+        """
+        maps = self.key_maps() if self.owners_known else {}
+        encoded = {
             MAP_PREFIX + pool: self.encode_map(key_map)
-            for pool, key_map in self.key_maps().items()
+            for pool, key_map in maps.items()
         }
-        return {LEADER_KEY: self.encode_record(era), **maps}
+        return {LEADER_KEY: self.encode_record(era), **encoded}
 
     async def write(self, key: str, make_value: Callable[[], bytes]) -> None:
         """Writes one row if the leadership record is unchanged.
@@ -409,12 +413,11 @@
 
     def claim(self) -> succession.Claim:
         """Returns what this leader holds against the record."""
-        may_restore = self.leader_lease.may_restore(self.clock.boottime())
         return succession.Claim(
             epoch=self.leader_lease.epoch,
             address=self.address,
             era=self.era,
-            may_restore=self.owners_known and may_restore,
+            may_restore=self.leader_lease.may_restore(self.clock.boottime()),
         )
 
     async def restore(self, stored: ports.OwnRows) -> bool:
@@ -437,6 +440,6 @@
             before=before,
             era=era,
             epoch=self.leader_lease.epoch,
-            pools=sorted(self.key_maps()),
+            pools=sorted(self.key_maps()) if self.owners_known else [],
         )
         return True
--- a/oleanderhoist/policy/leaderlease.py
+++ b/oleanderhoist/policy/leaderlease.py
@@ -73,7 +73,8 @@
         The store came back from a copy and can't tell whether there was a later
         leader. One that was elected since the last confirmation can't yet have
         moved keys but those that their owner gave up, which then refuses the
-        lower fencing tokens of this leader.
+        lower fencing tokens of this leader. If this leader waits for earlier
+        leases to expire, that one still waits, too.
         """
         return now - self.confirmed_at < (
             LEADER_LEASE_SECONDS + self.outage_lease_seconds()
--- a/oleanderhoist/policy/succession.py
+++ b/oleanderhoist/policy/succession.py
@@ -103,8 +103,8 @@
         epoch: Its epoch.
         address: Its address.
         era: Era of the store in which its record was last stored.
-        may_restore: Whether it knows the owners of all keys, and no later
-            leader can have moved keys without their owner's consent.
+        may_restore: Whether no later leader can have moved keys without their
+            owner's consent, or have ended the wait for earlier leases.
     """
 
     epoch: int
--- a/tests/test_restored_owners.py
+++ b/tests/test_restored_owners.py
@@ -18,6 +18,7 @@
 AWAY_SECONDS = (0.05, 3.0)
 ELECTION_SECONDS = 6.0
 AWAY_WHILE_STOPPED_SECONDS = 1.5
+RETURNS = 3
 REWRITE_SECONDS = 1.5  # Until a server has written its entry again.
 
 
@@ -196,6 +197,37 @@
         self.assertEqual(set(world.sampled_keys(0, 65_535)), world.served_keys)
 
 
+class TwiceTest(unittest.TestCase):
+    """A store that comes back again while a leader waits."""
+
+    def test_a_leader_that_waits_begins_anew_at_each_return(self):
+        """Guards against keys without an owner for as long as drills go on."""
+        world = ownership_world.World(seed=8)
+        injector = DrillInjector(world=world)
+
+        async def scenario() -> set[str]:
+            for address in world.addresses:
+                world.start(address)
+            await asyncio.sleep(ELECTION_SECONDS)
+            world.save_copy()
+            await asyncio.sleep(ELECTION_SECONDS)
+            world.kill(injector.leaders()[0])
+            world.restore_copy()
+            leaders = set()
+            for _ in range(RETURNS):
+                await asyncio.sleep(ELECTION_SECONDS / 2)
+                leaders.update(injector.leaders())
+                world.restore_copy()
+            await asyncio.sleep(ELECTION_SECONDS)
+            leaders.update(injector.leaders())
+            world.record_state()
+            return leaders
+
+        self.assertEqual(1, len(virtual.run(scenario(), world.loop)))
+        self.assertEqual([], world.violations)
+        self.assertEqual(set(world.sampled_keys(0, 65_535)), world.served_keys)
+
+
 class RestoredEntriesTest(unittest.TestCase):
     """What the directory of a copy says of servers."""
 
