--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -61,7 +61,7 @@
         )
 
     def test_promises_are_kept_under_any_faults(self):
-        result = self.soak(faults.FAULTS.names(), 1.5)
+        result = self.soak(faults.default_names(), 1.5)
         self.assertEqual([], result.violations, result.log)
         self.assertGreater(result.requests, 500)
 
