Tell how late a router handles its leader's heartbeats

Heartbeats name the store's time at which the leader's knowledge was current. A follower that has read the store knows how long ago that was, without a common clock. Line 427 and oleander_heartbeat_delay_seconds tell it; beliefs and decisions are as before. The lower bound of the store's time is rounded down for moments before the latest answer, too.

--- a/oleanderhoist/events.py
+++ b/oleanderhoist/events.py
@@ -342,6 +342,14 @@
     "this router: `seconds`.",
     "oleanderhoist.node.servernotices",
 )
+HEARTBEAT_LATE = define(
+    427,
+    "heartbeat.late",
+    "A heartbeat of the leader was handled long after it was sent: `delay_ms` "
+    "at most, by the store's time, of which `uncertain_ms` may be none; and "
+    "which versions of the snapshot and of the contracts it names.",
+    "oleanderhoist.node.freshness",
+)
 LEADERSHIP_TAKEN = define(
     430,
     "leadership.taken",
--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -91,6 +91,7 @@
         self.freshness = freshness.Freshness(
             state=state,
             clock=clock,
+            store_clock=platform.store_clock,
             lag=lag,
             own_address=own_member.address,
             propagation_seconds=propagation_seconds,
--- a/oleanderhoist/node/freshness.py
+++ b/oleanderhoist/node/freshness.py
@@ -3,13 +3,18 @@
 import dataclasses
 import math
 
+import prometheus_client
+
 from oleanderhoist import clock
+from oleanderhoist import events
+from oleanderhoist import log
 from oleanderhoist import ports
 from oleanderhoist import program
 from oleanderhoist.node import state
 from oleanderhoist.node import wire
 from oleanderhoist.policy import candidacy
 from oleanderhoist.policy import hashing
+from oleanderhoist.policy import storeclock
 
 # For the read, and for updates missed shortly before the leader fell silent.
 STORE_READ_MARGIN_SECONDS = 0.75
@@ -17,6 +22,13 @@
 STORE_READ_JITTER_SECONDS = 0.35
 CONTRACTS_READ_MARGIN_SECONDS = 0.35  # For the read itself.
 CONTRACTS_READ_JITTER_SECONDS = 0.2
+LATE_HEARTBEAT_SECONDS = 0.5
+
+HEARTBEAT_DELAY = prometheus_client.Gauge(
+    "oleander_heartbeat_delay_seconds",
+    "Time from the sending of the leader's last heartbeat to its handling, at "
+    "most",
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -41,6 +53,8 @@
     Args:
         state: Snapshot and contracts of this router.
         clock: Time source.
+        store_clock: Bounds of the store's time, in which leaders date what
+            they know.
         lag: Delay of this router's own timers.
         own_address: Address of this router.
         propagation_seconds: Maximum age of the snapshot and the contracts, in
@@ -58,12 +72,14 @@
         *,
         state: state.State,
         clock: clock.Clock,
+        store_clock: storeclock.StoreClock,
         lag: program.LoopLag,
         own_address: str,
         propagation_seconds: float,
     ):
         self.state = state
         self.clock = clock
+        self.store_clock = store_clock
         self.lag = lag
         self.announced = Announcement()
         # A new process acts at once instead of waiting for a heartbeat.
@@ -121,6 +137,7 @@
     def hear(self, message: wire.Heartbeat) -> None:
         """Records a heartbeat of the leader."""
         self.last_heartbeat_at = self.clock.monotonic()
+        self.record_delay(message)
         age = message.age_ms / 1000
         self.announced = Announcement(
             age=age,
@@ -134,6 +151,39 @@
             self.state.snapshot_confirmation.confirm(self.announced.known_at)
         self.confirm_contracts()
 
+    def earliest_known_at(self, message: wire.Heartbeat) -> float | None:
+        """Returns a lower bound of when the leader's knowledge was current.
+
+        It is in seconds on the clock that counts suspended time, and None if
+        the leader or this router cannot tell, or if the store came back from
+        a copy after one of them read its time.
+        """
+        if (
+            message.known_ms is None
+            or not self.store_clock.is_known
+            or message.known_era != self.store_clock.era
+        ):
+            return None
+        return self.store_clock.earliest(message.known_ms)
+
+    def record_delay(self, message: wire.Heartbeat) -> None:
+        """Records how long after its sending a heartbeat is handled."""
+        known_at = self.earliest_known_at(message)
+        if known_at is None:
+            return
+        age = self.clock.boottime() - known_at
+        delay = max(0.0, age - message.age_ms / 1000)
+        HEARTBEAT_DELAY.set(delay)
+        if delay > LATE_HEARTBEAT_SECONDS:
+            log.write_limited(
+                events.HEARTBEAT_LATE,
+                epoch=message.epoch,
+                version=message.version,
+                terms=message.contracts_version,
+                delay_ms=round(delay * 1000),
+                uncertain_ms=round(self.store_clock.uncertainty * 1000),
+            )
+
     def confirm_contracts(self) -> None:
         """Confirms the contracts if the leader announced no newer ones.
 
--- a/oleanderhoist/node/leader.py
+++ b/oleanderhoist/node/leader.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 import contextlib
+import math
 
 import prometheus_client
 
@@ -264,12 +265,13 @@
 
         Its age is that of the oldest of what the followers get from it.
         """
-        now = self.clock.boottime()
-        age = max(
-            self.directory.confirmation.age(now),
-            self.state.contracts_confirmation.age(now),
+        known_at = min(
+            self.directory.confirmation.at,
+            self.state.contracts_confirmation.at,
         )
-        age = min(MAX_REPORTED_AGE_SECONDS, age)
+        age = min(MAX_REPORTED_AGE_SECONDS, self.clock.boottime() - known_at)
+        store_clock = self.platform.store_clock
+        is_dated = store_clock.is_known and math.isfinite(known_at)
         return wire.Heartbeat(
             epoch=self.leader_lease.epoch,
             version=self.version,
@@ -283,6 +285,8 @@
             evacuated=sorted(self.state.evacuations.known_since),
             evacuated_revision=self.state.evacuations.revision.number,
             evacuated_era=self.state.evacuations.revision.era,
+            known_ms=store_clock.lower_bound(known_at) if is_dated else None,
+            known_era=store_clock.era if is_dated else None,
         )
 
     def check_reachability(self) -> None:
--- a/oleanderhoist/node/wire.py
+++ b/oleanderhoist/node/wire.py
@@ -54,6 +54,10 @@
             were read.
         contracts_version: Version of its contracts; None from earlier versions.
         evacuated_era: Era of that revision; None from earlier versions.
+        known_ms: Store's time at which its directory and its contracts were
+            current, in milliseconds; None from earlier versions, or if that is
+            not known.
+        known_era: Era of the store of that time; None as `known_ms`.
     """
 
     epoch: int
@@ -66,6 +70,8 @@
     evacuated_revision: int = 0
     contracts_version: int | None = None
     evacuated_era: int | None = None
+    known_ms: int | None = None
+    known_era: int | None = None
 
 
 class SnapshotFragment(Message, tag="Part"):
--- a/oleanderhoist/policy/storeclock.py
+++ b/oleanderhoist/policy/storeclock.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -38,14 +39,28 @@
             self.sent_at = sent_at
             self.received_at = received_at
 
-    def lower_bound(self, now: float) -> int:
-        """Returns a lower bound of the store's time, in milliseconds."""
-        return self.millis + int((now - self.received_at) * 1000)
+    @property
+    def is_known(self) -> bool:
+        """Whether a response has named the store's time."""
+        return self.millis > 0
+
+    @property
+    def uncertainty(self) -> float:
+        """Distance of the bounds, in seconds."""
+        return self.received_at - self.sent_at
+
+    def lower_bound(self, at: float) -> int:
+        """Returns a lower bound of the store's time at `at`, in ms."""
+        return self.millis + math.floor((at - self.received_at) * 1000)
 
     def upper_bound(self, at: float) -> int:
         """Returns an upper bound of the store's time at `at`, in ms."""
         return self.millis + int((at - self.sent_at) * 1000) + 1
 
+    def earliest(self, millis: int) -> float:
+        """Returns a lower bound of when a time was reached, in seconds."""
+        return self.sent_at + (millis - self.millis) / 1000
+
     def seconds_until(self, millis: int, now: float) -> float:
         """Returns the seconds until a time has definitely been reached."""
         return max(0.0, (millis - self.lower_bound(now)) / 1000)
--- a/tests/test_coldstarts.py
+++ b/tests/test_coldstarts.py
@@ -20,6 +20,7 @@
 from oleanderhoist.policy import contractset
 from oleanderhoist.policy import keys
 from oleanderhoist.policy import retry
+from oleanderhoist.policy import storeclock
 from tests import test_keys
 from tests import test_odd_entries
 from tests import virtual
@@ -188,6 +189,7 @@
         follower = freshness.Freshness(
             state=known,
             clock=time,
+            store_clock=storeclock.StoreClock(),
             lag=program.LoopLag(clock=time),
             own_address="r",
             propagation_seconds=2.0,
--- a/tests/test_contract_age.py
+++ b/tests/test_contract_age.py
@@ -243,6 +243,7 @@
         one = freshness.Freshness(
             state=state.State(),
             clock=clock.Clock(),
+            store_clock=storeclock.StoreClock(),
             lag=program.LoopLag(clock=clock.Clock()),
             own_address="a:1",
             propagation_seconds=ownership_world.PROPAGATION_SECONDS,
