Coordinate the queues of pools where there is processor time

Requests of the pool waited for a coordinator that was silent (412) until it was bypassed.

Cause: the coordinator of a pool's slot queue is drawn by weight, and 114 VMs of 0.2 cores together weigh more than 6 of 2.15. In the burst of 13 s the VM drawn for lantern-status had no processor time left: datagrams waited in its socket, those of the leader among them.

Evidence: a trial that reads all waiting datagrams at once and counts them found the socket of edge-scot-central-a-28 never empty from 13 to 25 s, at 1,000 to 2,300 datagrams a second. Ruled out: its link (they were in the socket), its leader (119 routers were on time), its event loop (a turn takes one datagram, so timers were late by 1 to 18 ms).

Change: queues of pools go to members with at least half of the largest one's cores, of which a slow link already takes off. Queues of keyed servers stay spread over all. With members of like size nothing changes. While routers of the earlier build run beside this one, both choose their own coordinator for a pool's queue.

--- a/oleanderhoist/node/coordinator.py
+++ b/oleanderhoist/node/coordinator.py
@@ -13,6 +13,7 @@
 from oleanderhoist.node import coldservers
 from oleanderhoist.node import state
 from oleanderhoist.policy import cluster
+from oleanderhoist.policy import coordination
 from oleanderhoist.policy import serverslots
 from oleanderhoist.policy import slotqueue
 from oleanderhoist.policy import slotrequests
@@ -20,8 +21,6 @@
 
 TICK_SECONDS = 0.05  # For what no release brings about, as an expiry.
 NO_SERVER_RETRY_SECONDS = 0.1
-KEYED_PREFIX = "server/"
-POOL_PREFIX = "pool/"
 
 VERDICTS = prometheus_client.Counter(
     "oleander_lane_verdicts", "Asks by verdict", ["verdict"]
@@ -42,8 +41,8 @@
 def queue_name(pool: str, server: cluster.Server | None) -> str:
     """Returns the name of the slot queue for a pool or a keyed server."""
     if server is None:
-        return POOL_PREFIX + pool
-    return KEYED_PREFIX + server.id
+        return coordination.POOL_PREFIX + pool
+    return coordination.KEYED_PREFIX + server.id
 
 
 def is_in_queue(queue: str, pool: str, server: cluster.Server) -> bool:
@@ -98,10 +97,14 @@
     def servers_of(self, name: str) -> list[cluster.Server]:
         """Returns the usable servers of a slot queue."""
         snapshot = self.state.snapshot
-        if name.startswith(KEYED_PREFIX):
-            server = snapshot.usable_server(name.removeprefix(KEYED_PREFIX))
+        if name.startswith(coordination.KEYED_PREFIX):
+            server = snapshot.usable_server(
+                name.removeprefix(coordination.KEYED_PREFIX)
+            )
             return [server] if server else []
-        return list(snapshot.usable.get(name.removeprefix(POOL_PREFIX), ()))
+        return list(
+            snapshot.usable.get(name.removeprefix(coordination.POOL_PREFIX), ())
+        )
 
     def get(self, name: str) -> HostedQueue:
         """Returns a slot queue, creating it on first use."""
@@ -119,7 +122,7 @@
             self.refresh(name, hosted)
             if not hosted.queue.servers:
                 self.refuse_waiting(hosted)
-                if name.startswith(KEYED_PREFIX):
+                if name.startswith(coordination.KEYED_PREFIX):
                     del self.hosted[name]
 
     def refresh(self, name: str, hosted: HostedQueue) -> None:
@@ -384,7 +387,7 @@
         return {
             server.id: round(server.seconds_per_slot() * 1000, 1)
             for name, hosted in self.hosted.items()
-            if name.startswith(KEYED_PREFIX)
+            if name.startswith(coordination.KEYED_PREFIX)
             for server in hosted.queue.servers.values()
             if server.answers >= serverslots.MIN_ANSWERS or server.is_paced
         }
--- a/oleanderhoist/policy/cluster.py
+++ b/oleanderhoist/policy/cluster.py
@@ -3,7 +3,7 @@
 import dataclasses
 import functools
 
-from oleanderhoist.policy import hashing
+from oleanderhoist.policy import coordination
 from oleanderhoist.policy import keys
 
 MISSING_GRACE_SECONDS = 2.4
@@ -153,7 +153,7 @@
         if not self.members:
             return ""
         if queue not in self.coordinators:
-            self.coordinators[queue] = hashing.weighted_rendezvous(
+            self.coordinators[queue] = coordination.coordinator_of(
                 queue, self.cores_by_member
             )
         return self.coordinators[queue]
