Count the age of what a leader says from when the leader knew it

Cause: the age in a heartbeat was counted from its arrival.

A router whose datagrams are late by more than the bound reads its contracts itself, as one whose leader is silent does. Where either side doesn't know the store's time, or of another era, the age counts from the arrival as before.

--- a/oleanderhoist/node/freshness.py
+++ b/oleanderhoist/node/freshness.py
@@ -139,9 +139,13 @@
         self.last_heartbeat_at = self.clock.monotonic()
         self.record_delay(message)
         age = message.age_ms / 1000
+        known_at = self.clock.boottime() - age
+        earliest = self.earliest_known_at(message)
+        if earliest is not None:
+            known_at = min(known_at, earliest)
         self.announced = Announcement(
             age=age,
-            known_at=self.clock.boottime() - age,
+            known_at=known_at,
             contracts=named_contracts(message),
         )
         if message.evacuated is not None and message.evacuated_era is not None:
--- a/tests/ownership_world.py
+++ b/tests/ownership_world.py
@@ -168,8 +168,9 @@
             return
         if self.world.draw_fault("datagram_lost"):
             return
+        seconds = DATAGRAM_SECONDS + self.world.late_datagrams.get(address, 0.0)
         self.world.loop.call_later(
-            DATAGRAM_SECONDS, self.world.deliver, self.address, address, data
+            seconds, self.world.deliver, self.address, address, data
         )
 
 
@@ -208,6 +209,8 @@
         lost_feeds: Routers whose waits for a change get no response.
         deaf_feeds: Routers whose waits for a change never name one.
         lost_reads: Routers whose reads of the contracts get no response.
+        late_datagrams: How much later than others routers handle datagrams,
+            by address, in seconds.
         violations: Violations of the ownership guarantees.
         served_keys: Checked keys that had an owner in `record_state`.
         unreachable_servers: Servers that the leader could not reach when
@@ -232,6 +235,7 @@
         self.lost_feeds: set[str] = set()
         self.deaf_feeds: set[str] = set()
         self.lost_reads: set[str] = set()
+        self.late_datagrams: dict[str, float] = {}
         self.violations: list[str] = []
         self.served_keys: set[int] = set()
         self.unreachable_servers: set[str] = set()
