--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -130,8 +130,10 @@
 
     def read_store_if_due(self, now: float) -> None:
         """Starts to read the store if what this router believes is too old."""
-        if self.freshness.store_overdue(now) or (
-            self.reads_immediately and self.state.contracts is None
+        if (
+            self.freshness.store_overdue(now)
+            or self.freshness.snapshot_overdue()
+            or (self.reads_immediately and self.state.contracts is None)
         ):
             self.store_reader.start_read(now)
         elif self.freshness.contracts_overdue():
--- a/oleanderhoist/node/freshness.py
+++ b/oleanderhoist/node/freshness.py
@@ -20,8 +20,10 @@
 STORE_READ_MARGIN_SECONDS = 0.75
 # The jitter lets most failovers end before the last routers read.
 STORE_READ_JITTER_SECONDS = 0.35
-CONTRACTS_READ_MARGIN_SECONDS = 0.35  # For the read itself.
-CONTRACTS_READ_JITTER_SECONDS = 0.2
+OWN_READ_MARGIN_SECONDS = 0.35  # For the read itself.
+OWN_READ_JITTER_SECONDS = 0.2
+# A leader's first snapshot comes after its first heartbeat.
+FIRST_SNAPSHOT_SECONDS = 0.6
 LATE_HEARTBEAT_SECONDS = 0.5
 
 HEARTBEAT_DELAY = prometheus_client.Gauge(
@@ -36,12 +38,14 @@
     """What the leader's latest heartbeat said.
 
     Attributes:
+        epoch: The leader's epoch.
         age: Age of what the leader knew, in seconds.
         known_at: When the leader knew it to be current, on the clock that
             counts suspended time.
         contracts: The leader's contracts; None before the first heartbeat.
     """
 
+    epoch: int = 0
     age: float = 0.0
     known_at: float = -math.inf
     contracts: ports.ContractsName | None = None
@@ -64,7 +68,10 @@
         announced: What the leader's latest heartbeat said.
         last_heartbeat_at: When it arrived, on the monotonic clock.
         store_read_after: Staleness at which everything is read, in seconds.
-        contracts_read_after: Age at which the contracts are read, in seconds.
+        own_read_after: Age at which contracts or snapshot are read although
+            the leader is heard, in seconds.
+        heard_since: Since when the leader has been heard without a gap, on
+            the monotonic clock.
     """
 
     def __init__(
@@ -93,11 +100,12 @@
             - STORE_READ_MARGIN_SECONDS
             + fraction * STORE_READ_JITTER_SECONDS,
         )
-        self.contracts_read_after = (
+        self.own_read_after = (
             propagation_seconds
-            - CONTRACTS_READ_MARGIN_SECONDS
-            + fraction * CONTRACTS_READ_JITTER_SECONDS
+            - OWN_READ_MARGIN_SECONDS
+            + fraction * OWN_READ_JITTER_SECONDS
         )
+        self.heard_since = math.inf
         state.contract_listeners.append(self.confirm_contracts)
 
     def staleness(self, now: float) -> float:
@@ -127,7 +135,20 @@
             self.state.contracts_confirmation.at,
             self.state.evacuations_confirmation.at,
         )
-        return self.clock.boottime() - confirmed_at > self.contracts_read_after
+        return self.clock.boottime() - confirmed_at > self.own_read_after
+
+    def snapshot_overdue(self) -> bool:
+        """Returns whether the snapshot is old although the leader is heard.
+
+        Snapshots get lost, and heartbeats may be late.
+        """
+        now = self.clock.monotonic()
+        is_heard = (
+            now - self.last_heartbeat_at < candidacy.LEADER_TIMEOUT_SECONDS
+            and now - self.heard_since > FIRST_SNAPSHOT_SECONDS
+        )
+        age = self.state.snapshot_confirmation.age(self.clock.boottime())
+        return is_heard and age > self.own_read_after
 
     @property
     def has_heard(self) -> bool:
@@ -136,7 +157,7 @@
 
     def hear(self, message: wire.Heartbeat) -> None:
         """Records a heartbeat of the leader."""
-        self.last_heartbeat_at = self.clock.monotonic()
+        self.record_arrival(message.epoch)
         self.record_delay(message)
         age = message.age_ms / 1000
         known_at = self.clock.boottime() - age
@@ -144,6 +165,7 @@
         if earliest is not None:
             known_at = min(known_at, earliest)
         self.announced = Announcement(
+            epoch=message.epoch,
             age=age,
             known_at=known_at,
             contracts=named_contracts(message),
@@ -155,6 +177,17 @@
             self.state.snapshot_confirmation.confirm(self.announced.known_at)
         self.confirm_contracts()
 
+    def record_arrival(self, epoch: int) -> None:
+        """Records that a heartbeat of an epoch's leader is handled."""
+        now = self.clock.monotonic()
+        silence = now - self.last_heartbeat_at
+        if (
+            silence >= candidacy.LEADER_TIMEOUT_SECONDS
+            or epoch != self.announced.epoch
+        ):
+            self.heard_since = now
+        self.last_heartbeat_at = now
+
     def earliest_known_at(self, message: wire.Heartbeat) -> float | None:
         """Returns a lower bound of when the leader's knowledge was current.
 
--- a/tests/test_late_news.py
+++ b/tests/test_late_news.py
@@ -6,6 +6,7 @@
 import unittest
 
 from oleanderhoist import ports
+from oleanderhoist.node import wire
 from tests import ownership_world
 from tests import virtual
 
@@ -13,6 +14,7 @@
 SETTLE_SECONDS = 6.0
 LATE_SECONDS = 3.0  # Above the time within which changes must be applied.
 HINDERED_SECONDS = 5.0  # Until late heartbeats arrive regularly again.
+REMOVED_SERVER = "s0"
 
 
 class LateNewsTest(unittest.TestCase):
@@ -56,6 +58,12 @@
         """Lets a router handle its datagrams late."""
         self.world.late_datagrams[address] = LATE_SECONDS
 
+    def lose_snapshots(self, address: str) -> None:
+        """Lets a router lose snapshots, but no heartbeats."""
+        handlers = self.world.followers[address].datagrams.handlers
+        for kind in (wire.Delta, wire.SnapshotFragment):
+            handlers.pop(kind)
+
     def change_contracts(self) -> None:
         """Changes the contracts."""
         before = self.world.contracts_document
@@ -66,6 +74,10 @@
             revision=before.revision + 1,
         )
 
+    def remove_server(self) -> None:
+        """Removes a server from the directory."""
+        del self.world.listed_servers[REMOVED_SERVER]
+
     def test_late_heartbeats_vouch_for_old_contracts(self):
         state = self.state_after(self.delay_datagrams, self.change_contracts)
         self.assertEqual(
@@ -73,6 +85,14 @@
             state.contracts_version,
         )
 
+    def test_late_heartbeats_vouch_for_an_old_snapshot(self):
+        state = self.state_after(self.delay_datagrams, self.remove_server)
+        self.assertNotIn(REMOVED_SERVER, state.snapshot.servers)
+
+    def test_a_router_without_snapshots_waits_for_its_leader(self):
+        state = self.state_after(self.lose_snapshots, self.remove_server)
+        self.assertNotIn(REMOVED_SERVER, state.snapshot.servers)
+
 
 if __name__ == "__main__":
     unittest.main()
