--- a/oleanderhoist/node/datagrams.py
+++ b/oleanderhoist/node/datagrams.py
@@ -135,15 +135,19 @@
         peer = f"{addr[0]}:{addr[1]}"
         if not isinstance(message, COORDINATION):
             self.handle(peer, message)
-        elif not self.backlog.add((peer, message)):
+            return
+        waiting = backlog.Datagram(
+            peer=peer, message=message, size_bytes=len(data)
+        )
+        if not self.backlog.add(waiting):
             DROPPED.inc()
 
     def take_turn(self) -> None:
         """Handles some of the datagrams of coordination."""
         self.is_turn_due = False
         try:
-            for peer, message in self.backlog.take_turn():
-                self.handle(peer, message)
+            for datagram in self.backlog.take_turn():
+                self.handle(datagram.peer, datagram.message)
         finally:
             WAITING.set(len(self.backlog.waiting))
             if self.backlog.waiting:
--- a/tests/test_datagrams.py
+++ b/tests/test_datagrams.py
@@ -70,19 +70,35 @@
 class BacklogTest(unittest.TestCase):
     """What waits is bounded and keeps its order."""
 
+    def fill(self, count: int, size_bytes: int) -> backlog.Backlog:
+        """Returns a backlog to which many datagrams were added."""
+        filled = backlog.Backlog()
+        for number in range(count):
+            filled.add(
+                backlog.Datagram(
+                    peer="r", message=number, size_bytes=size_bytes
+                )
+            )
+        return filled
+
     def test_datagrams_that_wait_fill_the_memory(self):
-        waiting = backlog.Backlog()
-        for number in range(3 * backlog.MAX_WAITING):
-            waiting.add(number)
-        self.assertEqual(backlog.MAX_WAITING, len(waiting.waiting))
-        self.assertEqual(2 * backlog.MAX_WAITING, waiting.dropped)
+        filled = self.fill(3 * backlog.MAX_WAITING, 1)
+        self.assertEqual(backlog.MAX_WAITING, len(filled.waiting))
+        self.assertEqual(2 * backlog.MAX_WAITING, filled.dropped)
+
+    def test_large_datagrams_that_wait_fill_the_memory(self):
+        filled = self.fill(100, datagrams.MAX_DATAGRAM_BYTES)
+        self.assertLessEqual(filled.waiting_bytes, backlog.MAX_WAITING_BYTES)
+        self.assertGreater(filled.dropped, 0)
+        while list(filled.take_turn()):
+            pass
+        self.assertEqual(0, filled.waiting_bytes)
 
     def test_a_release_overtakes_its_request(self):
-        waiting = backlog.Backlog()
-        for number in range(backlog.MAX_HANDLED_PER_TURN + 1):
-            waiting.add(number)
-        handled = [*waiting.take_turn(), *waiting.take_turn()]
+        filled = self.fill(backlog.MAX_HANDLED_PER_TURN + 1, 1)
+        handled = [one.message for _ in range(2) for one in filled.take_turn()]
         self.assertEqual(sorted(handled), handled)
+        self.assertEqual(backlog.MAX_HANDLED_PER_TURN + 1, len(handled))
 
 
 if __name__ == "__main__":
