--- a/standins/instance.py
+++ b/standins/instance.py
@@ -240,9 +240,8 @@
         refusal = self.accept(request)
         if refusal is not None:
             return refusal
-        query = urllib.parse.parse_qs(request.target.partition("?")[2])
-        work_ms = query.get("work_ms", [self.work_seconds * 1000])[0]
-        await asyncio.sleep(float(work_ms) / 1000)
+        work_ms = query_value(request, "work_ms", self.work_seconds * 1000)
+        await asyncio.sleep(work_ms / 1000)
         if self.inject("truncate"):
             raise ConnectionAbortedError("truncated")
         return self.success(request)
@@ -264,7 +263,9 @@
         if not self.inject("unsigned"):
             signature = f"{self.id}.{self.born}".encode()
             headers.append((b"response-signature", signature))
-        return unruly.Answer(headers=headers, body=bodies.answer(id.decode()))
+        size = int(query_value(request, "body_bytes", 0))
+        body = bodies.answer(id.decode()).ljust(size, b"x")
+        return unruly.Answer(headers=headers, body=body)
 
     def refusal(self, request: messages.Request, status: int) -> unruly.Answer:
         """Returns an answer that says that a request was not executed."""
@@ -275,6 +276,12 @@
         return unruly.Answer(status=status, headers=headers)
 
 
+def query_value(request: messages.Request, name: str, default: float) -> float:
+    """Returns a number from the query of a request."""
+    query = urllib.parse.parse_qs(request.target.partition("?")[2])
+    return float(query.get(name, [default])[0])
+
+
 def request_id(request: messages.Request) -> bytes:
     """Returns the id of a request, empty without one."""
     return (request.header(b"request-id") or "").encode()
