Bound what callers send ahead and leave unread, in sockets as well

What callers saw: a router of 70 MB took 99.6 to 116.7 MB for 40 callers that sent ahead and read nothing; the platform ends such a process, and all others' requests with it.

Cause: the kernel's send buffer of a connection grew to 4 MB, and nobody counted what waits in it or in the transport; only requests sent ahead had a bound, and a small one per connection was never given up.

Change: send buffers of sockets have 64 kB, as receive buffers do. The next request of a connection is read once the socket has all of the answer. What is held for callers (sent ahead, unsent, and in sockets until the caller has taken it) has a bound of a tenth of the VM's memory over all connections, beside the bound for answers: counted with these, stalled callers made every larger answer a stream, which keeps its slot, and an ordinary caller got none for 10 s. Above the bound, the connection that holds most is reset (305); an unread answer was complete and signed or is cut, and promises nothing.

--- a/oleanderhoist/events.py
+++ b/oleanderhoist/events.py
@@ -476,9 +476,9 @@
 CALLER_GIVEN_UP = define(
     305,
     "caller.given_up",
-    "Memory was short, and the connection of a caller that had sent most ahead "
-    "of its answers was closed.",
-    "oleanderhoist.http.serverconnection",
+    "Memory was short, and the connection of the caller for whom most was held "
+    "was closed: what it had sent, and what it had not read of an answer.",
+    "oleanderhoist.http.heldmemory",
 )
 REQUEST_CUT = define(
     303,
--- a/oleanderhoist/http/server.py
+++ b/oleanderhoist/http/server.py
@@ -5,6 +5,7 @@
 from oleanderhoist import deadline
 from oleanderhoist import events
 from oleanderhoist import log
+from oleanderhoist.http import heldmemory
 from oleanderhoist.http import serverconnection
 from oleanderhoist.http import streams
 
@@ -60,7 +61,7 @@
             backlog=LISTEN_BACKLOG,
         )
         for listening in self.listener.sockets:
-            streams.bound_unread(listening)
+            streams.bound_buffers(listening)
         self.port = self.listener.sockets[0].getsockname()[1]
         self.settings.port = self.port
 
@@ -75,7 +76,7 @@
         try:
             await connection.serve()
         except (TimeoutError, OSError):
-            serverconnection.reset(writer)
+            heldmemory.reset(writer)
         finally:
             await connection.close()
             self.connections.discard(connection)
--- a/oleanderhoist/http/serverconnection.py
+++ b/oleanderhoist/http/serverconnection.py
@@ -8,8 +8,6 @@
 import dataclasses
 import enum
 import re
-import socket
-import struct
 
 import h11
 
@@ -17,25 +15,21 @@
 from oleanderhoist import deadline
 from oleanderhoist import events
 from oleanderhoist import log
-from oleanderhoist.http import exchanges
 from oleanderhoist.http import framing
+from oleanderhoist.http import heldmemory
 from oleanderhoist.http import messages
+from oleanderhoist.http import responsewriter
 from oleanderhoist.http import streams
-from oleanderhoist.policy import answermemory
 from oleanderhoist.policy import linkpace
 
 READ_BYTES = 65_536
-WRITE_BYTES = 65_536
-PACED_BYTES = linkpace.PIECE_BYTES
 DEFAULT_HEAD_BYTES = 16_384
 HEAD_SECONDS = 5.0
 BODY_STALL_SECONDS = 10.0
 IDLE_SECONDS = 60.0
-WRITE_TIMEOUT_SECONDS = 10.0
 
 Handler = Callable[[messages.Request], Awaitable[messages.Response]]
 
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER of zero seconds.
 _BARE_LF = re.compile(rb"(?<!\r)\n")
 
 
@@ -94,7 +88,18 @@
         self.phase = Phase.IDLE
         self.target = ""
         self.body_left = 0  # Bytes of a body with a length, at most.
-        self.ahead = answermemory.Body(give_up=self.give_up)
+        self.held = heldmemory.HeldMemory(
+            reader=reader,
+            writer=writer,
+            protocol=self.protocol,
+            port=settings.port,
+        )
+        self.responses = responsewriter.ResponseWriter(
+            writer=writer,
+            protocol=self.protocol,
+            held=self.held,
+            link=settings.link,
+        )
         self.finishing = False
         self.closed = asyncio.Event()
 
@@ -116,40 +121,20 @@
 
     async def serve(self) -> None:
         """Serves requests sequentially until the connection ends."""
-        exchanges.MEMORY.add(self.ahead)
-        self.reader.on_unread = self.count_ahead
+        self.held.begin()
         try:
             while await self.exchange():
                 self.protocol.start_next_cycle()
         except h11.LocalProtocolError:
             pass
         finally:
-            self.reader.on_unread = None
-            exchanges.MEMORY.remove(self.ahead)
-
-    def count_ahead(self) -> None:
-        """Counts what the caller has sent ahead of an answer as memory."""
-        size_bytes = 0
-        if self.protocol.their_state is h11.DONE:
-            size_bytes = self.reader.unread
-        if size_bytes > streams.BUFFER_LIMIT_BYTES:
-            size_bytes += streams.SOCKET_BUFFER_BYTES
-        exchanges.MEMORY.grow(self.ahead, size_bytes - self.ahead.size_bytes)
-
-    def give_up(self) -> None:
-        """Closes the connection of a caller that has sent too much ahead."""
-        log.write_limited(
-            events.CALLER_GIVEN_UP,
-            port=self.settings.port,
-            unread_bytes=self.reader.unread,
-        )
-        reset(self.writer)
+            self.held.end()
 
     async def close(self) -> None:
         """Closes the connection once the bytes that were written are sent."""
         self.writer.close()
         try:
-            async with asyncio.timeout(WRITE_TIMEOUT_SECONDS):
+            async with asyncio.timeout(responsewriter.WRITE_TIMEOUT_SECONDS):
                 await self.writer.wait_closed()
         except OSError:
             self.writer.transport.abort()
@@ -175,7 +160,7 @@
                 unsent_bytes=unsent_bytes,
             )
         if unsent_bytes or self.phase is Phase.WRITING:
-            reset(self.writer)
+            heldmemory.reset(self.writer)
         else:
             self.writer.transport.abort()
 
@@ -197,7 +182,7 @@
         close = response.close or self.may_stop
         if self.protocol.their_state is not h11.DONE:
             close = True
-        await self.write(response, request.method, close)
+        await self.responses.write(response, request.method, close)
         self.phase = Phase.IDLE
         if close or (self.finishing and not self.next_begun):
             return False
@@ -363,90 +348,7 @@
         """Sends an error response to an unreadable request, and closes."""
         response = messages.problem(code, close=True)
         with contextlib.suppress(h11.LocalProtocolError, OSError):
-            await self.write(response, "GET", True)
-
-    async def write(
-        self, response: messages.Response, method: str, close: bool
-    ) -> None:
-        """Sends a response; an error of its stream closes the connection."""
-        headers = list(response.headers)
-        if response.stream is None and not messages.find(
-            headers, b"content-length"
-        ):
-            headers.append((b"content-length", b"%d" % len(response.body)))
-        if close:
-            headers.append((b"connection", b"close"))
-        head = h11.Response(status_code=response.status, headers=headers)
-        parts = [self.protocol.send(head)]
-        if response.stream is not None:
-            self.writer.write(parts.pop())
-            async with contextlib.aclosing(response.stream) as chunks:
-                async for chunk in chunks:
-                    await self.write_parts(chunk)
-        elif len(response.body) > self.part_bytes and method != "HEAD":
-            self.writer.write(parts.pop())
-            await self.write_long_body(response.body)
-        elif response.body and method != "HEAD":
-            parts.append(self.protocol.send(h11.Data(data=response.body)))
-        parts.append(self.protocol.send(h11.EndOfMessage()))
-        self.writer.write(b"".join(parts))
-        await self.drain()
-
-    async def write_long_body(self, body: bytes) -> None:
-        """Writes a body in parts, so that there is no second copy of it."""
-        written = answermemory.Body(size_bytes=len(body))
-        exchanges.MEMORY.add(written)
-        try:
-            await self.write_parts(body)
-        finally:
-            exchanges.MEMORY.remove(written)
-
-    @property
-    def part_bytes(self) -> int:
-        """Size of the parts in which a long body is written, in bytes."""
-        return WRITE_BYTES if self.settings.link is None else PACED_BYTES
-
-    async def write_parts(self, data: bytes) -> None:
-        """Writes a part of a body after the other, each in its turn."""
-        for start in range(0, len(data), self.part_bytes):
-            part = data[start : start + self.part_bytes]
-            await self.wait_for_turn(len(part))
-            self.writer.write(self.protocol.send(h11.Data(data=part)))
-            await self.drain()
-
-    async def wait_for_turn(self, size_bytes: int) -> None:
-        """Waits until a narrow link has room for a part of a large body."""
-        if self.settings.link is None:
-            return
-        now = asyncio.get_running_loop().time()
-        delay = self.settings.link.delay(size_bytes, now)
-        if delay > 0:
-            await asyncio.sleep(delay)
-
-    async def drain(self) -> None:
-        """Waits, with a time limit, until the socket accepts more data.
-
-        Raises:
-            ConnectionResetError: The connection is closed.
-        """
-        if self.writer.transport.is_closing():
-            raise ConnectionResetError("the caller has closed")
-        if self.writer.transport.get_write_buffer_size() == 0:
-            return
-        async with asyncio.timeout(WRITE_TIMEOUT_SECONDS):
-            await self.writer.drain()
-
-
-def reset(writer: asyncio.StreamWriter) -> None:
-    """Resets a connection.
-
-    An orderly close would complete a response whose body ends with it.
-    """
-    with contextlib.suppress(OSError):
-        writer.get_extra_info("socket").setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-        )
-    writer.transport.abort()
+            await self.responses.write(response, "GET", True)
 
 
 def check_head(data: bytes | bytearray, max_bytes: int) -> codes.Code | None:
--- a/oleanderhoist/http/streams.py
+++ b/oleanderhoist/http/streams.py
@@ -13,7 +13,7 @@
 
 # Of a connection; its reader stops at twice as much.
 BUFFER_LIMIT_BYTES = 32_768
-# Unread bytes in the socket count as memory, too.
+# What waits in a socket, in either direction, counts as memory, too.
 SOCKET_BUFFER_BYTES = 65_536
 
 OPENED: weakref.WeakSet[asyncio.StreamWriter] = weakref.WeakSet()
@@ -138,17 +138,18 @@
     protocol = Protocol(reader=reader, loop=loop)
     transport, _ = await loop.create_connection(lambda: protocol, host, port)
     with contextlib.suppress(OSError):
-        bound_unread(transport.get_extra_info("socket"))
+        bound_buffers(transport.get_extra_info("socket"))
     writer = asyncio.StreamWriter(transport, protocol, reader, loop)
     OPENED.add(writer)
     return reader, writer
 
 
-def bound_unread(bound_socket: socket.socket) -> None:
-    """Bounds the bytes that wait unread in a socket, or one it accepts."""
-    bound_socket.setsockopt(
-        socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES
-    )
+def bound_buffers(bound_socket: socket.socket) -> None:
+    """Bounds the bytes that wait in a socket, or in one that it accepts."""
+    for direction in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        bound_socket.setsockopt(
+            socket.SOL_SOCKET, direction, SOCKET_BUFFER_BYTES
+        )
 
 
 def close_opened() -> None:
--- a/oleanderhoist/node/core.py
+++ b/oleanderhoist/node/core.py
@@ -14,6 +14,7 @@
 from oleanderhoist import settings
 from oleanderhoist.http import client
 from oleanderhoist.http import exchanges
+from oleanderhoist.http import heldmemory
 from oleanderhoist.node import budgets
 from oleanderhoist.node import coldservers
 from oleanderhoist.node import coordinator
@@ -44,6 +45,8 @@
 CANCELLATION_TIMEOUT_SECONDS = 0.05
 # Of the VM's memory, for the bodies of servers' answers.
 ANSWER_MEMORY_FRACTION = 0.1
+# Of it, for what callers send ahead or do not read.
+CALLER_MEMORY_FRACTION = 0.1
 SETTINGS_POLL_SECONDS = 2.0  # For changes of the settings without SIGHUP.
 
 
@@ -118,6 +121,9 @@
         exchanges.MEMORY.limit_bytes = int(
             settings.memory_bytes * ANSWER_MEMORY_FRACTION
         )
+        heldmemory.CALLERS.limit_bytes = int(
+            settings.memory_bytes * CALLER_MEMORY_FRACTION
+        )
         self.slot_client.slots_due = self.forwarder.slots_due
         self.frontend = frontend.Frontend(
             address=settings.listen,
--- a/oleanderhoist/policy/answermemory.py
+++ b/oleanderhoist/policy/answermemory.py
@@ -20,15 +20,17 @@
 
 @dataclasses.dataclass(kw_only=True, eq=False)
 class Body:
-    """The body of one answer, or what a caller has sent ahead.
+    """The body of one answer, or what is held for a caller.
 
     Attributes:
         give_up: Ends the reading of an unfinished one; None for one that is
             complete and being written.
+        spared: Whether it is never given up while it is small.
         size_bytes: Memory that it takes now, in bytes.
     """
 
     give_up: Callable[[], None] | None = None
+    spared: bool = True
     size_bytes: int = 0
 
 
@@ -83,11 +85,12 @@
         return body.size_bytes <= min(small_bytes, MAX_SMALL_BODY_BYTES)
 
     def give_up_largest(self) -> None:
-        """Gives up the largest unfinished body that is not small."""
+        """Gives up the largest unfinished body that is not spared."""
         candidates = [
             body
             for body in self.bodies
-            if body.give_up is not None and not self.is_small(body)
+            if body.give_up is not None
+            and not (body.spared and self.is_small(body))
         ]
         if candidates:
             largest = max(candidates, key=lambda body: body.size_bytes)
--- a/standins/unruly.py
+++ b/standins/unruly.py
@@ -10,6 +10,7 @@
 
 import h11
 
+from oleanderhoist.http import heldmemory
 from oleanderhoist.http import messages
 from oleanderhoist.http import server
 from oleanderhoist.http import serverconnection
@@ -56,7 +57,7 @@
             return False
         self.phase = serverconnection.Phase.WRITING
         close = response.close or self.may_stop
-        await self.write(response, request.method, close)
+        await self.responses.write(response, request.method, close)
         on_sent = getattr(response, "on_sent", None)
         if on_sent is not None and not self.reader.disconnected:
             on_sent()
@@ -100,7 +101,7 @@
     ) -> None:
         """Serves one connection until it closes, or resets it."""
         if len(self.connections) >= self.max_connections:
-            serverconnection.reset(writer)
+            heldmemory.reset(writer)
             self.on_reset()
             return
         connection = Connection(
@@ -110,7 +111,7 @@
         try:
             await connection.serve()
         except (TimeoutError, OSError, asyncio.CancelledError):
-            serverconnection.reset(writer)
+            heldmemory.reset(writer)
         finally:
             await connection.close()
             self.connections.discard(connection)
--- /dev/null
+++ b/tests/test_held_memory.py
@@ -0,0 +1,82 @@
+"""Memory that is held for callers is bounded, and given back."""
+
+import asyncio
+import socket
+import unittest
+
+from oleanderhoist.http import client
+from oleanderhoist.http import heldmemory
+from oleanderhoist.http import messages
+from oleanderhoist.http import server as http_server
+
+LIMIT_BYTES = 300_000
+ANSWER_BYTES = 60_000
+CALLERS = 20  # Their answers take four times the limit.
+WAIT_SECONDS = 10.0
+POLL_SECONDS = 0.05
+REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+async def answer(request: messages.Request) -> messages.Response:
+    """Returns an answer that no caller of the crowd reads."""
+    return messages.Response(body=b"x" * ANSWER_BYTES)
+
+
+class HeldMemoryTest(unittest.IsolatedAsyncioTestCase):
+    """A server whose callers together hold more than they may."""
+
+    async def asyncSetUp(self) -> None:
+        before = heldmemory.CALLERS.limit_bytes
+        heldmemory.CALLERS.limit_bytes = LIMIT_BYTES
+        self.addCleanup(setattr, heldmemory.CALLERS, "limit_bytes", before)
+        self.server = http_server.Server(
+            handler=answer, host="127.0.0.1", port=0
+        )
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop, 0.0)
+        self.callers: list[socket.socket] = []
+
+    async def send_only(self, data: bytes) -> None:
+        """Sends bytes on a new connection that is never read."""
+        caller = socket.socket()
+        self.addCleanup(caller.close)
+        caller.setblocking(False)
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(caller, ("127.0.0.1", self.server.port))
+        await loop.sock_sendall(caller, data)
+        self.callers.append(caller)
+
+    async def wait_until(self, is_true) -> None:
+        """Waits until a condition holds."""
+        async with asyncio.timeout(WAIT_SECONDS):
+            while not is_true():
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def check(self) -> None:
+        """Checks the bound, an ordinary caller, and that all is given back."""
+        await self.wait_until(lambda: len(self.server.connections) < CALLERS)
+        self.assertLessEqual(heldmemory.CALLERS.used_bytes, LIMIT_BYTES)
+        ordinary = client.Client(
+            address=client.Address(host="127.0.0.1", port=self.server.port)
+        )
+        self.addCleanup(ordinary.drop_idle)
+        response = await ordinary.request("GET", "/", timeout=WAIT_SECONDS)
+        self.assertEqual(ANSWER_BYTES, len(response.body))
+        for caller in self.callers:
+            caller.close()
+        await self.wait_until(lambda: not heldmemory.CALLERS.used_bytes)
+
+    async def test_answers_that_wait_in_sockets_are_counted_nowhere(self):
+        for _ in range(CALLERS):
+            await self.send_only(REQUEST)
+        await self.check()
+
+    async def test_answers_behind_others_in_a_socket_are_counted_nowhere(self):
+        for _ in range(CALLERS):
+            await self.send_only(4 * REQUEST)
+        await self.check()
+
+
+if __name__ == "__main__":
+    unittest.main()
