Bound the unfinished heads of all callers together

What callers saw: 600 connections with 16,000 bytes of a head each took 75.5 MB at a router of 70 MB.

Cause: a head was bounded for each connection, and held twice (in the reader loop and in h11); nobody counted them together.

Change: one copy, and unfinished heads count with what is held for callers, so that the connection with the largest is reset when memory is short.

--- a/oleanderhoist/http/heldmemory.py
+++ b/oleanderhoist/http/heldmemory.py
@@ -1,8 +1,8 @@
 """Memory that is held for callers: what they send, and what they don't read.
 
-Requests that a caller sends ahead and answers that it does not read wait in
-this process and in its sockets. All callers together have a bound; above it,
-the connection that holds most is closed.
+Requests that a caller sends ahead, heads that it does not finish and answers
+that it does not read wait in this process and in its sockets. All callers
+together have a bound; above it, the connection that holds most is closed.
 """
 
 import asyncio
@@ -41,6 +41,7 @@
         port: Port of the server, for the log.
 
     Attributes:
+        head_bytes: Size of an unfinished head, in bytes.
         unsent_bytes: Size of what waits of an answer that is counted nowhere
             else, in bytes.
         socket_bytes: Size of what waits in the socket for the caller, at most,
@@ -59,6 +60,7 @@
         self.writer = writer
         self.protocol = protocol
         self.port = port
+        self.head_bytes = 0
         self.unsent_bytes = 0
         self.socket_bytes = 0
         self.check: asyncio.TimerHandle | None = None
@@ -78,7 +80,12 @@
 
     def count(self) -> None:
         """Counts anew; may close this connection or another one."""
-        size_bytes = self.ahead_bytes + self.unsent_bytes + self.socket_bytes
+        size_bytes = (
+            self.head_bytes
+            + self.ahead_bytes
+            + self.unsent_bytes
+            + self.socket_bytes
+        )
         CALLERS.grow(self.held, size_bytes - self.held.size_bytes)
 
     @property
@@ -90,6 +97,12 @@
             return self.reader.unread + streams.SOCKET_BUFFER_BYTES
         return self.reader.unread
 
+    def set_head(self, size_bytes: int) -> None:
+        """Records how much of an unfinished head has arrived, in bytes."""
+        if size_bytes != self.head_bytes:
+            self.head_bytes = size_bytes
+            self.count()
+
     def set_unsent(self, size_bytes: int) -> None:
         """Records how much of an answer waits to be sent, in bytes."""
         if size_bytes != self.unsent_bytes:
@@ -124,6 +137,7 @@
             events.CALLER_GIVEN_UP,
             port=self.port,
             unread_bytes=self.reader.unread,
+            head_bytes=self.head_bytes,
             unsent_bytes=self.unsent_bytes,
         )
         reset(self.writer)
--- a/oleanderhoist/http/serverconnection.py
+++ b/oleanderhoist/http/serverconnection.py
@@ -231,17 +231,24 @@
 
     async def read_head(self) -> messages.Request | None:
         """Returns the next request, or None when the connection ends."""
+        try:
+            return await self.read_whole_head()
+        finally:
+            self.held.set_head(0)
+
+    async def read_whole_head(self) -> messages.Request | None:
+        """Reads until a head is whole, or the connection ends."""
         timeout = self.settings.idle_seconds
-        received = bytearray(self.protocol.trailing_data[0])
-        if received:
-            self.phase = Phase.HEAD
         while True:
+            received, _ = self.protocol.trailing_data
+            if received:
+                self.phase = Phase.HEAD
             error_code = check_head(received, self.settings.head_bytes)
             if error_code is not None:
                 await self.send_error(error_code)
                 return None
             try:
-                head = bytes(received).partition(b"\r\n\r\n")[0]
+                head = received.partition(b"\r\n\r\n")[0]
                 framing.check_blanks(head)
                 event = self.protocol.next_event()
             except h11.RemoteProtocolError as error:
@@ -252,12 +259,10 @@
             if event is h11.NEED_DATA:
                 if received:
                     timeout = self.settings.head_seconds
+                    self.held.set_head(len(received))
                 data = await self.receive(timeout, bool(received))
                 if data is None:
                     return None
-                received.extend(data)
-                if data:
-                    self.phase = Phase.HEAD
                 self.protocol.receive_data(data)
                 continue
             if isinstance(event, h11.Request):
@@ -351,7 +356,7 @@
             await self.responses.write(response, "GET", True)
 
 
-def check_head(data: bytes | bytearray, max_bytes: int) -> codes.Code | None:
+def check_head(data: bytes, max_bytes: int) -> codes.Code | None:
     """Checks a request head for framing on which parsers disagree.
 
     Such framing allows request smuggling. An incomplete head that is too large
@@ -364,7 +369,7 @@
     Returns:
         The code to reject the request with, or None without a fault so far.
     """
-    head, separator, _ = bytes(data).partition(b"\r\n\r\n")
+    head, separator, _ = data.partition(b"\r\n\r\n")
     if not separator and len(data) > max_bytes:
         return codes.HEAD_TOO_LARGE
     if _BARE_LF.search(head):
--- a/tests/test_held_memory.py
+++ b/tests/test_held_memory.py
@@ -14,6 +14,8 @@
 CALLERS = 20  # Their answers take four times the limit.
 WAIT_SECONDS = 10.0
 POLL_SECONDS = 0.05
+HEAD_SECONDS = 60.0  # So that no head ends a connection by its age.
+UNFINISHED_HEAD = b"GET / HTTP/1.1\r\nHost: x\r\nPadding: " + b"x" * 15_000
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
@@ -30,7 +32,10 @@
         heldmemory.CALLERS.limit_bytes = LIMIT_BYTES
         self.addCleanup(setattr, heldmemory.CALLERS, "limit_bytes", before)
         self.server = http_server.Server(
-            handler=answer, host="127.0.0.1", port=0
+            handler=answer,
+            host="127.0.0.1",
+            port=0,
+            head_seconds=HEAD_SECONDS,
         )
         await self.server.start()
         self.addAsyncCleanup(self.server.stop, 0.0)
@@ -77,6 +82,14 @@
             await self.send_only(4 * REQUEST)
         await self.check()
 
+    async def test_unfinished_heads_are_counted_nowhere(self):
+        for _ in range(2 * CALLERS):
+            await self.send_only(UNFINISHED_HEAD)
+        await self.wait_until(
+            lambda: len(self.server.connections) < 2 * CALLERS
+        )
+        await self.check()
+
 
 if __name__ == "__main__":
     unittest.main()
