Hold one copy of an upload, and send it no faster than its server reads

Cause: the bound on bodies counts received bytes, but each was held up to four times: its chunks, their join, the join with the head, and the write buffer of the connection to the server.

Change: a body is received into one buffer, and one above 64 kB is sent in parts while the answer is read, each once the socket has room. A server that answers before it has the whole body loses the connection, as before.

--- a/oleanderhoist/http/client.py
+++ b/oleanderhoist/http/client.py
@@ -72,7 +72,7 @@
         *,
         timeout: float,
         headers: messages.Headers | None = None,
-        body: bytes | AsyncIterator[bytes] = b"",
+        body: messages.Buffer | AsyncIterator[bytes] = b"",
         stream_limit: exchanges.StreamLimit = exchanges.never_stream,
         idle_seconds: float = framing.IDLE_SECONDS,
         host: bytes | None = None,
--- a/oleanderhoist/http/exchanges.py
+++ b/oleanderhoist/http/exchanges.py
@@ -12,6 +12,7 @@
 from oleanderhoist.http import bodystream
 from oleanderhoist.http import framing
 from oleanderhoist.http import messages
+from oleanderhoist.http import requestsender
 from oleanderhoist.http import streams
 from oleanderhoist.policy import answermemory
 
@@ -163,7 +164,9 @@
         self.read_bytes = framing.READ_BYTES
         self.body_bytes = 0
         self.body_chunks = 0
-        self.maybe_sent = False
+        self.sender = requestsender.RequestSender(
+            writer=connection.writer, protocol=connection.protocol, host=host
+        )
         self.response_started = False
         self.finished = False
 
@@ -171,7 +174,7 @@
         """Returns an error that states how far the exchange got."""
         return ExchangeError(
             text,
-            maybe_sent=self.maybe_sent,
+            maybe_sent=self.sender.maybe_sent,
             response_started=self.response_started,
             timed_out=timed_out,
             kept_connection=self.connection.reused,
@@ -187,6 +190,7 @@
 
     def abort(self) -> None:
         """Closes the connection, so that a late response is discarded."""
+        self.sender.cancel()
         self.connection.writer.transport.abort()
 
     async def run(
@@ -194,10 +198,10 @@
         method: str,
         target: str,
         headers: messages.Headers,
-        body: bytes | AsyncIterator[bytes],
+        body: messages.Buffer | AsyncIterator[bytes],
     ) -> messages.Response:
         """Sends the request and reads the response."""
-        await self.send(method, target, headers, body)
+        await self.sender.send(method, target, headers, body)
         head = await self.read_head()
         response = messages.Response(
             status=head.status_code,
@@ -290,10 +294,11 @@
     def finish(self, response: messages.Response) -> None:
         """Returns the connection to the idle pool.
 
-        Closes it instead if it carried a response to another request.
+        Closes it instead if it carried a response to another request, or if
+        the server answered before it had the whole body.
         """
         self.finished = True
-        if self.foreign_responses:
+        if self.foreign_responses or self.sender.unwritten_bytes:
             self.abort()
             return
         self.connection.keep_alive_seconds = framing.keep_alive_seconds(
@@ -301,37 +306,6 @@
         )
         self.release(self.connection)
 
-    async def send(
-        self,
-        method: str,
-        target: str,
-        headers: messages.Headers,
-        body: bytes | AsyncIterator[bytes],
-    ) -> None:
-        """Sends the head and the body."""
-        connection = self.connection
-        all_headers = [(b"host", self.host), *headers]
-        is_whole = isinstance(body, bytes)
-        if is_whole and (body or method not in ("GET", "HEAD", "DELETE")):
-            all_headers.append((b"content-length", b"%d" % len(body)))
-        event = h11.Request(method=method, target=target, headers=all_headers)
-        head = connection.protocol.send(event)
-        if is_whole:
-            if body:
-                head += connection.protocol.send(h11.Data(data=body))
-            head += connection.protocol.send(h11.EndOfMessage())
-            self.maybe_sent = True
-            connection.writer.write(head)
-            return
-        self.maybe_sent = True
-        connection.writer.write(head)
-        async for chunk in body:
-            connection.writer.write(
-                connection.protocol.send(h11.Data(data=chunk))
-            )
-            await connection.writer.drain()
-        connection.writer.write(connection.protocol.send(h11.EndOfMessage()))
-
     async def read_head(self) -> h11.Response:
         """Returns the head of the final response.
 
--- a/oleanderhoist/http/messages.py
+++ b/oleanderhoist/http/messages.py
@@ -25,6 +25,7 @@
 )
 
 Headers = list[tuple[bytes, bytes]]
+Buffer = bytes | bytearray  # A whole body.
 
 
 class BodyError(Exception):
--- a/oleanderhoist/node/frontend.py
+++ b/oleanderhoist/node/frontend.py
@@ -143,21 +143,17 @@
         arrived: float,
     ) -> outcomes.Outcome:
         """Reads the body and forwards the request."""
-        received_bytes = 0
-        chunks = []
+        body = bytearray()
         try:
             async with self.forwarder.slots_due.limit():
                 async for chunk in request.body:
-                    received_bytes += len(chunk)
+                    body += chunk
                     self.buffered_bytes += len(chunk)
-                    chunks.append(chunk)
                     if self.buffered_bytes > self.max_buffered_bytes:
                         return outcomes.NotRun(
                             code=codes.OVERLOADED,
                             detail="no memory for the body",
                         )
-            body = b"".join(chunks)
-            del chunks
             return await self.forwarder.serve(
                 self.make_job(request, head, work, arrived, body)
             )
@@ -170,7 +166,7 @@
                 code=codes.BODY_NOT_RECEIVED, detail=str(error)
             )
         finally:
-            self.buffered_bytes -= received_bytes
+            self.buffered_bytes -= len(body)
 
     def make_job(
         self,
@@ -178,7 +174,7 @@
         head: ports.RequestHead,
         work: contractset.Work,
         arrived: float,
-        body: bytes,
+        body: messages.Buffer,
     ) -> jobs.Job:
         """Returns the job that forwards a request."""
         remaining = work.timeout
--- a/oleanderhoist/node/jobs.py
+++ b/oleanderhoist/node/jobs.py
@@ -46,7 +46,7 @@
 
     request: messages.Request
     head: ports.RequestHead
-    body: bytes
+    body: messages.Buffer
     work: contractset.Work
     pool: str
     arrived: float
