--- /dev/null
+++ b/tests/test_large_requests.py
@@ -0,0 +1,94 @@
+"""A large request is sent in parts while its answer is read."""
+
+import asyncio
+import unittest
+
+from oleanderhoist.http import client
+from oleanderhoist.http import exchanges
+from oleanderhoist.http import requestsender
+from tests import scripted
+
+BODY = bytes(range(256)) * 16_384  # 4 MB: more than the buffers on the way.
+TIMEOUT_SECONDS = 10.0
+SHORT_SECONDS = 0.5
+
+
+class LargeRequestTest(unittest.IsolatedAsyncioTestCase):
+    """A server that reads a large body, or part of it, or nothing."""
+
+    async def start(self, serve) -> client.Client:
+        """Starts a server and returns a client of it."""
+        listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(listener.close)
+        port = listener.sockets[0].getsockname()[1]
+        caller = client.Client(
+            address=client.Address(host="127.0.0.1", port=port)
+        )
+        self.addCleanup(caller.drop_idle)
+        return caller
+
+    async def check_sizes(self, sizes: list[int]) -> None:
+        """Checks that bodies of some sizes arrive on one connection."""
+        received = []
+
+        async def serve(reader, writer) -> None:
+            for size in sizes:
+                await reader.readuntil(b"\r\n\r\n")
+                received.append(await reader.readexactly(size))
+                writer.write(scripted.answer())
+            await reader.read(1)
+            writer.close()
+
+        caller = await self.start(serve)
+        for size in sizes:
+            response = await caller.request(
+                "POST", "/", timeout=TIMEOUT_SECONDS, body=BODY[:size]
+            )
+            self.assertEqual(b"done", response.body)
+        self.assertEqual([BODY[:size] for size in sizes], received)
+        self.assertEqual(1, caller.opened)
+
+    async def test_a_body_in_parts_arrives_changed(self):
+        part = requestsender.SEND_BYTES
+        await self.check_sizes([0, 1, part, part + 1, 3 * part, len(BODY)])
+
+    async def test_the_rest_of_a_body_is_sent_in_a_later_request(self):
+        """Guards against the reuse of a connection with a part unsent."""
+        served = asyncio.Event()
+
+        async def serve(reader, writer) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(scripted.answer())
+            await served.wait()
+            writer.close()
+
+        caller = await self.start(serve)
+        response = await caller.request(
+            "POST", "/", timeout=TIMEOUT_SECONDS, body=BODY
+        )
+        self.assertEqual(b"done", response.body)
+        self.assertEqual(0, len(caller.idle))
+        served.set()
+
+    async def test_a_server_that_reads_nothing_leaves_a_task(self):
+        before = asyncio.all_tasks()
+        ended = asyncio.Event()
+
+        async def serve(reader, writer) -> None:
+            await ended.wait()
+            writer.close()
+
+        caller = await self.start(serve)
+        with self.assertRaises(exchanges.ExchangeError) as raised:
+            await caller.request(
+                "POST", "/", timeout=SHORT_SECONDS, body=bytearray(BODY)
+            )
+        self.assertTrue(raised.exception.maybe_sent)
+        ended.set()
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            while asyncio.all_tasks() - before:
+                await asyncio.sleep(SHORT_SECONDS / 10)
+
+
+if __name__ == "__main__":
+    unittest.main()
