--- a/tests/test_router_stop.py
+++ b/tests/test_router_stop.py
@@ -23,6 +23,7 @@
 from oleanderhoist.platform import protocol
 from oleanderhoist.policy import cluster
 from oleanderhoist.policy import contractset
+from oleanderhoist.policy import storeclock
 from tests import test_forwarder
 from tests import virtual
 
@@ -172,7 +173,11 @@
     node = core.Node(
         settings=make_settings(stop_seconds),
         source=None,
-        platform=types.SimpleNamespace(ready_path=PROBE_PATH, **vars(protocol)),
+        platform=types.SimpleNamespace(
+            ready_path=PROBE_PATH,
+            store_clock=storeclock.StoreClock(),
+            **vars(protocol),
+        ),
         clock=virtual.Clock(loop=loop),
     )
     node.state.contracts = CONTRACTS
