Bound the connections of callers by the descriptors of the VM

What callers saw: nothing read `max_fds`. 400 idle connections, or as many with an unfinished request, took 422 and 418 of 300 descriptors; at the system's own limit a router accepts nobody and stays ready.

When they are in use, the connection that has been without a whole request for longest is closed for a new one (306), idle ones first; requests that were read are never cut for it.

tests.test_crowds.DescriptorsTest failed before.

--- a/oleanderhoist/events.py
+++ b/oleanderhoist/events.py
@@ -338,16 +338,14 @@
 SERVER_PAUSED = define(
     426,
     "server.paused",
-    "A server turned a request away and named for how long it wants none from "
-    "this router: `seconds`.",
+    "A server refused a request and wants none for a time: `seconds`.",
     "oleanderhoist.node.servernotices",
 )
 HEARTBEAT_LATE = define(
     427,
     "heartbeat.late",
-    "A heartbeat of the leader was handled long after it was sent: `delay_ms` "
-    "at most, by the store's time, of which `uncertain_ms` may be none; and "
-    "which versions of the snapshot and of the contracts it names.",
+    "A heartbeat was handled late: `delay_ms` at most, of which `uncertain_ms` "
+    "may be none; and which snapshot and contracts it names.",
     "oleanderhoist.node.freshness",
 )
 LEADERSHIP_TAKEN = define(
@@ -476,10 +474,16 @@
 CALLER_GIVEN_UP = define(
     305,
     "caller.given_up",
-    "Memory was short, and the connection of the caller for whom most was held "
-    "was closed: what it had sent, and what it had not read of an answer.",
+    "Memory was short: the caller for whom most was held was cut off.",
     "oleanderhoist.http.heldmemory",
 )
+CONNECTIONS_FULL = define(
+    306,
+    "connections.full",
+    "Too many connections: the one longest without a whole request was closed "
+    "for a new one, or the new one if `waiting` is 0.",
+    "oleanderhoist.http.server",
+)
 REQUEST_CUT = define(
     303,
     "stop.request_cut",
--- a/oleanderhoist/http/server.py
+++ b/oleanderhoist/http/server.py
@@ -29,6 +29,7 @@
     Attributes:
         settings: Settings of all connections; they may change at any time.
         connections: Open connections.
+        connection_limit: Largest number of them; None for any.
     """
 
     def __init__(
@@ -50,6 +51,7 @@
         )
         self.listener: asyncio.Server | None = None
         self.connections: set[serverconnection.ServerConnection] = set()
+        self.connection_limit: int | None = None
 
     async def start(self) -> None:
         """Binds the socket and sets `port` to the actual port."""
@@ -69,6 +71,9 @@
         self, reader: streams.Reader, writer: asyncio.StreamWriter
     ) -> None:
         """Serves one connection until it closes."""
+        if not self.make_room():
+            heldmemory.reset(writer)
+            return
         connection = serverconnection.ServerConnection(
             settings=self.settings, reader=reader, writer=writer
         )
@@ -81,6 +86,31 @@
             await connection.close()
             self.connections.discard(connection)
 
+    def make_room(self) -> bool:
+        """Returns whether there is room for one more connection.
+
+        If there are too many, the one that has been without a whole request
+        for longest is closed; one with a part of a request after idle ones.
+        """
+        if (
+            self.connection_limit is None
+            or len(self.connections) < self.connection_limit
+        ):
+            return True
+        waiting = [one for one in self.connections if one.awaits_request]
+        log.write_limited(
+            events.CONNECTIONS_FULL,
+            port=self.port,
+            connections=len(self.connections),
+            waiting=len(waiting),
+        )
+        if not waiting:
+            return False
+        longest = min(waiting, key=lambda one: (one.unanswered, one.idle_since))
+        self.connections.discard(longest)
+        heldmemory.reset(longest.writer)
+        return True
+
     async def stop(self, grace: float) -> None:
         """Stops accepting, awaits running exchanges, then closes connections.
 
--- a/oleanderhoist/http/serverconnection.py
+++ b/oleanderhoist/http/serverconnection.py
@@ -70,7 +70,12 @@
 
 
 class ServerConnection:
-    """One caller's connection."""
+    """One caller's connection.
+
+    Attributes:
+        idle_since: When it was accepted, or its last response was written, on
+            the event loop's clock.
+    """
 
     def __init__(
         self,
@@ -101,6 +106,7 @@
             link=settings.link,
         )
         self.finishing = False
+        self.idle_since = asyncio.get_running_loop().time()
         self.closed = asyncio.Event()
 
     @property
@@ -108,6 +114,11 @@
         """Whether a request has arrived, at least in part, unanswered."""
         return self.phase is not Phase.IDLE or self.next_begun
 
+    @property
+    def awaits_request(self) -> bool:
+        """Whether no whole head of a request is read and unanswered."""
+        return self.phase in (Phase.IDLE, Phase.HEAD)
+
     @property
     def next_begun(self) -> bool:
         """Whether bytes have arrived that the current phase has not used."""
@@ -184,6 +195,7 @@
             close = True
         await self.responses.write(response, request.method, close)
         self.phase = Phase.IDLE
+        self.idle_since = asyncio.get_running_loop().time()
         if close or (self.finishing and not self.next_begun):
             return False
         return self.protocol.our_state is h11.DONE
--- a/oleanderhoist/node/core.py
+++ b/oleanderhoist/node/core.py
@@ -137,6 +137,7 @@
             bytes_per_second=settings.link_bytes_per_second
         )
         self.frontend.server.settings.link = link if link.is_needed else None
+        self.frontend.server.connection_limit = settings.max_connections
         self.follower = follower.Follower(
             platform=platform,
             datagrams=self.datagrams,
--- a/oleanderhoist/settings.py
+++ b/oleanderhoist/settings.py
@@ -95,6 +95,7 @@
         store: Address of the row store.
         cores: Processor cores that the router may use; may be a fraction.
         memory_bytes: Memory of the VM, in bytes.
+        max_connections: Largest number of callers' connections.
         link_bytes_per_second: Rate of the VM's network link.
         max_lease_seconds: Longest lease that servers accept, in seconds.
         retry_ratio: Retries allowed for each request to a pool.
@@ -124,6 +125,7 @@
     store: client.Address
     cores: float
     memory_bytes: int
+    max_connections: int
     max_lease_seconds: float
     retry_ratio: float
     retry_window_seconds: float
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -59,16 +59,18 @@
 
     Attributes:
         memory_mb: Memory of the router's VM, in megabytes.
+        max_fds: Descriptors of the router's VM, 200 of them for files.
         config: Configuration of the system.
     """
 
     memory_mb = 70
+    max_fds = 4096
     config = platform_system.CONFIG
 
     async def asyncSetUp(self) -> None:
         self.system = platform_system.System(
             routers=(ROUTER,),
-            limits={"memory_mb": self.memory_mb},
+            limits={"memory_mb": self.memory_mb, "max_fds": self.max_fds},
             config=self.config,
         )
         self.addAsyncCleanup(self.system.stop)
@@ -116,6 +118,7 @@
             self.router.descriptors(),
             len(self.connections) + MAX_OTHER_DESCRIPTORS,
         )
+        self.assertLess(self.router.descriptors(), self.max_fds)
         self.assertTrue(await self.is_served())
 
     async def is_served(self) -> bool:
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -17,6 +17,7 @@
 HOLDERS = 600  # Connections that hold what they may without a request.
 UNFINISHED_BYTES = 16_000  # Of a head; the limit is 16,384.
 MANY_CONNECTIONS = 500
+IDLE_CALLERS = 400
 HUGE_UPLOAD_BYTES = 55_400_000
 MAX_BODY_BYTES = 67_108_864
 UPLOAD_SECONDS = 20.0
@@ -87,6 +88,19 @@
         await self.play([whole[:-1]] * CONNECTIONS)
 
 
+class DescriptorsTest(crowd.CrowdTestCase):
+    """A router with few descriptors."""
+
+    max_fds = 300
+
+    async def test_idle_connections_take_all_descriptors(self):
+        await self.play([request(n, "/look/1") for n in range(IDLE_CALLERS)])
+
+    async def test_unfinished_requests_take_all_descriptors(self):
+        unfinished = request(1, "/look/1")[:-2]
+        await self.play([unfinished] * IDLE_CALLERS)
+
+
 class HugeUploadTest(crowd.CrowdTestCase):
     """A router of 222 MB, and the largest bodies that are allowed."""
 
--- a/tests/test_router_stop.py
+++ b/tests/test_router_stop.py
@@ -82,6 +82,7 @@
         store=ADDRESS,
         cores=1.0,
         memory_bytes=1_000_000_000,
+        max_connections=1_000,
         max_lease_seconds=10.0,
         retry_ratio=0.0,
         retry_window_seconds=10.0,
