--- a/tests/test_large_requests.py
+++ b/tests/test_large_requests.py
@@ -11,6 +11,11 @@
 BODY = bytes(range(256)) * 16_384  # 4 MB: more than the buffers on the way.
 TIMEOUT_SECONDS = 10.0
 SHORT_SECONDS = 0.5
+SIZES = [200_000, 1_000_000, len(BODY)]
+PLAYS = 100
+CLOSING_REFUSAL = scripted.refusal().replace(
+    b"\r\n", b"\r\nConnection: close\r\n", 1
+)
 
 
 class LargeRequestTest(unittest.IsolatedAsyncioTestCase):
@@ -70,6 +75,23 @@
         self.assertEqual(0, len(caller.idle))
         served.set()
 
+    async def test_an_answer_is_lost_when_the_server_closes_early(self):
+        """Guards against a body whose rest can't be written."""
+
+        async def serve(reader, writer) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(CLOSING_REFUSAL)
+            await writer.drain()
+            writer.close()
+
+        caller = await self.start(serve)
+        for size in SIZES:
+            for _ in range(PLAYS):
+                response = await caller.request(
+                    "POST", "/", timeout=TIMEOUT_SECONDS, body=BODY[:size]
+                )
+                self.assertEqual(503, response.status)
+
     async def test_a_server_that_reads_nothing_leaves_a_task(self):
         before = asyncio.all_tasks()
         ended = asyncio.Event()
