Grant moved keys only with the token that was drawn for them

Cause: a move was over for the renewals once the map was written, but its grant waited for the lock of the new owner's lease manager. A renewal that waited for the lock before it granted the moved keys, too, with that server's earlier token.

Change: the move ends for renewals once its own grant has the lock. Tried before: drawing the token earlier; test_ownership's rule of a token per connection was then not needed.

--- a/oleanderhoist/node/rebalancer.py
+++ b/oleanderhoist/node/rebalancer.py
@@ -404,9 +404,10 @@
         target = self.replacement(move)
         self.key_map = self.recorded_map().assign(move.start, move.end, target)
         await self.leader_store.write_map(self.pool, self.recorded_map)
-        self.active_moves.remove(move)
         manager = self.lease_manager(target)
-        if manager is not None:
+        if manager is None:
+            self.active_moves.remove(move)
+        else:
             if token:
                 manager.handover_tokens[move.start] = token
             await self.hand_over(manager, move)
@@ -487,6 +488,8 @@
     ) -> None:
         """Grants moved keys to their new owner at once."""
         async with manager.lock:
+            # Not before: a renewal that waits has too low a fencing token.
+            self.active_moves.remove(move)
             try:
                 await manager.connect()
                 manager.fence = self.fences.next()
