Read what arrived before a write failed

A router's refused upload at a server would be 502, and not a promise.

Cause: sends a large body in parts. A peer that answers and closes before it has read all makes a later part fail; asyncio then ends the connection with the answer unread in the socket, or in the reader, whose error comes before its bytes. A body in one write rarely met this, as the socket took all of it.

Change: on connections that this process opened, what the socket still holds is received before it is closed, and is read before the error. The error still comes, so an answer that ends with its connection is not complete. Connections that were accepted are as before: what a caller sent before it reset is not served.

--- a/oleanderhoist/http/streams.py
+++ b/oleanderhoist/http/streams.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
+import os
 import socket
 import weakref
 
@@ -22,6 +23,13 @@
 class Reader(asyncio.StreamReader):
     """A stream reader that counts unread bytes and reports a disconnect.
 
+    Args:
+        loop: The running event loop.
+        limit: Half of the bytes at which it stops to receive.
+        delays_errors: Whether what arrived before an error of the connection
+            is read first, as an answer is of use although the rest of its
+            request could not be sent.
+
     Attributes:
         unread: Number of bytes received but not yet read.
         disconnected: Whether the peer or this process has closed, or the
@@ -36,8 +44,11 @@
         *,
         loop: asyncio.AbstractEventLoop,
         limit: int = BUFFER_LIMIT_BYTES,
+        delays_errors: bool = False,
     ):
         super().__init__(limit=limit, loop=loop)
+        self.delays_errors = delays_errors
+        self.delayed_error: Exception | None = None
         self.unread = 0
         self.disconnected = False
         self.on_disconnect: Callable[[], object] | None = None
@@ -60,15 +71,19 @@
 
     def set_exception(self, exc: Exception) -> None:
         """Receives the error that ended the connection."""
-        super().set_exception(exc)
+        if self.delays_errors and self.unread:
+            self.delayed_error = exc
+        else:
+            super().set_exception(exc)
         self.handle_disconnect()
 
     def end_here(self) -> None:
         """Receives that this process has closed the connection."""
         if not self.disconnected:
-            self.set_exception(
+            super().set_exception(
                 ConnectionAbortedError("this process closed the connection")
             )
+            self.handle_disconnect()
 
     def handle_disconnect(self) -> None:
         """Marks the connection as ended and calls the callback, once."""
@@ -82,6 +97,8 @@
         """Reads up to n bytes."""
         data = await super().read(n)
         self.unread -= len(data)
+        if self.delayed_error is not None and not self.unread:
+            super().set_exception(self.delayed_error)
         if self.on_unread is not None:
             self.on_unread()
         return data
@@ -105,17 +122,34 @@
     ):
         super().__init__(reader, on_accept, loop=loop)
         self.reader = weakref.ref(reader)
+        self.descriptor = -1
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Receives that the connection is open."""
+        self.descriptor = transport.get_extra_info("socket").fileno()
+        super().connection_made(transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Receives that the connection is closed.
+        """Receives that the connection is closed; its socket is still open.
 
         Without an error and without the peer's end, this process closed it.
         """
         reader = self.reader()
-        if exc is None and reader is not None:
+        if reader is not None and exc is None:
             reader.end_here()
+        elif reader is not None and reader.delays_errors:
+            self.read_rest(reader)
         super().connection_lost(exc)
 
+    def read_rest(self, reader: Reader) -> None:
+        """Receives what has arrived before a write failed."""
+        with (
+            contextlib.suppress(OSError),
+            socket.socket(fileno=os.dup(self.descriptor)) as rest,
+        ):
+            while data := rest.recv(SOCKET_BUFFER_BYTES):
+                reader.feed_data(data)
+
 
 def make_protocol(on_accept: Callable | None = None) -> Protocol:
     """Returns a stream protocol with a `Reader`.
@@ -134,7 +168,7 @@
         OSError: The peer refused or cannot be reached.
     """
     loop = asyncio.get_running_loop()
-    reader = Reader(loop=loop)
+    reader = Reader(loop=loop, delays_errors=True)
     protocol = Protocol(reader=reader, loop=loop)
     transport, _ = await loop.create_connection(lambda: protocol, host, port)
     with contextlib.suppress(OSError):
--- a/tests/test_large_requests.py
+++ b/tests/test_large_requests.py
@@ -1,7 +1,10 @@
 """A large request is sent in parts while its answer is read."""
 
 import asyncio
+import socket
+import threading
 import unittest
+from unittest import mock
 
 from oleanderhoist.http import client
 from oleanderhoist.http import exchanges
@@ -13,6 +16,7 @@
 SHORT_SECONDS = 0.5
 SIZES = [200_000, 1_000_000, len(BODY)]
 PLAYS = 100
+STALLED_BYTES = 3 * requestsender.SEND_BYTES
 CLOSING_REFUSAL = scripted.refusal().replace(
     b"\r\n", b"\r\nConnection: close\r\n", 1
 )
@@ -92,6 +96,52 @@
                 )
                 self.assertEqual(503, response.status)
 
+    async def test_an_answer_is_lost_when_a_later_part_cannot_be_sent(self):
+        """Guards against a refusal that a stalled sender never reads."""
+        await self.check_closed_amid(answered=scripted.refusal(), is_whole=True)
+
+    async def test_a_reset_answer_without_a_length_looks_complete(self):
+        """Guards against bytes before an error that are taken for all."""
+        head = b"HTTP/1.1 200 OK\r\n\r\npart of a body"
+        await self.check_closed_amid(answered=head, is_whole=False)
+
+    async def check_closed_amid(self, *, answered: bytes, is_whole: bool):
+        """Stalls between two parts while the server answers and closes."""
+        closed = threading.Event()
+
+        def serve(listener: socket.socket) -> None:
+            connection, _ = listener.accept()
+            connection.recv(requestsender.SEND_BYTES)
+            connection.sendall(answered)
+            connection.close()
+            closed.set()
+
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        thread = threading.Thread(target=serve, args=(listener,))
+        thread.start()
+        self.addCleanup(thread.join)
+        caller = client.Client(
+            address=client.Address(
+                host="127.0.0.1", port=listener.getsockname()[1]
+            )
+        )
+        drain = asyncio.StreamWriter.drain
+
+        async def drain_and_stall(writer: asyncio.StreamWriter) -> None:
+            await drain(writer)
+            closed.wait(TIMEOUT_SECONDS)
+
+        with mock.patch.object(asyncio.StreamWriter, "drain", drain_and_stall):
+            request = caller.request(
+                "POST", "/", timeout=TIMEOUT_SECONDS, body=BODY[:STALLED_BYTES]
+            )
+            if is_whole:
+                self.assertEqual(503, (await request).status)
+                return
+            with self.assertRaises(exchanges.ExchangeError):
+                await request
+
     async def test_a_server_that_reads_nothing_leaves_a_task(self):
         before = asyncio.all_tasks()
         ended = asyncio.Event()
