Let members agree on the rule by which they find coordinators

Cause: changed a choice that all routers must make alike, and nothing told one router by which rule another makes it.

All use the earliest rule of a member, so the queues move once the last earlier build is gone. The leader notes a member that reports something else at a known address, as a faster restart is else never seen.

--- a/oleanderhoist/node/core.py
+++ b/oleanderhoist/node/core.py
@@ -26,6 +26,7 @@
 from oleanderhoist.node import slotserver
 from oleanderhoist.node import state
 from oleanderhoist.policy import cluster
+from oleanderhoist.policy import coordination
 from oleanderhoist.policy import linkpace
 
 # Before requests are no longer accepted, which a resignation must not delay.
@@ -148,6 +149,7 @@
                 address=self.datagrams.address,
                 data_center=settings.data_center,
                 cores=settings.cores,
+                coordination=coordination.RULE,
             ),
             max_lease_seconds=settings.max_lease_seconds,
             propagation_seconds=settings.propagation_seconds,
--- a/oleanderhoist/node/follower.py
+++ b/oleanderhoist/node/follower.py
@@ -372,6 +372,7 @@
             contracts_revision=self.state.contracts_revision,
             departed=self.departure_news.named(),
             contracts_version=self.state.contracts_version,
+            coordination=self.own_member.coordination,
         )
 
     async def send_member_reports(self) -> None:
--- a/oleanderhoist/node/leader.py
+++ b/oleanderhoist/node/leader.py
@@ -396,6 +396,7 @@
             address=peer,
             data_center=message.data_center,
             cores=message.cores,
+            coordination=message.coordination,
         )
         if self.membership.record_report(member):
             self.members_joined.set()
--- a/oleanderhoist/node/membership.py
+++ b/oleanderhoist/node/membership.py
@@ -59,9 +59,12 @@
         return bool(silent)
 
     def record_report(self, member: cluster.Member) -> bool:
-        """Records a report of a member; returns whether it is a new one."""
+        """Records a report of a member; returns whether it is news.
+
+        Another process may report at an address that was known.
+        """
         self.last_report_at[member.address] = self.clock.monotonic()
-        if member.address in self.members:
+        if self.members.get(member.address) == member:
             return False
         self.members[member.address] = member
         log.write(events.MEMBER_JOINED, member=member.address)
--- a/oleanderhoist/node/slotclient.py
+++ b/oleanderhoist/node/slotclient.py
@@ -17,6 +17,7 @@
 from oleanderhoist.node import state
 from oleanderhoist.node import wire
 from oleanderhoist.policy import cluster
+from oleanderhoist.policy import coordination
 from oleanderhoist.policy import endedslots
 from oleanderhoist.policy import roundtrip
 from oleanderhoist.policy import slotqueue
@@ -42,8 +43,7 @@
         ids: Ids of the slot requests of this process.
         pending: Slot requests without a verdict, by id.
         suspected_until: Until when coordinators are bypassed, by address.
-        cores_by_member: CPU cores of the members that determine the
-            coordinators of the pending requests.
+        coordination: What determines the coordinators of the pending requests.
         slots_due: Until when requests may wait for a slot; set by a stop. The
             caller of `acquire` cancels it then.
         ended: Slots that ended, in case a release is lost.
@@ -66,7 +66,7 @@
         self.ids = processids.ProcessIds()
         self.pending: dict[int, pendingslots.PendingSlotRequest] = {}
         self.suspected_until: dict[str, float] = {}
-        self.cores_by_member: dict[str, float] = {}
+        self.coordination: coordination.Basis | None = None
         self.reply_times = roundtrip.RoundTrip()
         self.ended = endedslots.EndedSlots()
         self.slots_due = deadline.SharedDeadline()
@@ -165,9 +165,9 @@
         the new coordinator in this order; and in batches, as it would lose
         datagrams of all at once. Other waits are not woken up.
         """
-        if snapshot.cores_by_member == self.cores_by_member:
-            return  # The members alone determine the coordinators.
-        self.cores_by_member = snapshot.cores_by_member
+        if snapshot.coordination == self.coordination:
+            return
+        self.coordination = snapshot.coordination
         moved = [p for p in self.pending.values() if self.has_moved(p)]
         self.end_waits(moved[:MOVES_PER_BATCH])
         for start in range(MOVES_PER_BATCH, len(moved), MOVES_PER_BATCH):
--- a/oleanderhoist/node/snapshots.py
+++ b/oleanderhoist/node/snapshots.py
@@ -40,7 +40,9 @@
 
 def member_item(member: cluster.Member) -> wire.MemberItem:
     """Encodes a member."""
-    return wire.MemberItem(member.address, member.data_center, member.cores)
+    return wire.MemberItem(
+        member.address, member.data_center, member.cores, member.coordination
+    )
 
 
 def server_item(server: cluster.Server) -> wire.ServerItem:
@@ -60,7 +62,10 @@
 def to_member(item: wire.MemberItem) -> cluster.Member:
     """Decodes a member."""
     return cluster.Member(
-        address=item.address, data_center=item.data_center, cores=item.cores
+        address=item.address,
+        data_center=item.data_center,
+        cores=item.cores,
+        coordination=item.coordination,
     )
 
 
--- a/oleanderhoist/node/wire.py
+++ b/oleanderhoist/node/wire.py
@@ -24,6 +24,8 @@
         departed: Ids and start times of the listed servers that have said that
             they leave; None from earlier versions.
         contracts_version: Version of its contracts; None from earlier versions.
+        coordination: Rule by which it finds coordinators; 0 from earlier
+            versions.
     """
 
     data_center: str
@@ -36,6 +38,7 @@
     contracts_revision: int = 0
     departed: list[tuple[str, int]] | None = None
     contracts_version: int | None = None
+    coordination: int = 0
 
 
 class Heartbeat(Message, tag="Beat"):
@@ -108,6 +111,7 @@
     address: str
     data_center: str
     cores: float
+    coordination: int = 0
 
 
 class ServerItem(msgspec.Struct, array_like=True, frozen=True):
--- a/oleanderhoist/policy/cluster.py
+++ b/oleanderhoist/policy/cluster.py
@@ -61,11 +61,13 @@
         address: ``host:port`` of its datagram socket; also its id.
         data_center: Data centre of the router.
         cores: CPU cores that it may use.
+        coordination: Rule by which it finds coordinators; 0 of earlier builds.
     """
 
     address: str
     data_center: str
     cores: float
+    coordination: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -140,7 +142,7 @@
 
     def reuse_coordinators(self, before: "Snapshot") -> None:
         """Takes over the coordinators of a snapshot with the same members."""
-        if self.cores_by_member == before.cores_by_member:
+        if self.coordination == before.coordination:
             self.coordinators.update(before.coordinators)
 
     @functools.cached_property
@@ -148,14 +150,19 @@
         """CPU cores of each member, by address."""
         return {m.address: m.cores for m in self.members.values()}
 
+    @functools.cached_property
+    def coordination(self) -> coordination.Basis:
+        """What determines the coordinators."""
+        rules = [member.coordination for member in self.members.values()]
+        return coordination.Basis(
+            cores=self.cores_by_member, rule=min(rules, default=0)
+        )
+
     def coordinator(self, queue: str) -> str:
         """Returns the coordinator of a slot queue; empty without members."""
-        if not self.members:
-            return ""
         if queue not in self.coordinators:
-            self.coordinators[queue] = coordination.coordinator_of(
-                queue, self.cores_by_member
-            )
+            found = self.coordination.coordinator_of(queue)
+            self.coordinators[queue] = found
         return self.coordinators[queue]
 
     def usable_server(self, id: str) -> Server | None:
--- a/tests/earlier_datagrams.py
+++ b/tests/earlier_datagrams.py
@@ -61,6 +61,38 @@
         ),
         "9ba4426561740102030405c391a17a060708",
     ),
+    (
+        datagrams.MemberReport(
+            data_center="a",
+            cores=0.5,
+            epoch=2,
+            version=3,
+            keys={"p": [4, 5]},
+            service_ms={"s": 1.5},
+            leaving=True,
+            contracts_revision=6,
+            departed=[("s", 7)],
+            contracts_version=8,
+        ),
+        "9ba548656c6c6fa161cb3fe0000000000000020381a17092040581a173cb3ff800000000"
+        "0000c3069192a1730708",
+    ),
+    (
+        datagrams.Delta(
+            base_epoch=1,
+            base_version=2,
+            epoch=3,
+            version=4,
+            members=[
+                datagrams.MemberItem(address="m", data_center="a", cores=0.5)
+            ],
+            lost_members=[],
+            servers=[],
+            lost_servers=[],
+            ranges={},
+        ),
+        "9aa544656c7461010203049193a16da161cb3fe000000000000090909080",
+    ),
     (
         datagrams.ContractsFragment(revision=1, index=2, count=3, data=b"d"),
         "95a95465726d7350617274010203c40164",
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -1,8 +1,10 @@
 """Slot queues of pools are coordinated where there is processor time."""
 
+import dataclasses
 import unittest
 
 from oleanderhoist.policy import cluster
+from oleanderhoist.policy import coordination
 
 LARGE_CORES = 2.15
 SMALL_CORES = 0.2
@@ -19,7 +21,12 @@
     """Returns a snapshot with members of some cores each, by address."""
     return cluster.Snapshot(
         members={
-            address: cluster.Member(address=address, data_center="a", cores=own)
+            address: cluster.Member(
+                address=address,
+                data_center="a",
+                cores=own,
+                coordination=coordination.RULE,
+            )
             for address, own in cores.items()
         }
     )
@@ -58,6 +65,37 @@
         self.assertLessEqual(set(coordinators("pool", SMALL)), set(SMALL))
 
 
+class EarlierBuildTest(unittest.TestCase):
+    """Routers of two builds agree on the coordinator of each queue."""
+
+    # By the routers of 227cae6, with these members.
+    FORMER = {
+        "pool/q0": "10.0.0.1:1",
+        "pool/q1": "10.0.1.89:1",
+        "pool/q2": "10.0.1.24:1",
+        "server/q0": "10.0.0.5:1",
+    }
+
+    def test_a_pool_has_two_coordinators_during_an_update(self):
+        members = dict(snapshot({**LARGE, **SMALL}).members)
+        address = next(iter(SMALL))
+        members[address] = dataclasses.replace(members[address], coordination=0)
+        mixed = cluster.Snapshot(members=members)
+        chosen = {queue: mixed.coordinator(queue) for queue in self.FORMER}
+        self.assertEqual(self.FORMER, chosen)
+
+    def test_coordinators_of_an_earlier_rule_are_kept(self):
+        after = snapshot({**LARGE, **SMALL})
+        members = {
+            address: dataclasses.replace(member, coordination=0)
+            for address, member in after.members.items()
+        }
+        before = cluster.Snapshot(members=members)
+        former = before.coordinator("pool/q1")
+        after.reuse_coordinators(before)
+        self.assertNotEqual(former, after.coordinator("pool/q1"))
+
+
 class KeyedQueueTest(unittest.TestCase):
     """The queue of one server is small."""
 
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -28,6 +28,7 @@
         contracts_revision=6,
         departed=[("s", 7)],
         contracts_version=8,
+        coordination=9,
     ),
     datagrams.Heartbeat(
         epoch=1,
@@ -52,7 +53,11 @@
         base_version=2,
         epoch=3,
         version=4,
-        members=[datagrams.MemberItem(address="m", data_center="a", cores=0.5)],
+        members=[
+            datagrams.MemberItem(
+                address="m", data_center="a", cores=0.5, coordination=1
+            )
+        ],
         lost_members=["n"],
         servers=[
             datagrams.ServerItem(
@@ -103,8 +108,8 @@
     datagrams.ServerSilent(queue="q", server="s"),
 ]
 DATAGRAM_BYTES = """
-9ba548656c6c6fa161cb3fe0000000000000020381a17092040581a173cb3ff8000000000000c3
-069192a1730708
+9ca548656c6c6fa161cb3fe0000000000000020381a17092040581a173cb3ff8000000000000c3
+069192a173070809
 
 9da4426561740102030405c391a17a060708090a
 
@@ -112,7 +117,7 @@
 
 96a95465726d7350617274010203c4016404
 
-9aa544656c7461010203049193a16da161cb3fe000000000000091a16e9198a173a170a3683a31
+9aa544656c7461010203049194a16da161cb3fe00000000000000191a16e9198a173a170a3683a31
 a1610506c3c391a17481a17091930708a173
 
 9da341736ba17101020304a1610591a173c39106a16b07
@@ -295,7 +300,8 @@
             [
                 item
                 for item in fields.items()
-                if item[0] not in ("departed", "contracts_version")
+                if item[0]
+                not in ("departed", "contracts_version", "coordination")
             ],
             tag="Hello",
             array_like=True,
@@ -347,7 +353,7 @@
 
     def test_earlier_versions_ignore_later_fields_of_other_datagrams(self):
         later = {
-            datagrams.MemberReport: ["contracts_version"],
+            datagrams.MemberReport: ["contracts_version", "coordination"],
             datagrams.Heartbeat: [
                 "evacuated",
                 "evacuated_revision",
