Start with few descriptors, too

What callers would see: refuses settings whose `max_fds` is 200 or less, which it had not read before, so the router of such a VM would not start.

Change: any positive number is taken; callers have 16 connections at least.

tests.test_platform: 100 was refused before (msgspec.ValidationError).

--- a/oleanderhoist/platform/settings.py
+++ b/oleanderhoist/platform/settings.py
@@ -13,6 +13,7 @@
 FILE_DESCRIPTORS = 200  # Of `max_fds`, for files.
 # Of the others, for callers; servers, the store and peers need some, too.
 CALLER_DESCRIPTOR_FRACTION = 0.5
+MIN_CALLER_CONNECTIONS = 16
 LINK_MBPS_PER_CORE = 50.0  # A slower link lowers the core count.
 DEFAULT_MAX_LEASE_MS = 10_000.0
 DEFAULT_RETRY_RATIO = 0.2
@@ -45,7 +46,7 @@
     cpu_cores: Annotated[int, msgspec.Meta(ge=1)] = 1
     link_mbps: Annotated[float, msgspec.Meta(gt=0)] = 1000.0
     memory_mb: Annotated[int, msgspec.Meta(ge=16)] = 256
-    max_fds: Annotated[int, msgspec.Meta(gt=FILE_DESCRIPTORS)] = 4096
+    max_fds: Annotated[int, msgspec.Meta(ge=1)] = 4096
 
 
 class Provider(msgspec.Struct, kw_only=True):
@@ -119,10 +120,7 @@
             file.limits.link_mbps / LINK_MBPS_PER_CORE,
         ),
         memory_bytes=file.limits.memory_mb * 1_000_000,
-        max_connections=int(
-            (file.limits.max_fds - FILE_DESCRIPTORS)
-            * CALLER_DESCRIPTOR_FRACTION
-        ),
+        max_connections=caller_connections(file.limits.max_fds),
         max_lease_seconds=bounds.get("hold_max_ms", DEFAULT_MAX_LEASE_MS)
         / 1000,
         retry_ratio=bounds.get("retry_budget_ratio", DEFAULT_RETRY_RATIO),
@@ -146,6 +144,12 @@
     )
 
 
+def caller_connections(max_fds: int) -> int:
+    """Returns how many connections of callers the descriptors allow."""
+    others = max_fds - FILE_DESCRIPTORS
+    return max(MIN_CALLER_CONNECTIONS, int(others * CALLER_DESCRIPTOR_FRACTION))
+
+
 def parse_address(field: str, text: str) -> client.Address:
     """Parses an address field.
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,6 +11,8 @@
 import tomllib
 import unittest
 
+import msgspec
+
 from oleanderhoist import ports
 from oleanderhoist import settings
 from oleanderhoist.platform import contracts
@@ -185,6 +187,16 @@
         self.assertEqual((0.3, 55), (checked.retry_ratio, checked.retry_extra))
         self.assertEqual(3, checked.peer_port)
 
+    def test_a_vm_with_few_descriptors_does_not_start(self):
+        """Guards against settings that are refused for a small number."""
+        limits = platform_settings.MachineLimits
+        self.assertEqual(100, msgspec.convert({"max_fds": 100}, limits).max_fds)
+        callers = {
+            fds: platform_settings.caller_connections(fds)
+            for fds in (100, 300, 1535, 2870)
+        }
+        self.assertEqual({100: 16, 300: 50, 1535: 667, 2870: 1335}, callers)
+
     def test_the_deploy_file_names_the_program_and_its_metrics(self):
         deploy = tomllib.loads(pathlib.Path("deploy/system.toml").read_text())
         (role,) = deploy["roles"].values()
