Look what a caller has taken before it is cut off

What callers would see: an answer counts as held for its caller for a quarter of a second after it was sent, taken or not.

Cause: bounds a count that is corrected only later.

Change: the connection to be cut off is measured first, and passed over if the caller has taken some since; what it had taken counts no longer.

--- a/oleanderhoist/http/heldmemory.py
+++ b/oleanderhoist/http/heldmemory.py
@@ -64,7 +64,9 @@
         self.unsent_bytes = 0
         self.socket_bytes = 0
         self.check: asyncio.TimerHandle | None = None
-        self.held = answermemory.Body(give_up=self.give_up, spared=False)
+        self.held = answermemory.Body(
+            give_up=self.give_up, measure=self.measure, spared=False
+        )
 
     def begin(self) -> None:
         """Begins to count."""
@@ -80,13 +82,22 @@
 
     def count(self) -> None:
         """Counts anew; may close this connection or another one."""
-        size_bytes = (
+        CALLERS.grow(self.held, self.size_bytes - self.held.size_bytes)
+
+    @property
+    def size_bytes(self) -> int:
+        """Size of all that is held, in bytes."""
+        return (
             self.head_bytes
             + self.ahead_bytes
             + self.unsent_bytes
             + self.socket_bytes
         )
-        CALLERS.grow(self.held, size_bytes - self.held.size_bytes)
+
+    def measure(self) -> int:
+        """Returns the size of all that is held, with the socket's now."""
+        self.socket_bytes = waiting_bytes(self.writer)
+        return self.size_bytes
 
     @property
     def ahead_bytes(self) -> int:
--- a/oleanderhoist/policy/answermemory.py
+++ b/oleanderhoist/policy/answermemory.py
@@ -25,11 +25,14 @@
     Attributes:
         give_up: Ends the reading of an unfinished one; None for one that is
             complete and being written.
+        measure: Returns the memory that it takes, if its size may have become
+            less since it was recorded; None if the size is exact.
         spared: Whether it is never given up while it is small.
         size_bytes: Memory that it takes now, in bytes.
     """
 
     give_up: Callable[[], None] | None = None
+    measure: Callable[[], int] | None = None
     spared: bool = True
     size_bytes: int = 0
 
@@ -85,17 +88,32 @@
         return body.size_bytes <= min(small_bytes, MAX_SMALL_BODY_BYTES)
 
     def give_up_largest(self) -> None:
-        """Gives up the largest unfinished body that is not spared."""
+        """Gives up the largest unfinished body that is not spared.
+
+        Those that turn out to be smaller than recorded are passed over.
+        """
         candidates = [
             body
             for body in self.bodies
             if body.give_up is not None
             and not (body.spared and self.is_small(body))
         ]
-        if candidates:
-            largest = max(candidates, key=lambda body: body.size_bytes)
-            self.remove(largest)
-            largest.give_up()
+        candidates.sort(key=lambda body: body.size_bytes, reverse=True)
+        for body in candidates:
+            if not self.has_shrunk(body):
+                self.remove(body)
+                body.give_up()
+                return
+            if self.used_bytes <= self.limit_bytes:
+                return
+
+    def has_shrunk(self, body: Body) -> bool:
+        """Measures a body; returns whether it is smaller than recorded."""
+        if body.measure is None:
+            return False
+        recorded_bytes = body.size_bytes
+        self.resize(body, body.measure())
+        return body.size_bytes < recorded_bytes
 
     def remove(self, body: Body) -> None:
         """Records that a body is no longer kept."""
--- a/tests/test_answer_memory.py
+++ b/tests/test_answer_memory.py
@@ -70,6 +70,22 @@
         self.assertTrue(self.memory.grow(small, SMALL_BYTES // 4))
         self.assertEqual([], self.given_up)
 
+    def test_a_body_that_has_shrunk_is_given_up(self):
+        for measured, given_up in ((0, 0), (LIMIT_BYTES, 1)):
+            self.setUp()
+            large = self.body()
+            large.measure = lambda size=measured: size
+            self.memory.resize(large, LIMIT_BYTES)
+            self.grow(self.body(), 2 * CHUNK_BYTES)
+            self.assertEqual(given_up, len(self.given_up))
+
+    def test_small_bodies_that_are_not_spared_take_all_memory(self):
+        bodies = [self.body() for _ in range(2 * LIMIT_BYTES // SMALL_BYTES)]
+        for body in bodies:
+            body.spared = False
+            self.memory.grow(body, SMALL_BYTES)
+            self.assertLessEqual(self.memory.used_bytes, LIMIT_BYTES)
+
     def test_what_was_given_up_does_not_go_on(self):
         body = self.body()
         self.assertFalse(self.grow(body, 2 * LIMIT_BYTES))
--- a/tests/test_held_memory.py
+++ b/tests/test_held_memory.py
@@ -20,7 +20,12 @@
 
 
 async def answer(request: messages.Request) -> messages.Response:
-    """Returns an answer that no caller of the crowd reads."""
+    """Returns an answer that no caller of the crowd reads.
+
+    The body is read, so that the connection is kept.
+    """
+    async for _ in request.body:
+        pass
     return messages.Response(body=b"x" * ANSWER_BYTES)
 
 
@@ -72,6 +77,24 @@
             caller.close()
         await self.wait_until(lambda: not heldmemory.CALLERS.used_bytes)
 
+    async def test_callers_that_read_at_once_are_cut_off(self):
+        """Guards against answers that count after they were taken."""
+        callers = [
+            client.Client(
+                address=client.Address(host="127.0.0.1", port=self.server.port)
+            )
+            for _ in range(CALLERS)
+        ]
+        for caller in callers:
+            self.addCleanup(caller.drop_idle)
+            for _ in range(2):
+                response = await caller.request(
+                    "GET", "/", timeout=WAIT_SECONDS
+                )
+                self.assertEqual(ANSWER_BYTES, len(response.body))
+        self.assertEqual([1] * CALLERS, [one.opened for one in callers])
+        self.assertEqual(CALLERS, len(self.server.connections))
+
     async def test_answers_that_wait_in_sockets_are_counted_nowhere(self):
         for _ in range(CALLERS):
             await self.send_only(REQUEST)
