Wait for a caller that reads slowly, as long as it reads

What callers would see: with 64 kB in a socket, a part of an answer had to be taken within 10 s, so a caller below 6.5 kB a second was cut off in the midst of an answer of more than the socket holds. Before, the kernel held up to 4 MB, and such a caller got the answer.

Change: the limit counts from the last progress, of what the transport and the socket hold together. A caller that takes nothing for 10 s is cut off as before.

tests.test_held_memory.SlowReaderTest, with 0.4 s in place of 10: the slow caller was reset before.

--- a/oleanderhoist/http/responsewriter.py
+++ b/oleanderhoist/http/responsewriter.py
@@ -13,7 +13,7 @@
 
 WRITE_BYTES = 65_536
 PACED_BYTES = linkpace.PIECE_BYTES
-WRITE_TIMEOUT_SECONDS = 10.0
+WRITE_TIMEOUT_SECONDS = 10.0  # Without any progress.
 
 
 class ResponseWriter:
@@ -110,14 +110,24 @@
         self.held.add_sent(len(data))
 
     async def drain(self) -> None:
-        """Waits, with a time limit, until the socket has all data.
+        """Waits until the socket has all data, while the caller reads.
 
         Raises:
             ConnectionResetError: The connection is closed.
+            TimeoutError: The caller has taken nothing for too long.
         """
         if self.writer.transport.is_closing():
             raise ConnectionResetError("the caller has closed")
-        if self.writer.transport.get_write_buffer_size() == 0:
-            return
-        async with asyncio.timeout(WRITE_TIMEOUT_SECONDS):
-            await self.writer.drain()
+        while self.writer.transport.get_write_buffer_size():
+            left_bytes = self.left_bytes()
+            try:
+                async with asyncio.timeout(WRITE_TIMEOUT_SECONDS):
+                    await self.writer.drain()
+            except TimeoutError:
+                if self.left_bytes() >= left_bytes:
+                    raise
+
+    def left_bytes(self) -> int:
+        """Returns the size of what the caller has not taken, in bytes."""
+        unsent_bytes = self.writer.transport.get_write_buffer_size()
+        return unsent_bytes + heldmemory.waiting_bytes(self.writer)
--- a/tests/test_held_memory.py
+++ b/tests/test_held_memory.py
@@ -3,10 +3,12 @@
 import asyncio
 import socket
 import unittest
+from unittest import mock
 
 from oleanderhoist.http import client
 from oleanderhoist.http import heldmemory
 from oleanderhoist.http import messages
+from oleanderhoist.http import responsewriter
 from oleanderhoist.http import server as http_server
 
 LIMIT_BYTES = 300_000
@@ -14,6 +16,10 @@
 CALLERS = 20  # Their answers take four times the limit.
 WAIT_SECONDS = 10.0
 POLL_SECONDS = 0.05
+LARGE_BYTES = 400_000
+PIECE_BYTES = 4096
+PIECE_SECONDS = 0.03
+PATIENCE_SECONDS = 0.4  # A part of the answer takes longer.
 HEAD_SECONDS = 60.0  # So that no head ends a connection by its age.
 UNFINISHED_HEAD = b"GET / HTTP/1.1\r\nHost: x\r\nPadding: " + b"x" * 15_000
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -114,5 +120,48 @@
         await self.check()
 
 
+class SlowReaderTest(unittest.IsolatedAsyncioTestCase):
+    """A caller that reads slowly, and one that stops to read."""
+
+    async def asyncSetUp(self) -> None:
+        patch = mock.patch.object(
+            responsewriter, "WRITE_TIMEOUT_SECONDS", PATIENCE_SECONDS
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.server = http_server.Server(
+            handler=self.answer, host="127.0.0.1", port=0
+        )
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop, 0.0)
+        self.caller = socket.socket()
+        self.addCleanup(self.caller.close)
+        self.caller.setblocking(False)
+        self.caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(self.caller, ("127.0.0.1", self.server.port))
+        await loop.sock_sendall(self.caller, REQUEST)
+
+    async def answer(self, request: messages.Request) -> messages.Response:
+        """Returns a large answer."""
+        return messages.Response(body=b"x" * LARGE_BYTES)
+
+    async def test_a_caller_that_reads_slowly_is_cut_off(self):
+        received = 0
+        loop = asyncio.get_running_loop()
+        while received < LARGE_BYTES:
+            data = await loop.sock_recv(self.caller, PIECE_BYTES)
+            self.assertTrue(data, received)
+            received += len(data)
+            await asyncio.sleep(PIECE_SECONDS)
+
+    async def test_a_caller_that_stops_to_read_is_waited_for(self):
+        async with asyncio.timeout(WAIT_SECONDS):
+            while not self.server.connections:
+                await asyncio.sleep(POLL_SECONDS)
+            while self.server.connections:
+                await asyncio.sleep(POLL_SECONDS)
+
+
 if __name__ == "__main__":
     unittest.main()
